--- /dev/null
+++ b/admin/api.go
@@ -0,0 +1,82 @@
+package admin
+
+import (
+	"time"
+
+	"amberway/config"
+	"amberway/fleet"
+	"amberway/peers"
+)
+
+// Status is the state of one entry host and what it knows of the others.
+type Status struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	Version    string `json:"version"`
+	Ready      bool   `json:"ready"`
+	Generation int64  `json:"generation"`
+	// ConfirmedAt is when the platform last told its configuration.
+	ConfirmedAt time.Time `json:"confirmed_at,omitzero"`
+	// ListAsOf is the age of the host list.
+	ListAsOf time.Time      `json:"list_as_of,omitzero"`
+	Members  []peers.Member `json:"members"`
+	// Generations gives the generation in force on each live entry host that
+	// answered.
+	Generations map[string]int64 `json:"generations"`
+}
+
+// Applied answers the application of a document.
+type Applied struct {
+	Generation int64 `json:"generation"`
+}
+
+// Configured is the configuration in force.
+type Configured struct {
+	Generation int64            `json:"generation"`
+	Document   *config.Document `json:"document"`
+}
+
+// Pool is one pool in the data centre of the entry host that was asked.
+type Pool struct {
+	Name string `json:"name"`
+	Team string `json:"team"`
+	fleet.Tally
+	Buffer int `json:"buffer"`
+}
+
+// Host is one host in the data centre of the entry host that was asked.
+type Host struct {
+	Name string `json:"name"`
+	fleet.Row
+	Rack    string `json:"rack"`
+	Live    bool   `json:"live"`
+	Leaving bool   `json:"leaving"`
+	// Blocked says why its drain waits.
+	Blocked string `json:"blocked,omitempty"`
+}
+
+// Wave is how far one wave is in the data centre of the entry host that was
+// asked.
+type Wave struct {
+	config.Wave
+	Hosts       int      `json:"hosts"`
+	Done        int      `json:"done"`
+	Maintenance []string `json:"maintenance"`
+	Away        []string `json:"away"`
+}
+
+// Change asks for a host to be held or a wave to be set to a state.
+type Change struct {
+	Held  bool             `json:"held"`
+	State config.WaveState `json:"state"`
+}
+
+// Failure is the body of every answer that is an error.
+type Failure struct {
+	Error string `json:"error"`
+	// Faults are what is wrong with a document.
+	Faults config.FaultsError `json:"faults,omitempty"`
+	// Current and Changed tell what a stale base missed.
+	Current int64    `json:"current,omitempty"`
+	Changed []string `json:"changed,omitempty"`
+}
--- /dev/null
+++ b/admin/client.go
@@ -0,0 +1,130 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"amberway/config"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// clientTimeout bounds one call.
+const clientTimeout = 30 * time.Second
+
+// APIError is an error that the entry host answered with.
+type APIError struct {
+	Status int
+	Failure
+}
+
+// Error returns the entry host's words.
+func (e *APIError) Error() string {
+	return e.Failure.Error
+}
+
+// Client calls the operators' interface of one entry host.
+type Client struct {
+	base   string
+	token  string
+	client *http.Client
+}
+
+// NewClient returns a client of the entry host at the URL.
+func NewClient(base *url.URL, token string) *Client {
+	return &Client{base: base.String(), token: token, client: &http.Client{Timeout: clientTimeout}}
+}
+
+// call sends body, if any, and decodes the answer into v.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, v any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return merry.Prepend(err, "admin: "+path)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	res, err := c.client.Do(req)
+	if err != nil {
+		return merry.Prepend(err, "admin: "+path)
+	}
+	defer res.Body.Close()
+	if res.StatusCode == http.StatusOK {
+		return json.NewDecoder(res.Body).Decode(v)
+	}
+	e := &APIError{Status: res.StatusCode}
+	if err := json.NewDecoder(res.Body).Decode(&e.Failure); err != nil || e.Failure.Error == "" {
+		e.Failure.Error = fmt.Sprintf("admin: %s: status %d", path, res.StatusCode)
+	}
+	return e
+}
+
+// get sends body, if any, and returns the decoded answer.
+func get[T any](ctx context.Context, c *Client, method, path string, body []byte) (T, error) {
+	var v T
+	err := c.call(ctx, method, path, body, &v)
+	return v, err
+}
+
+// Status returns the state of the entry host.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return get[Status](ctx, c, http.MethodGet, "/v1/status", nil)
+}
+
+// Dump writes the whole state of the entry host as JSON.
+func (c *Client) Dump(ctx context.Context, w io.Writer) error {
+	var v json.RawMessage
+	if err := c.call(ctx, http.MethodGet, "/v1/dump", nil, &v); err != nil {
+		return err
+	}
+	_, err := w.Write(append(v, '\n'))
+	return err
+}
+
+// Config returns the configuration in force.
+func (c *Client) Config(ctx context.Context) (Configured, error) {
+	return get[Configured](ctx, c, http.MethodGet, "/v1/config", nil)
+}
+
+// Apply puts a document in force as the generation after base.
+func (c *Client) Apply(ctx context.Context, document []byte, base int64) (Applied, error) {
+	return get[Applied](ctx, c, http.MethodPut, "/v1/config?base="+strconv.FormatInt(base, 10), document)
+}
+
+// Pools returns the pools in the entry host's data centre.
+func (c *Client) Pools(ctx context.Context) ([]Pool, error) {
+	return get[[]Pool](ctx, c, http.MethodGet, "/v1/pools", nil)
+}
+
+// Hosts returns the hosts in the entry host's data centre.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	return get[[]Host](ctx, c, http.MethodGet, "/v1/hosts", nil)
+}
+
+// Hold has a host drained and kept so, or lets it back.
+func (c *Client) Hold(ctx context.Context, name string, held bool) error {
+	b, err := json.Marshal(Change{Held: held})
+	if err != nil {
+		return err
+	}
+	return c.call(ctx, http.MethodPost, "/v1/hosts/"+url.PathEscape(name), b, &struct{}{})
+}
+
+// Waves returns how far each wave is in the entry host's data centre.
+func (c *Client) Waves(ctx context.Context) ([]Wave, error) {
+	return get[[]Wave](ctx, c, http.MethodGet, "/v1/waves", nil)
+}
+
+// SetWave sets a wave's state.
+func (c *Client) SetWave(ctx context.Context, name string, s config.WaveState) (Applied, error) {
+	b, err := json.Marshal(Change{State: s})
+	if err != nil {
+		return Applied{}, err
+	}
+	return get[Applied](ctx, c, http.MethodPost, "/v1/waves/"+url.PathEscape(name), b)
+}
--- /dev/null
+++ b/commands/settings.go
@@ -0,0 +1,151 @@
+package commands
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/sirupsen/logrus"
+)
+
+// Settings are the settings of the daemon, from flags and environment
+// variables. A flag goes before a variable.
+type Settings struct {
+	Name       string   `arg:"--name,env:AMBERWAY_NAME" help:"name of this entry host" placeholder:"NAME"`
+	DataCentre string   `arg:"--data-centre,env:AMBERWAY_DATA_CENTRE" help:"data centre it stands in" placeholder:"NAME"`
+	Callers    string   `arg:"--callers,env:AMBERWAY_CALLERS" default:"127.0.0.1:8080" help:"callers' listener" placeholder:"IP:PORT"`
+	Admin      string   `arg:"--admin,env:AMBERWAY_ADMIN" default:"127.0.0.1:8081" help:"operators' listener" placeholder:"IP:PORT"`
+	Peers      string   `arg:"--peers,env:AMBERWAY_PEERS" default:"127.0.0.1:8082" help:"listener for other entry hosts" placeholder:"IP:PORT"`
+	Seeds      []string `arg:"--seed,separate,env:AMBERWAY_SEEDS" help:"peers' listener of another entry host, for a start without the platform; may be given again" placeholder:"IP:PORT"`
+	Platform   string   `arg:"--platform,env:AMBERWAY_PLATFORM" help:"URL of the platform's key-value service" placeholder:"URL"`
+	HostList   string   `arg:"--host-list,env:AMBERWAY_HOST_LIST" help:"URL of the platform's host list; that of --platform if not given" placeholder:"URL"`
+	PeerToken  string   `arg:"--peer-token,env:AMBERWAY_PEER_TOKEN" help:"token that all entry hosts share; better set by the variable" placeholder:"TOKEN"`
+	Tokens     []string `arg:"--admin-token,separate,env:AMBERWAY_ADMIN_TOKENS" help:"token of an operator; may be given again" placeholder:"TOKEN"`
+	LogFormat  string   `arg:"--log-format,env:AMBERWAY_LOG_FORMAT" default:"text" help:"text or json" placeholder:"FORMAT"`
+	LogLevel   string   `arg:"--log-level,env:AMBERWAY_LOG_LEVEL" default:"info" help:"error, warning, info or debug" placeholder:"LEVEL"`
+	// StopDelay and StopWithin are settings, not state: a deadline is made of
+	// each when the stop begins.
+	StopDelay  time.Duration `arg:"--stop-delay,env:AMBERWAY_STOP_DELAY" default:"1s" help:"how long a stopping daemon takes requests while the balancer learns of it" placeholder:"TIME"`
+	StopWithin time.Duration `arg:"--stop-within,env:AMBERWAY_STOP_WITHIN" default:"1h" help:"how long a stopping daemon waits for requests in flight" placeholder:"TIME"`
+}
+
+// Version is what --version prints.
+func (Settings) Version() string {
+	return "amberwayd " + Version
+}
+
+// Description is the head of the help text.
+func (Settings) Description() string {
+	return "Entry host of amberway: serves callers, operators and other entry hosts."
+}
+
+// SettingsError names every fault of the settings.
+type SettingsError []string
+
+// Error lists the faults.
+func (e SettingsError) Error() string {
+	return fmt.Sprintf("%d bad settings:\n  %s", len(e), strings.Join(e, "\n  "))
+}
+
+// checked is what the settings come to.
+type checked struct {
+	callers  netip.AddrPort
+	admin    netip.AddrPort
+	peers    netip.AddrPort
+	seeds    []netip.AddrPort
+	platform *url.URL
+	hostList *url.URL
+	level    logrus.Level
+}
+
+// check returns the settings as values, or a SettingsError with every fault.
+func (s *Settings) check() (checked, error) {
+	var c checked
+	var e SettingsError
+	fault := func(format string, a ...any) { e = append(e, fmt.Sprintf(format, a...)) }
+	needed := map[string]string{"--name": s.Name, "--data-centre": s.DataCentre, "--platform": s.Platform, "--peer-token": s.PeerToken}
+	for n, v := range needed {
+		if v == "" {
+			fault("%s is needed", n)
+		}
+	}
+	if len(s.Tokens) == 0 || slices.Contains(s.Tokens, "") {
+		fault("--admin-token is needed and may not be empty")
+	}
+	c.callers = address("--callers", s.Callers, fault)
+	c.admin = address("--admin", s.Admin, fault)
+	c.peers = address("--peers", s.Peers, fault)
+	for _, v := range s.Seeds {
+		c.seeds = append(c.seeds, address("--seed", v, fault))
+	}
+	c.platform = location("--platform", s.Platform, fault)
+	c.hostList = c.platform
+	if s.HostList != "" {
+		c.hostList = location("--host-list", s.HostList, fault)
+	}
+	if s.LogFormat != "text" && s.LogFormat != "json" {
+		fault("--log-format: %q is neither text nor json", s.LogFormat)
+	}
+	var err error
+	if c.level, err = logrus.ParseLevel(s.LogLevel); err != nil {
+		fault("--log-level: %q is no level", s.LogLevel)
+	}
+	if s.StopDelay < 0 || s.StopWithin <= 0 {
+		fault("--stop-delay may not be below zero, and --stop-within has to be above")
+	}
+	if len(e) == 0 {
+		return c, nil
+	}
+	slices.Sort(e)
+	return c, e
+}
+
+type faultFunc func(format string, a ...any)
+
+func address(flag, v string, fault faultFunc) netip.AddrPort {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil {
+		fault("%s: %q is no IP number with a port", flag, v)
+	}
+	return a
+}
+
+func location(flag, v string, fault faultFunc) *url.URL {
+	u, err := url.Parse(v)
+	if v == "" {
+		return u
+	}
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		fault("%s: %q is no URL of http or https", flag, v)
+	}
+	return u
+}
+
+// parse reads arguments into dest. It returns false with the exit code where
+// the program is not to go on.
+func parse(dest any, program string, args []string, out, errs io.Writer) (int, bool) {
+	p, err := arg.NewParser(arg.Config{Program: program, Out: errs}, dest)
+	if err != nil {
+		fmt.Fprintf(errs, "%s: %v\n", program, err)
+		return ExitUsage, false
+	}
+	err = p.Parse(args)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		_ = p.WriteHelpForSubcommand(out, p.SubcommandNames()...)
+		return ExitOK, false
+	case errors.Is(err, arg.ErrVersion):
+		fmt.Fprintln(out, program, Version)
+		return ExitOK, false
+	case err != nil:
+		fmt.Fprintf(errs, "%s: %v\n", program, err)
+		return ExitUsage, false
+	}
+	return ExitOK, true
+}
--- /dev/null
+++ b/commands/tool_tables.go
@@ -0,0 +1,109 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"amberway/admin"
+	"amberway/config"
+
+	"github.com/goccy/go-yaml"
+)
+
+func (t *tool) showConfig(c admin.Configured) error {
+	if t.args.JSON {
+		return t.json(c)
+	}
+	b, err := yaml.Marshal(c.Document)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "# generation %d\n%s", c.Generation, b)
+	return nil
+}
+
+func (t *tool) pools(ctx context.Context) error {
+	l, err := t.client.Pools(ctx)
+	if err != nil {
+		return err
+	}
+	return t.table(l, "POOL\tTEAM\tHOSTS\tAVAILABLE\tNEED\tBUFFER\tLARGEST RACK", func(w io.Writer) {
+		for _, p := range l {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", p.Name, p.Team, p.Hosts, p.Available, p.Need, p.Buffer, p.LargestRack)
+		}
+	})
+}
+
+func (t *tool) host(ctx context.Context, a *hostArgs) error {
+	switch {
+	case a.Drain != nil:
+		return t.client.Hold(ctx, a.Drain.Name, true)
+	case a.Release != nil:
+		return t.client.Hold(ctx, a.Release.Name, false)
+	}
+	l, err := t.client.Hosts(ctx)
+	if err != nil {
+		return err
+	}
+	return t.table(l, "HOST\tPOOL\tSTATE\tRACK\tLIVE\tTERM\tWAVE\tWAITS FOR", func(w io.Writer) {
+		for _, h := range l {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%t\t%d\t%s\t%s\n", h.Name, h.Pool, h.State, h.Rack, h.Live, h.Term, h.Wave, h.Blocked)
+		}
+	})
+}
+
+func (t *tool) wave(ctx context.Context, a *waveArgs) error {
+	changes := []struct {
+		args  *nameArgs
+		state config.WaveState
+	}{
+		{a.Start, config.WaveRunning},
+		{a.Pause, config.WavePaused},
+		{a.Resume, config.WaveRunning},
+		{a.Abort, config.WaveAborted},
+	}
+	for _, c := range changes {
+		if c.args == nil {
+			continue
+		}
+		start := time.Now()
+		r, err := t.client.SetWave(ctx, c.args.Name, c.state)
+		if err != nil {
+			return err
+		}
+		return t.applied(r, start)
+	}
+	return t.waves(ctx)
+}
+
+func (t *tool) waves(ctx context.Context) error {
+	l, err := t.client.Waves(ctx)
+	if err != nil {
+		return err
+	}
+	return t.table(l, "WAVE\tSTATE\tHOSTS\tDONE\tIN MAINTENANCE\tAWAY", func(w io.Writer) {
+		for _, v := range l {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\n", v.Name, v.State, v.Hosts, v.Done,
+				strings.Join(v.Maintenance, " "), strings.Join(v.Away, " "))
+		}
+	})
+}
+
+func (t *tool) status(ctx context.Context) error {
+	s, err := t.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return t.table(s, "ENTRY HOST\tDATA CENTRE\tSTATE\tGENERATION\tCALLERS", func(w io.Writer) {
+		for _, m := range s.Members {
+			g := "?"
+			if n, ok := s.Generations[m.Name]; ok {
+				g = fmt.Sprint(n)
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", m.Name, m.DataCentre, m.State, g, m.Caller)
+		}
+	})
+}
--- /dev/null
+++ b/common/heap.go
@@ -0,0 +1,103 @@
+package common
+
+import "container/heap"
+
+// Heap is a priority queue whose items can be removed from the middle in
+// logarithmic time.
+type Heap[T any] struct {
+	items heapItems[T]
+}
+
+// Slot is the place of one item in a Heap.
+type Slot[T any] struct {
+	Value T
+	index int
+}
+
+// NewHeap returns an empty heap that puts the least item first.
+func NewHeap[T any](less func(a, b T) bool) *Heap[T] {
+	return &Heap[T]{items: heapItems[T]{less: less}}
+}
+
+// Len returns the number of items.
+func (h *Heap[T]) Len() int {
+	return len(h.items.slots)
+}
+
+// Push adds an item and returns its slot.
+func (h *Heap[T]) Push(v T) *Slot[T] {
+	s := &Slot[T]{Value: v}
+	heap.Push(&h.items, s)
+	return s
+}
+
+// Peek returns the least item, or false where there is none.
+func (h *Heap[T]) Peek() (T, bool) {
+	if h.Len() == 0 {
+		var z T
+		return z, false
+	}
+	return h.items.slots[0].Value, true
+}
+
+// Pop removes and returns the least item, or false where there is none.
+func (h *Heap[T]) Pop() (T, bool) {
+	if h.Len() == 0 {
+		var z T
+		return z, false
+	}
+	s, _ := heap.Pop(&h.items).(*Slot[T])
+	return s.Value, true
+}
+
+// Remove takes the item of the slot out. It reports whether it was there.
+func (h *Heap[T]) Remove(s *Slot[T]) bool {
+	if s.index < 0 {
+		return false
+	}
+	heap.Remove(&h.items, s.index)
+	return true
+}
+
+// heapItems implements heap.Interface.
+type heapItems[T any] struct {
+	slots []*Slot[T]
+	less  func(a, b T) bool
+}
+
+// Len is part of heap.Interface.
+func (h *heapItems[T]) Len() int {
+	return len(h.slots)
+}
+
+// Less is part of heap.Interface.
+func (h *heapItems[T]) Less(i, j int) bool {
+	return h.less(h.slots[i].Value, h.slots[j].Value)
+}
+
+// Swap is part of heap.Interface.
+func (h *heapItems[T]) Swap(i, j int) {
+	h.slots[i], h.slots[j] = h.slots[j], h.slots[i]
+	h.slots[i].index = i
+	h.slots[j].index = j
+}
+
+// Push is part of heap.Interface.
+func (h *heapItems[T]) Push(x any) {
+	s, ok := x.(*Slot[T])
+	if !ok {
+		return
+	}
+	s.index = len(h.slots)
+	h.slots = append(h.slots, s)
+}
+
+// Pop is part of heap.Interface.
+func (h *heapItems[T]) Pop() any {
+	n := len(h.slots) - 1
+	s := h.slots[n]
+	h.slots[n] = nil
+	h.slots = h.slots[:n]
+	s.index = -1
+	return s
+}
--- /dev/null
+++ b/common/rendezvous.go
@@ -0,0 +1,44 @@
+package common
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rank orders the names by their rendezvous score for the key, highest first.
+// A name that leaves changes the place of no other pair of names.
+func Rank(key string, names []string) []string {
+	r := slices.Clone(names)
+	s := make(map[string]uint64, len(names))
+	for _, n := range names {
+		s[n] = score(key, n)
+	}
+	slices.SortFunc(r, func(a, b string) int {
+		if c := cmp.Compare(s[b], s[a]); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return r
+}
+
+// First returns the name with the highest rendezvous score for the key, and
+// the empty string where there are no names.
+func First(key string, names []string) string {
+	best := ""
+	top := uint64(0)
+	for _, n := range names {
+		s := score(key, n)
+		if best == "" || s > top || (s == top && n < best) {
+			best = n
+			top = s
+		}
+	}
+	return best
+}
+
+func score(key, name string) uint64 {
+	return xxhash.Sum64String(key + "\x00" + name)
+}
--- /dev/null
+++ b/config/follower.go
@@ -0,0 +1,215 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"amberway/common"
+	"amberway/platform"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// Source gives heads and sections that a peer has in force.
+type Source interface {
+	// Head returns the peer's head.
+	Head(ctx context.Context) (*Head, error)
+	// Sections returns those of the sections that the peer holds.
+	Sections(ctx context.Context, l []Hash) (map[Hash][]byte, error)
+}
+
+// listAbove is how many missing sections are read by one list instead of one
+// by one.
+const listAbove = 8
+
+// confirmEvery is how often the head is read although the watch is silent. It
+// bounds how long a watch that has died unnoticed goes unnoticed.
+const confirmEvery = 20 * time.Second
+
+// Follower keeps the configuration in force up to date from the platform and
+// from peers.
+type Follower struct {
+	store   platform.Store
+	log     common.Log
+	now     func() time.Time
+	mu      sync.Mutex
+	adopter *Adopter
+	current atomic.Pointer[Snapshot]
+	onAdopt []func(*Snapshot)
+}
+
+// NewFollower returns a follower of the store's head. Each function is called
+// with every snapshot put in force.
+func NewFollower(d common.Deps, s platform.Store, onAdopt ...func(*Snapshot)) *Follower {
+	f := &Follower{store: s, log: d.Log("config"), now: d.Now, adopter: NewAdopter(), onAdopt: onAdopt}
+	f.current.Store(f.adopter.Current())
+	return f
+}
+
+// Current returns the snapshot in force.
+func (f *Follower) Current() *Snapshot {
+	return f.current.Load()
+}
+
+// ConfirmedAt returns when the platform last told its head; zero if never.
+func (f *Follower) ConfirmedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.adopter.ConfirmedAt
+}
+
+// Run follows the platform's head until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 200 * time.Millisecond
+	b.MaxInterval = 3 * time.Second
+	for ctx.Err() == nil {
+		start := f.now()
+		err := f.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if f.now().Sub(start) > confirmEvery/2 {
+			b.Reset()
+		}
+		f.log.Warnf("platform not followed: %v", err)
+		common.Sleep(ctx, b.NextBackOff())
+	}
+}
+
+// follow reads the head and watches it until the watch breaks or is due to be
+// confirmed by a new read.
+func (f *Follower) follow(ctx context.Context) error {
+	for {
+		rev, err := f.read(ctx)
+		if err != nil {
+			return err
+		}
+		if err := f.watch(ctx, rev); err != nil {
+			return err
+		}
+	}
+}
+
+func (f *Follower) read(ctx context.Context) (platform.Revision, error) {
+	h, rev, err := ReadHead(ctx, f.store)
+	if err != nil {
+		return 0, err
+	}
+	f.confirm()
+	return rev, f.offer(ctx, h, platformSource{f.store})
+}
+
+// watch returns nil when it is time to confirm the head by a read.
+func (f *Follower) watch(ctx context.Context, rev platform.Revision) error {
+	d := confirmEvery + rand.N(confirmEvery/4)
+	wctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	err := f.store.Watch(wctx, HeadKey, rev, func(l []platform.Event) { f.events(wctx, l) })
+	if wctx.Err() != nil && ctx.Err() == nil {
+		return nil
+	}
+	return err
+}
+
+func (f *Follower) events(ctx context.Context, l []platform.Event) {
+	f.confirm()
+	for _, e := range l {
+		if e.Key != HeadKey || e.Deleted {
+			continue
+		}
+		h, err := DecodeHead(e.Value)
+		if err != nil {
+			f.log.Errorf("head not understood: %v", err)
+			continue
+		}
+		if err := f.offer(ctx, h, platformSource{f.store}); err != nil {
+			f.log.Warnf("generation %d not fetched: %v", h.Generation, err)
+		}
+	}
+}
+
+func (f *Follower) confirm() {
+	f.mu.Lock()
+	f.adopter.ConfirmedAt = f.now()
+	f.mu.Unlock()
+}
+
+// Learn fetches a newer generation from a peer.
+func (f *Follower) Learn(ctx context.Context, s Source) error {
+	h, err := s.Head(ctx)
+	if err != nil {
+		return err
+	}
+	return f.offer(ctx, h, s)
+}
+
+// offer puts the head in force once its sections are there.
+func (f *Follower) offer(ctx context.Context, h *Head, s Source) error {
+	f.mu.Lock()
+	f.adopter.Offer(h)
+	miss := f.adopter.Missing()
+	f.mu.Unlock()
+	var blobs map[Hash][]byte
+	if len(miss) > 0 {
+		var err error
+		blobs, err = s.Sections(ctx, miss)
+		if err != nil {
+			return err
+		}
+	}
+	return f.supply(blobs)
+}
+
+func (f *Follower) supply(blobs map[Hash][]byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, err := f.adopter.Supply(f.now(), blobs)
+	if err != nil || n == nil {
+		return err
+	}
+	f.log.Infof("generation %d in force", n.Head.Generation)
+	f.current.Store(n)
+	for _, o := range f.onAdopt {
+		o(n)
+	}
+	return nil
+}
+
+// platformSource reads sections from the platform.
+type platformSource struct {
+	store platform.Store
+}
+
+// Head returns the platform's head.
+func (p platformSource) Head(ctx context.Context) (*Head, error) {
+	h, _, err := ReadHead(ctx, p.store)
+	return h, err
+}
+
+// Sections reads the sections one by one, or all at once where many are
+// missing.
+func (p platformSource) Sections(ctx context.Context, l []Hash) (map[Hash][]byte, error) {
+	m := map[Hash][]byte{}
+	if len(l) > listAbove {
+		all, _, err := p.store.List(ctx, SectionPrefix)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range all {
+			m[Hash(e.Key[len(SectionPrefix):])] = e.Value
+		}
+		return m, nil
+	}
+	for _, h := range l {
+		e, err := p.store.Get(ctx, SectionPrefix+string(h))
+		if err != nil {
+			return nil, err
+		}
+		m[h] = e.Value
+	}
+	return m, nil
+}
--- /dev/null
+++ b/config/sections.go
@@ -0,0 +1,179 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Hash names a section by its content.
+type Hash string
+
+// HashOf returns the hash of a section's bytes.
+func HashOf(b []byte) Hash {
+	s := sha256.Sum256(b)
+	return Hash(hex.EncodeToString(s[:hashBytes]))
+}
+
+// hashBytes is how much of the SHA-256 sum names a section.
+const hashBytes = 16
+
+// Kinds of sections, each the first part of its name.
+const (
+	sectionRoot    = "root"
+	sectionTeam    = "team/"
+	sectionPool    = "pool/"
+	sectionService = "service/"
+	sectionWave    = "wave/"
+)
+
+// Head names the sections of one generation.
+type Head struct {
+	// Generation only grows. Zero is no configuration at all.
+	Generation int64 `json:"generation"`
+	// Write is the id of the write that made this head.
+	Write string `json:"write"`
+	// Recent are the ids of the writes before it, newest first, so that a
+	// writer whose answer was lost can tell whether its write took effect.
+	Recent []string `json:"recent,omitempty"`
+	// Order is the names of the sections as the document has them.
+	Order []string `json:"order"`
+	// Sections gives the hash of each section by its name.
+	Sections map[string]Hash `json:"sections"`
+}
+
+// maxRecent bounds Head.Recent.
+const maxRecent = 16
+
+// Wrote reports whether the write with the id led to this head.
+func (h *Head) Wrote(id string) bool {
+	return h.Write == id || slices.Contains(h.Recent, id)
+}
+
+// next returns the head that follows h and holds the sections of d.
+func (h *Head) next(d *Document, write string) (*Head, map[Hash][]byte, error) {
+	n := &Head{Generation: h.Generation + 1, Write: write, Sections: map[string]Hash{}}
+	if h.Write != "" {
+		n.Recent = append([]string{h.Write}, h.Recent...)
+	}
+	n.Recent = n.Recent[:min(len(n.Recent), maxRecent)]
+	blobs, err := n.divide(d)
+	return n, blobs, err
+}
+
+// divide encodes each section of the document and returns them by hash.
+func (h *Head) divide(d *Document) (map[Hash][]byte, error) {
+	blobs := map[Hash][]byte{}
+	add := func(name string, v any) error {
+		b, err := json.Marshal(v)
+		if err != nil {
+			return merry.Prepend(err, "config: section "+name)
+		}
+		h.Order = append(h.Order, name)
+		h.Sections[name] = HashOf(b)
+		blobs[HashOf(b)] = b
+		return nil
+	}
+	root := Document{Operator: d.Operator, DataCentres: d.DataCentres, Placement: d.Placement}
+	if err := add(sectionRoot, root); err != nil {
+		return nil, err
+	}
+	for _, v := range d.Teams {
+		if err := add(sectionTeam+v.Name, v); err != nil {
+			return nil, err
+		}
+	}
+	for _, v := range d.Pools {
+		if err := add(sectionPool+v.Name, v); err != nil {
+			return nil, err
+		}
+	}
+	for _, v := range d.Services {
+		if err := add(sectionService+v.Name, v); err != nil {
+			return nil, err
+		}
+	}
+	for _, v := range d.Waves {
+		if err := add(sectionWave+v.Name, v); err != nil {
+			return nil, err
+		}
+	}
+	return blobs, nil
+}
+
+// Missing returns the hashes of the head that have does not hold.
+func (h *Head) Missing(have map[Hash][]byte) []Hash {
+	var l []Hash
+	for _, n := range h.Order {
+		if _, ok := have[h.Sections[n]]; !ok {
+			l = append(l, h.Sections[n])
+		}
+	}
+	return l
+}
+
+// Assemble makes the document from its sections, each checked by its hash.
+func (h *Head) Assemble(have map[Hash][]byte) (*Document, error) {
+	d := &Document{}
+	for _, n := range h.Order {
+		b, ok := have[h.Sections[n]]
+		if !ok {
+			return nil, fmt.Errorf("config: section %s is missing", n)
+		}
+		if HashOf(b) != h.Sections[n] {
+			return nil, fmt.Errorf("config: section %s is not what its hash says", n)
+		}
+		if err := d.add(n, b); err != nil {
+			return nil, merry.Prepend(err, "config: section "+n)
+		}
+	}
+	return d, nil
+}
+
+// add decodes one section into the document.
+func (d *Document) add(name string, b []byte) error {
+	switch {
+	case name == sectionRoot:
+		return json.Unmarshal(b, d)
+	case strings.HasPrefix(name, sectionTeam):
+		return appendTo(&d.Teams, b)
+	case strings.HasPrefix(name, sectionPool):
+		return appendTo(&d.Pools, b)
+	case strings.HasPrefix(name, sectionService):
+		return appendTo(&d.Services, b)
+	case strings.HasPrefix(name, sectionWave):
+		return appendTo(&d.Waves, b)
+	}
+	return fmt.Errorf("unknown kind of section")
+}
+
+func appendTo[T any](l *[]T, b []byte) error {
+	var v T
+	if err := json.Unmarshal(b, &v); err != nil {
+		return err
+	}
+	*l = append(*l, v)
+	return nil
+}
+
+// Changes lists the names of sections that differ between two heads.
+func Changes(a, b *Head) []string {
+	var l []string
+	for n, h := range b.Sections {
+		if a.Sections[n] != h {
+			l = append(l, n)
+		}
+	}
+	for n := range a.Sections {
+		if _, ok := b.Sections[n]; !ok {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
--- /dev/null
+++ b/fleet/coordinator.go
@@ -0,0 +1,202 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"amberway/common"
+	"amberway/config"
+	"amberway/peers"
+	"amberway/platform"
+
+	"github.com/google/uuid"
+)
+
+// stepEvery is the time between two plans of a data centre.
+const stepEvery = 500 * time.Millisecond
+
+// Members tells who is alive.
+type Members interface {
+	// LiveNames returns the names of the live members of a data centre.
+	LiveNames(dc string) []string
+	// Members returns every row of the table.
+	Members() []peers.Member
+}
+
+// Coordinator plans for one data centre while this process is the first of its
+// members. That two may take themselves to be first costs a lost swap, no more.
+type Coordinator struct {
+	dc      string
+	self    string
+	store   platform.Store
+	hosts   platform.Hosts
+	view    *View
+	members Members
+	dialer  *peers.Dialer
+	runs    Runs
+	config  func() *config.Snapshot
+	log     common.Log
+	now     func() time.Time
+	// sent holds the term of the last order that the platform took.
+	sent map[string]int64
+	last atomic.Pointer[Output]
+	// Steps counts the swaps that took effect.
+	Steps atomic.Int64
+}
+
+// CoordinatorParts are what a Coordinator is made of.
+type CoordinatorParts struct {
+	DataCentre string
+	Self       string
+	Store      platform.Store
+	Hosts      platform.Hosts
+	View       *View
+	Members    Members
+	Dialer     *peers.Dialer
+	Runs       Runs
+	Config     func() *config.Snapshot
+}
+
+// NewCoordinator returns a coordinator that is not running yet.
+func NewCoordinator(d common.Deps, p CoordinatorParts) *Coordinator {
+	return &Coordinator{
+		dc: p.DataCentre, self: p.Self, store: p.Store, hosts: p.Hosts, view: p.View, members: p.Members,
+		dialer: p.Dialer, runs: p.Runs, config: p.Config, log: d.Log("fleet"), now: d.Now, sent: map[string]int64{},
+	}
+}
+
+// Run plans until the context ends.
+func (c *Coordinator) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if common.First(RecordKey(c.dc), c.members.LiveNames(c.dc)) == c.self {
+			c.step(ctx)
+		}
+		common.Sleep(ctx, stepEvery)
+	}
+}
+
+// Last returns what the last plan of this process came to, or nil.
+func (c *Coordinator) Last() *Output {
+	return c.last.Load()
+}
+
+// step makes one plan, swaps it in, and sends its orders only after that.
+func (c *Coordinator) step(ctx context.Context) {
+	s := c.view.Current()
+	g := c.config()
+	if g.Head.Generation == 0 || s.List.AsOf.IsZero() {
+		return
+	}
+	o := Plan(Input{
+		Now:        c.now(),
+		Document:   g.Document,
+		Generation: g.Head.Generation,
+		DataCentre: c.dc,
+		Record:     s.Record,
+		List:       s.List,
+		Idle:       c.idle(ctx, s.Record),
+	})
+	c.last.Store(&o)
+	if o.Changed && !c.swap(ctx, s, o.Record, g.Head.Generation) {
+		return
+	}
+	c.send(ctx, o.Orders)
+}
+
+// swap writes the record. Only a swap that is known to have taken effect
+// counts; after any other the record is read anew.
+func (c *Coordinator) swap(ctx context.Context, s *Snapshot, r Record, gen int64) bool {
+	r.Version = s.Record.Version + 1
+	r.Write = uuid.NewString()
+	r.Generation = gen
+	b, err := json.Marshal(r)
+	if err != nil {
+		c.log.Errorf("record not written: %v", err)
+		return false
+	}
+	rev, err := c.store.Swap(ctx, RecordKey(c.dc), b, s.Revision)
+	if err == nil {
+		c.Steps.Add(1)
+		c.view.Offer(r, rev)
+		return true
+	}
+	if !errors.Is(err, platform.ErrConflict) {
+		c.log.Warnf("record not written: %v", err)
+	}
+	_, _ = c.view.Refresh(ctx)
+	return false
+}
+
+// send sends each order that the platform has not taken yet.
+func (c *Coordinator) send(ctx context.Context, l []platform.Order) {
+	for _, o := range l {
+		if c.sent[o.Host] >= o.Term || !c.now().Before(o.Deadline) {
+			continue
+		}
+		if err := c.hosts.Reboot(ctx, o); err != nil {
+			c.log.Warnf("order not taken: %v", err)
+			continue
+		}
+		c.sent[o.Host] = o.Term
+		c.log.Infof("host %s reboots", o.Host)
+	}
+}
+
+// idle asks every entry host which draining hosts are idle there. A host
+// counts as idle only if all of them said so in the same term. One that does
+// not answer holds it back, also when it is taken for dead: it may be paused
+// with requests in flight. Members forgets it after a time, and leaves out one
+// that stopped as planned.
+func (c *Coordinator) idle(ctx context.Context, r Record) map[string]int64 {
+	terms := map[string]int64{}
+	for n, w := range r.Hosts {
+		if w.State == Draining {
+			terms[n] = w.Term
+		}
+	}
+	if len(terms) == 0 {
+		return nil
+	}
+	asked := slices.DeleteFunc(c.members.Members(), func(m peers.Member) bool { return m.State == peers.Left })
+	answers := make([]map[string]bool, len(asked))
+	var g sync.WaitGroup
+	for n, m := range asked {
+		g.Go(func() { answers[n] = c.ask(ctx, m, terms) })
+	}
+	g.Wait()
+	return agreed(terms, answers)
+}
+
+func (c *Coordinator) ask(ctx context.Context, m peers.Member, terms map[string]int64) map[string]bool {
+	if m.Name == c.self {
+		idle := map[string]bool{}
+		for h := range terms {
+			idle[h] = c.runs.Idle(h)
+		}
+		return idle
+	}
+	a, err := askIdle(ctx, c.dialer, m, c.dc, terms)
+	if err != nil {
+		return nil
+	}
+	return a
+}
+
+// agreed returns the terms of the hosts that every answer has as idle.
+func agreed(terms map[string]int64, answers []map[string]bool) map[string]int64 {
+	all := maps.Clone(terms)
+	for _, a := range answers {
+		for h := range all {
+			if !a[h] {
+				delete(all, h)
+			}
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/fleet/plan.go
@@ -0,0 +1,466 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"amberway/config"
+	"amberway/platform"
+)
+
+// Times of a host's maintenance.
+const (
+	// MaxSkew is the largest difference between two clocks.
+	MaxSkew = 2 * time.Second
+	// OrderLife is how long an order to the platform may be sent.
+	OrderLife = time.Minute
+	// ReturnWithin is how long a reboot may take.
+	ReturnWithin = 15 * time.Minute
+	// GoneAfter is how long a host may be off a fresh list before its row goes.
+	GoneAfter = 10 * time.Minute
+)
+
+// Input is what a plan is made from.
+type Input struct {
+	Now        time.Time
+	Document   *config.Document
+	Generation int64
+	DataCentre string
+	Record     Record
+	List       platform.HostList
+	// Idle holds the hosts that every live entry host has said to be idle, by
+	// the term that it was said for.
+	Idle map[string]int64
+}
+
+// Output is what a plan comes to.
+type Output struct {
+	// Record is the next record. It is to be swapped in before anything else
+	// is done.
+	Record Record
+	// Changed says that the record differs from the one handed in.
+	Changed bool
+	// Orders may be sent once the record is swapped in, and only then.
+	Orders []platform.Order
+	// Blocked says for each host whose drain waits why it does.
+	Blocked map[string]string
+	// Notes are for operators.
+	Notes []string
+}
+
+// planner is one plan in the making.
+type planner struct {
+	Input
+	out     Output
+	listed  map[string]platform.Host
+	tallies map[string]*Tally
+	// teams counts the hosts and accelerators of each team.
+	teams map[string]*quota
+	stale bool
+}
+
+type quota struct {
+	hosts        int
+	accelerators int
+}
+
+// Plan returns the next record of a data centre. It does nothing where the
+// record was made under a newer configuration than the one handed in.
+func Plan(in Input) Output {
+	p := &planner{Input: in, out: Output{Record: in.Record.Clone(), Blocked: map[string]string{}}}
+	if in.Generation < in.Record.Generation || in.Generation == 0 {
+		p.note("the record is of a newer configuration than the one in force here")
+		return p.out
+	}
+	p.stale = Stale(in.Now, in.List)
+	p.index()
+	for _, n := range p.out.Record.Names() {
+		p.step(n)
+	}
+	if !p.stale {
+		p.admit()
+		p.move()
+		p.hold()
+		p.waves()
+	}
+	return p.out
+}
+
+func (p *planner) note(s string) {
+	p.out.Notes = append(p.out.Notes, s)
+}
+
+func (p *planner) index() {
+	p.listed = make(map[string]platform.Host, len(p.List.Hosts))
+	for _, h := range p.List.Hosts {
+		p.listed[h.Name] = h
+	}
+	p.tallies = Tallies(p.Now, p.Document, p.DataCentre, p.Record, p.List)
+	p.teams = map[string]*quota{}
+	for n, w := range p.Record.Hosts {
+		p.charge(w.Pool, p.listed[n])
+	}
+}
+
+// charge counts a host towards the quota of the pool's team.
+func (p *planner) charge(pool string, h platform.Host) {
+	o, _ := p.Document.Pool(pool)
+	q, ok := p.teams[o.Team]
+	if !ok {
+		q = &quota{}
+		p.teams[o.Team] = q
+	}
+	q.hosts++
+	q.accelerators += h.Accelerators
+}
+
+func (p *planner) set(name string, w Row) {
+	p.out.Record.Hosts[name] = w
+	p.out.Changed = true
+}
+
+func (p *planner) drop(name string) {
+	delete(p.out.Record.Hosts, name)
+	p.out.Changed = true
+}
+
+// step moves one host on by what is known of it.
+func (p *planner) step(name string) {
+	w := p.out.Record.Hosts[name]
+	if p.gone(name, w) {
+		return
+	}
+	w = p.out.Record.Hosts[name]
+	switch w.State {
+	case Draining:
+		p.drained(name, w)
+	case Drained:
+		p.next(name, w)
+	case Rebooting, Away:
+		p.returned(name, w)
+	case InService:
+		p.forget(name, w)
+	}
+}
+
+// gone drops the row of a host that has been off a fresh list for long, and
+// reports whether it did.
+func (p *planner) gone(name string, w Row) bool {
+	if p.stale {
+		return false
+	}
+	_, ok := p.listed[name]
+	switch {
+	case ok && !w.GoneAt.IsZero():
+		w.GoneAt = time.Time{}
+		p.set(name, w)
+	case !ok && w.GoneAt.IsZero():
+		w.GoneAt = p.Now.Add(GoneAfter)
+		p.set(name, w)
+	case !ok && p.Now.After(w.GoneAt):
+		p.drop(name)
+		return true
+	}
+	return false
+}
+
+// drained takes a draining host on once every live entry host has said that it
+// is idle in this very term.
+func (p *planner) drained(name string, w Row) {
+	if t, ok := p.Idle[name]; !ok || t != w.Term {
+		p.out.Blocked[name] = "not every entry host has said that it is idle"
+		return
+	}
+	w.State = Drained
+	p.set(name, w)
+	p.next(name, w)
+}
+
+// next decides what a drained host is drained for.
+func (p *planner) next(name string, w Row) {
+	switch {
+	case w.Moving:
+		p.settle(name, w)
+	case w.Wave != "" && p.waveState(w.Wave) == config.WaveRunning:
+		p.order(name, w)
+	case w.Wave != "" && p.waveState(w.Wave) == config.WavePaused:
+		p.out.Blocked[name] = "wave " + w.Wave + " is paused"
+	case w.Held:
+		return
+	default:
+		p.back(name, w)
+	}
+}
+
+// settle puts a drained host into the pool that selects it now, or lets it go.
+func (p *planner) settle(name string, w Row) {
+	h, ok := p.listed[name]
+	if p.stale || !ok {
+		return
+	}
+	to := p.Document.PoolOf(h.Labels)
+	if to == "" {
+		p.drop(name)
+		return
+	}
+	if to != w.Pool && !p.within(to, h) {
+		p.out.Blocked[name] = "the quota of the team of pool " + to + " is used up"
+		return
+	}
+	w.Pool = to
+	w.Moving = false
+	p.back(name, w)
+}
+
+// back puts a host into service again.
+func (p *planner) back(name string, w Row) {
+	w.State = InService
+	w.Wave = ""
+	w.Term++
+	w.OrderBy = time.Time{}
+	w.ReturnBy = time.Time{}
+	if w.Held {
+		w.State = Drained
+	}
+	p.set(name, w)
+	if t, ok := p.tallies[w.Pool]; ok && available(w, p.listed[name]) && !p.stale {
+		t.gain(p.listed[name].Rack)
+	}
+}
+
+// order writes down that the host is to reboot, under a new term.
+func (p *planner) order(name string, w Row) {
+	h, ok := p.listed[name]
+	if p.stale || !ok {
+		p.out.Blocked[name] = "the host list does not tell of it"
+		return
+	}
+	w.State = Rebooting
+	w.Term++
+	w.Boot = h.Boot
+	w.OrderBy = p.Now.Add(OrderLife)
+	w.ReturnBy = p.Now.Add(ReturnWithin)
+	p.set(name, w)
+	p.resend(name, w, h)
+}
+
+// returned takes a rebooted host back, or notes that it stays away.
+func (p *planner) returned(name string, w Row) {
+	h, ok := p.listed[name]
+	if p.stale {
+		return
+	}
+	if ok && h.Live && h.Boot > w.Boot {
+		w.Done = append(slices.Clone(w.Done), w.Wave)
+		p.back(name, w)
+		return
+	}
+	if w.State == Rebooting && p.Now.After(w.ReturnBy) {
+		w.State = Away
+		p.set(name, w)
+		p.note("host " + name + " has not come back from its reboot")
+	}
+	p.resend(name, w, h)
+}
+
+// resend hands the order out again while it may be sent: its first sender may
+// have died before it was sent. The platform takes each term once.
+func (p *planner) resend(name string, w Row, h platform.Host) {
+	if w.State != Rebooting || !h.Live || !p.Now.Before(w.OrderBy) {
+		return
+	}
+	p.out.Orders = append(p.out.Orders, platform.Order{Host: name, Term: w.Term, Deadline: w.OrderBy})
+}
+
+// forget drops waves from the row that the configuration no longer has.
+func (p *planner) forget(name string, w Row) {
+	keep := slices.DeleteFunc(slices.Clone(w.Done), func(n string) bool { return p.waveState(n) == "" })
+	if len(keep) == len(w.Done) {
+		return
+	}
+	w.Done = keep
+	p.set(name, w)
+}
+
+func (p *planner) waveState(name string) config.WaveState {
+	for _, w := range p.Document.Waves {
+		if w.Name == name {
+			return w.State
+		}
+	}
+	return ""
+}
+
+// admit gives a row to each host that a pool selects and that has none.
+func (p *planner) admit() {
+	for _, h := range p.sorted() {
+		if _, ok := p.out.Record.Hosts[h.Name]; ok {
+			continue
+		}
+		n := p.Document.PoolOf(h.Labels)
+		if n == "" || !h.Live || h.Leaving {
+			continue
+		}
+		if !p.within(n, h) {
+			p.out.Blocked[h.Name] = "the quota of the team of pool " + n + " is used up"
+			continue
+		}
+		p.charge(n, h)
+		w := Row{Pool: n, State: InService, Term: 1}
+		p.set(h.Name, w)
+		p.tallies[n].gain(h.Rack)
+	}
+}
+
+// within reports whether the team of the pool may have one more host.
+func (p *planner) within(pool string, h platform.Host) bool {
+	o, _ := p.Document.Pool(pool)
+	q := p.teams[o.Team]
+	if q == nil {
+		q = &quota{}
+	}
+	for _, t := range p.Document.Teams {
+		if t.Name != o.Team {
+			continue
+		}
+		if t.Hosts > 0 && q.hosts+1 > t.Hosts {
+			return false
+		}
+		return t.Accelerators == 0 || q.accelerators+h.Accelerators <= t.Accelerators
+	}
+	return true
+}
+
+func (p *planner) sorted() []platform.Host {
+	l := slices.Clone(p.List.Hosts)
+	slices.SortFunc(l, func(a, b platform.Host) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return l
+}
+
+// move drains each host that its pool does not select any more.
+func (p *planner) move() {
+	for _, n := range p.out.Record.Names() {
+		w := p.out.Record.Hosts[n]
+		h, ok := p.listed[n]
+		if !ok || p.Document.PoolOf(h.Labels) == w.Pool {
+			continue
+		}
+		switch w.State {
+		case InService:
+			w.Moving = true
+			p.drain(n, w)
+		case Draining, Drained:
+			if !w.Moving {
+				w.Moving = true
+				p.set(n, w)
+			}
+		case Rebooting, Away:
+			// It moves once it is back in service.
+		}
+	}
+}
+
+// hold drains each host that an operator wants drained.
+func (p *planner) hold() {
+	for _, n := range p.out.Record.Names() {
+		w := p.out.Record.Hosts[n]
+		if w.Held && w.State == InService {
+			p.drain(n, w)
+		}
+	}
+}
+
+// drain grants the drain of one host if its pool's budget allows it.
+func (p *planner) drain(name string, w Row) bool {
+	h := p.listed[name]
+	t, ok := p.tallies[w.Pool]
+	if ok && available(w, h) && !t.mayLose(h.Rack) {
+		p.out.Blocked[name] = "the budget of pool " + w.Pool + " does not allow it"
+		if t.Spent() {
+			p.out.Blocked[name] = "failures have used up the budget of pool " + w.Pool
+		}
+		return false
+	}
+	if ok && available(w, h) {
+		t.lose(h.Rack)
+	}
+	w.State = Draining
+	w.Term++
+	p.set(name, w)
+	return true
+}
+
+// waves drains the next hosts of each running wave.
+func (p *planner) waves() {
+	for _, v := range p.Document.Waves {
+		if v.State == config.WaveRunning {
+			p.wave(v)
+		}
+	}
+}
+
+func (p *planner) wave(v config.Wave) {
+	busy, away := p.inWave(v.Name)
+	if away >= v.Failures {
+		p.note("wave " + v.Name + " is stopped: hosts have not come back")
+		return
+	}
+	for _, n := range p.candidates(v) {
+		if busy >= v.Limit {
+			return
+		}
+		w := p.out.Record.Hosts[n]
+		w.Wave = v.Name
+		if p.drain(n, w) {
+			busy++
+		}
+	}
+}
+
+// inWave counts the hosts in maintenance for the wave and those of them that
+// stay away.
+func (p *planner) inWave(name string) (busy, away int) {
+	for _, w := range p.out.Record.Hosts {
+		if w.Wave != name {
+			continue
+		}
+		busy++
+		if w.State == Away {
+			away++
+		}
+	}
+	return busy, away
+}
+
+// candidates returns the hosts that the wave still has to maintain, those of
+// one rack together: a rack that is partly away already is the cheapest to go
+// on with, since the budget covers the loss of one rack.
+func (p *planner) candidates(v config.Wave) []string {
+	var l []string
+	for _, n := range p.out.Record.Names() {
+		w := p.out.Record.Hosts[n]
+		if w.State != InService || w.Held || slices.Contains(w.Done, v.Name) {
+			continue
+		}
+		if _, ok := p.listed[n]; ok && slices.Contains(v.Pools, w.Pool) {
+			l = append(l, n)
+		}
+	}
+	slices.SortStableFunc(l, func(a, b string) int {
+		ra := p.listed[a].Rack
+		rb := p.listed[b].Rack
+		switch {
+		case ra < rb:
+			return -1
+		case ra > rb:
+			return 1
+		}
+		return 0
+	})
+	return l
+}
--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,200 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"amberway/common"
+	"amberway/platform"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// Times of a view.
+const (
+	// listEvery is how often the host list is read. A leaving host gets no new
+	// work within three seconds of the list's word.
+	listEvery = time.Second
+	// confirmEvery bounds how long a watch that died unnoticed goes unnoticed.
+	confirmEvery = 10 * time.Second
+)
+
+// Snapshot is what is known of one data centre. It is never changed.
+type Snapshot struct {
+	Record   Record
+	Revision platform.Revision
+	List     platform.HostList
+	// Usable gives the address of each host that may get work.
+	Usable map[string]netip.AddrPort
+	// ListedAt is when the list was last read.
+	ListedAt time.Time
+}
+
+// newSnapshot works out which hosts may get work: those in service that the
+// last list known has as live and staying. A list that cannot be refreshed is
+// used on, so that an outage of the platform stops no request.
+func newSnapshot(r Record, rev platform.Revision, l platform.HostList, at time.Time) *Snapshot {
+	s := &Snapshot{Record: r, Revision: rev, List: l, Usable: map[string]netip.AddrPort{}, ListedAt: at}
+	for _, h := range l.Hosts {
+		if available(r.Hosts[h.Name], h) {
+			s.Usable[h.Name] = h.Address
+		}
+	}
+	return s
+}
+
+// View follows the record and the host list of one data centre.
+type View struct {
+	dc       string
+	store    platform.Store
+	hosts    platform.Hosts
+	log      common.Log
+	now      func() time.Time
+	mu       sync.Mutex
+	current  atomic.Pointer[Snapshot]
+	onChange func(*Snapshot)
+}
+
+// NewView returns a view of the data centre that calls onChange with each new
+// snapshot.
+func NewView(d common.Deps, dc string, s platform.Store, h platform.Hosts, onChange func(*Snapshot)) *View {
+	v := &View{dc: dc, store: s, hosts: h, log: d.Log("fleet"), now: d.Now, onChange: onChange}
+	v.current.Store(newSnapshot(Record{}, 0, platform.HostList{}, time.Time{}))
+	return v
+}
+
+// Current returns what is known now.
+func (v *View) Current() *Snapshot {
+	return v.current.Load()
+}
+
+// Address returns the address of a host that may get work, or false.
+func (v *View) Address(name string) (netip.AddrPort, bool) {
+	a, ok := v.Current().Usable[name]
+	return a, ok
+}
+
+// Run follows the platform until the context ends.
+func (v *View) Run(ctx context.Context) {
+	go v.followList(ctx)
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 200 * time.Millisecond
+	b.MaxInterval = 3 * time.Second
+	for ctx.Err() == nil {
+		if err := v.followRecord(ctx); err == nil {
+			b.Reset()
+			continue
+		}
+		common.Sleep(ctx, b.NextBackOff())
+	}
+}
+
+// followRecord reads the record and watches it until it is due to be read
+// again.
+func (v *View) followRecord(ctx context.Context) error {
+	rev, err := v.Refresh(ctx)
+	if err != nil {
+		return err
+	}
+	wctx, cancel := context.WithTimeout(ctx, confirmEvery+rand.N(confirmEvery/4))
+	defer cancel()
+	err = v.store.Watch(wctx, RecordKey(v.dc), rev, v.events)
+	if wctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Refresh reads the record. It returns a revision to watch from.
+func (v *View) Refresh(ctx context.Context) (platform.Revision, error) {
+	e, err := v.store.Get(ctx, RecordKey(v.dc))
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return e.Revision, v.take(e)
+}
+
+func (v *View) events(l []platform.Event) {
+	for _, e := range l {
+		if e.Key != RecordKey(v.dc) || e.Deleted {
+			continue
+		}
+		if err := v.take(e.Entry); err != nil {
+			v.log.Errorf("record not understood: %v", err)
+		}
+	}
+}
+
+func (v *View) take(e platform.Entry) error {
+	r, err := DecodeRecord(e.Value)
+	if err != nil {
+		return err
+	}
+	v.Offer(r, e.Revision)
+	return nil
+}
+
+// Offer takes in a record unless a newer one is known.
+func (v *View) Offer(r Record, rev platform.Revision) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c := v.Current()
+	if r.Version < c.Record.Version || (r.Version == c.Record.Version && rev <= c.Revision) {
+		return
+	}
+	v.put(newSnapshot(r, rev, c.List, c.ListedAt))
+}
+
+// OfferList takes in a host list unless a newer one is known.
+func (v *View) OfferList(l platform.HostList) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c := v.Current()
+	if !l.AsOf.After(c.List.AsOf) {
+		return
+	}
+	v.put(newSnapshot(c.Record, c.Revision, l, v.now()))
+}
+
+func (v *View) put(s *Snapshot) {
+	v.current.Store(s)
+	v.onChange(s)
+}
+
+func (v *View) followList(ctx context.Context) {
+	failed := false
+	for ctx.Err() == nil {
+		l, err := v.hosts.List(ctx, v.dc)
+		if err == nil {
+			v.OfferList(l)
+		}
+		if err != nil && !failed && ctx.Err() == nil {
+			v.log.Warnf("host list not read: %v", err)
+		}
+		failed = err != nil
+		common.Sleep(ctx, listEvery-listEvery/8+rand.N(listEvery/4))
+	}
+}
+
+// encode returns the record, if newer than the version, and the list as JSON.
+func (s *Snapshot) encode(than int64) (record, hosts []byte, err error) {
+	if s.Record.Version > than {
+		record, err = json.Marshal(s.Record)
+		if err != nil {
+			return nil, nil, err
+		}
+	}
+	if !s.List.AsOf.IsZero() {
+		hosts, err = json.Marshal(s.List)
+	}
+	return record, hosts, err
+}
--- /dev/null
+++ b/internal/local/cmd/demo/main.go
@@ -0,0 +1,139 @@
+// Command demo runs a small deployment, sends a load through it while the
+// configuration changes, a target is drained and an entry host stops, and
+// prints what became of it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"syscall"
+	"time"
+
+	"amberway/admin"
+	"amberway/fleet"
+	"amberway/internal/local"
+	"amberway/internal/standin"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "amberway-demo")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	bin, err := local.Build(ctx, dir)
+	if err != nil {
+		return err
+	}
+	d, err := local.Start(ctx, bin, dir, local.Options{
+		DataCentres: []string{"north", "south"},
+		Entries:     2,
+		Targets:     map[string]int{"tint": 3, "recipes": 3},
+		Rack:        1,
+	})
+	defer d.Stop()
+	if err != nil {
+		return err
+	}
+	return show(ctx, d)
+}
+
+// loadCount and loadInterval make a load of about eight seconds.
+const (
+	loadCount    = 800
+	loadInterval = 10 * time.Millisecond
+)
+
+func show(ctx context.Context, d *local.Deployment) error {
+	names := []string{"tint", "recipes"}
+	first, err := d.Apply(ctx, local.Document(d.DataCentres, names, 0), 0)
+	if err != nil {
+		return err
+	}
+	inService := func(h admin.Host) bool { return h.State == fleet.InService }
+	if err := d.WaitHosts(ctx, 10*time.Second, 6, inService); err != nil {
+		return err
+	}
+	tally := make(chan standin.Tally, 1)
+	go func() { tally <- standin.NewCaller().Run(ctx, load(d)) }()
+	time.Sleep(time.Second)
+	second, err := d.Apply(ctx, local.Document(d.DataCentres, names, 1), 1)
+	if err != nil {
+		return err
+	}
+	north := d.Entries[0].Client()
+	if err := north.Hold(ctx, "tint-north-0", true); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	if err := d.Entries[3].Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return report(ctx, d, <-tally, first, second)
+}
+
+func load(d *local.Deployment) standin.Load {
+	return standin.Load{
+		Entries: d.URLs(),
+		Paths: []standin.Path{
+			{Path: "/tint/quick", Within: 2 * time.Second},
+			{Path: "/recipes/patient", Within: 10 * time.Second, Run: 20 * time.Millisecond},
+			{Path: "/recipes/quick", Within: 2 * time.Second},
+			{Path: "/tint/once", Within: 10 * time.Second, Once: true, Run: 20 * time.Millisecond},
+		},
+		Count:    loadCount,
+		Interval: loadInterval,
+	}
+}
+
+func report(ctx context.Context, d *local.Deployment, t standin.Tally, first, second time.Duration) error {
+	doubled, err := d.Doubled()
+	if err != nil {
+		return err
+	}
+	code, err := d.Entries[3].Wait(10 * time.Second)
+	if err != nil {
+		return err
+	}
+	hosts, err := d.Entries[0].Client().Hosts(ctx)
+	if err != nil {
+		return err
+	}
+	rows := []struct {
+		name  string
+		value any
+	}{
+		{"sent", t.Sent},
+		{"answered whole and in time", t.Answered},
+		{"late", t.Late},
+		{"refused as not run", t.NotRun},
+		{"may have run", t.MayHaveRun},
+		{"lost", t.Lost},
+		{"crossed", t.Crossed},
+		{"doubled", len(doubled)},
+		{"longest answer", t.Longest.Round(time.Millisecond)},
+		{"first configuration in force everywhere", first.Round(time.Millisecond)},
+		{"second configuration in force everywhere", second.Round(time.Millisecond)},
+		{"exit code of the stopped entry host", code},
+	}
+	for _, r := range rows {
+		fmt.Printf("%-42s %v\n", r.name, r.value)
+	}
+	for _, h := range hosts {
+		fmt.Printf("%-42s %s\n", "host "+h.Name, h.State)
+	}
+	if t.Lost+t.Crossed+len(doubled)+t.Late > 0 || t.Answered < t.Sent*9/10 || code != 0 {
+		return fmt.Errorf("something was lost, late, crossed or doubled, or too little was answered")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/local/deployment.go
@@ -0,0 +1,400 @@
+// Package local runs a whole deployment as processes on this machine, for
+// tests, the demo and measurements. Only they start processes; the daemon
+// starts none.
+package local
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"amberway/admin"
+	"amberway/internal/standin"
+	"amberway/platform"
+)
+
+// Tokens of every local deployment.
+const (
+	AdminToken = "local-admin"
+	peerToken  = "local-peer"
+)
+
+// Options say how large a deployment is.
+type Options struct {
+	DataCentres []string
+	// Entries is the number of entry hosts in each data centre.
+	Entries int
+	// Targets are the hosts in each data centre, by the pool label that they
+	// carry.
+	Targets map[string]int
+	// Slots is the number of slots of each target; 8 if zero.
+	Slots int
+	// Rack is the number of targets of a pool to a rack; 4 if zero.
+	Rack int
+	// Reboot is how long a reboot takes; one second if zero.
+	Reboot time.Duration
+}
+
+// Process is one running process.
+type Process struct {
+	Name string
+	Cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+}
+
+// Entry is one entry host.
+type Entry struct {
+	*Process
+	DataCentre string
+	Callers    netip.AddrPort
+	Admin      netip.AddrPort
+	Peers      netip.AddrPort
+	args       []string
+}
+
+// URL returns the base URL of the callers' listener.
+func (e *Entry) URL() string {
+	return "http://" + e.Callers.String()
+}
+
+// Client returns a client of the operators' listener.
+func (e *Entry) Client() *admin.Client {
+	return admin.NewClient(&url.URL{Scheme: "http", Host: e.Admin.String()}, AdminToken)
+}
+
+// Target is one target.
+type Target struct {
+	*Process
+	Host platform.Host
+}
+
+// Deployment is a platform, entry hosts and targets.
+type Deployment struct {
+	Options
+	dir       string
+	bin       string
+	platforms map[string]netip.AddrPort
+	Platform  *Process
+	Entries   []*Entry
+	Targets   []*Target
+}
+
+// Build builds the programs into a directory below dir.
+func Build(ctx context.Context, dir string) (string, error) {
+	root, err := moduleRoot()
+	if err != nil {
+		return "", err
+	}
+	bin := filepath.Join(dir, "bin")
+	if err := os.MkdirAll(bin, 0o755); err != nil {
+		return "", err
+	}
+	c := exec.CommandContext(ctx, "go", "build", "-o", bin+"/", "./cmd/...", "./internal/standin/cmd/...")
+	c.Dir = root
+	if out, err := c.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return bin, nil
+}
+
+func moduleRoot() (string, error) {
+	d, err := os.Getwd()
+	if err != nil {
+		return "", err
+	}
+	for {
+		if _, err := os.Stat(filepath.Join(d, "go.mod")); err == nil {
+			return d, nil
+		}
+		if d == filepath.Dir(d) {
+			return "", errors.New("no go.mod above the working directory")
+		}
+		d = filepath.Dir(d)
+	}
+}
+
+// Start starts everything and waits until each entry host answers. The caller
+// has to Stop it, also after an error.
+func Start(ctx context.Context, bin, dir string, o Options) (*Deployment, error) {
+	if o.Slots == 0 {
+		o.Slots = 8
+	}
+	if o.Rack == 0 {
+		o.Rack = hostsPerRack
+	}
+	if o.Reboot == 0 {
+		o.Reboot = time.Second
+	}
+	d := &Deployment{Options: o, dir: dir, bin: bin, platforms: map[string]netip.AddrPort{}}
+	if err := d.startPlatform(); err != nil {
+		return d, err
+	}
+	if err := d.startTargets(ctx); err != nil {
+		return d, err
+	}
+	for _, dc := range o.DataCentres {
+		for n := range o.Entries {
+			if err := d.newEntry(fmt.Sprintf("entry-%s-%d", dc, n), dc); err != nil {
+				return d, err
+			}
+		}
+	}
+	for _, e := range d.Entries {
+		if err := d.Launch(e); err != nil {
+			return d, err
+		}
+	}
+	return d, d.waitEntries(ctx)
+}
+
+func (d *Deployment) startPlatform() error {
+	args := []string{"platform", "--reboot", d.Reboot.String()}
+	for _, dc := range append([]string{"control"}, d.DataCentres...) {
+		a, err := freePort()
+		if err != nil {
+			return err
+		}
+		d.platforms[dc] = a
+		args = append(args, "--listen", dc+"="+a.String())
+	}
+	p, err := d.spawn("platform", "standin", args)
+	d.Platform = p
+	if err != nil {
+		return err
+	}
+	return waitFor(5*time.Second, func() error { return d.control(http.MethodGet, "/standin/stats", nil, nil) })
+}
+
+func (d *Deployment) startTargets(ctx context.Context) error {
+	var l []platform.Host
+	for _, dc := range d.DataCentres {
+		for pool, n := range d.Options.Targets {
+			for i := range n {
+				t, err := d.newTarget(fmt.Sprintf("%s-%s-%d", pool, dc, i), dc, pool, i)
+				if err != nil {
+					return err
+				}
+				l = append(l, t.Host)
+			}
+		}
+	}
+	return d.SetHosts(ctx, l)
+}
+
+// hostsPerRack is the usual number of workers to a rack.
+const hostsPerRack = 4
+
+func (d *Deployment) newTarget(name, dc, pool string, i int) (*Target, error) {
+	a, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	t := &Target{Host: platform.Host{
+		Name: name, Address: a, DataCentre: dc, Rack: fmt.Sprintf("%s-rack-%d", dc, i/d.Rack),
+		Labels: map[string]string{"pool": pool}, Live: true, Boot: 1, Slots: d.Slots, Connections: 64,
+		Processors: 16, MemoryBytes: 32 << 30,
+	}}
+	t.Process, err = d.spawn(name, "standin", []string{"target", "--name", name, "--listen", a.String(), "--slots", fmt.Sprint(d.Slots)})
+	d.Targets = append(d.Targets, t)
+	return t, err
+}
+
+func (d *Deployment) newEntry(name, dc string) error {
+	e := &Entry{DataCentre: dc, Process: &Process{Name: name}}
+	for _, a := range []*netip.AddrPort{&e.Callers, &e.Admin, &e.Peers} {
+		p, err := freePort()
+		if err != nil {
+			return err
+		}
+		*a = p
+	}
+	e.args = []string{
+		"--name", name, "--data-centre", dc, "--callers", e.Callers.String(), "--admin", e.Admin.String(),
+		"--peers", e.Peers.String(), "--platform", "http://" + d.platforms[dc].String(),
+		"--peer-token", peerToken, "--admin-token", AdminToken, "--stop-delay", "300ms",
+	}
+	d.Entries = append(d.Entries, e)
+	return nil
+}
+
+// Launch starts an entry host that is not running. All others are its seeds.
+func (d *Deployment) Launch(e *Entry) error {
+	args := e.args
+	for _, o := range d.Entries {
+		if o != e {
+			args = append(args, "--seed", o.Peers.String())
+		}
+	}
+	p, err := d.spawn(e.Name, "amberwayd", args)
+	e.Process = p
+	return err
+}
+
+// waitEntries waits until each entry host answers and knows all others.
+func (d *Deployment) waitEntries(ctx context.Context) error {
+	return waitFor(20*time.Second, func() error {
+		for _, e := range d.Entries {
+			s, err := e.Client().Status(ctx)
+			if err != nil {
+				return err
+			}
+			if len(s.Members) < len(d.Entries) {
+				return fmt.Errorf("%s knows %d of %d entry hosts", e.Name, len(s.Members), len(d.Entries))
+			}
+		}
+		return nil
+	})
+}
+
+func (d *Deployment) spawn(name, program string, args []string) (*Process, error) {
+	f, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	c := exec.Command(filepath.Join(d.bin, program), args...)
+	c.Stdout = f
+	c.Stderr = f
+	if err := c.Start(); err != nil {
+		return nil, err
+	}
+	p := &Process{Name: name, Cmd: c, log: f, done: make(chan struct{})}
+	go func() {
+		_ = c.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) error {
+	return p.Cmd.Process.Signal(s)
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	if p == nil || p.Cmd == nil || p.Cmd.Process == nil {
+		return
+	}
+	_ = p.Cmd.Process.Kill()
+	<-p.done
+	_ = p.log.Close()
+}
+
+// Wait waits for the end of the process and returns its exit code.
+func (p *Process) Wait(d time.Duration) (int, error) {
+	select {
+	case <-p.done:
+		return p.Cmd.ProcessState.ExitCode(), nil
+	case <-time.After(d):
+		return 0, fmt.Errorf("%s still runs after %s", p.Name, d)
+	}
+}
+
+// Stop ends every process.
+func (d *Deployment) Stop() {
+	for _, e := range d.Entries {
+		e.Kill()
+	}
+	for _, t := range d.Targets {
+		t.Kill()
+	}
+	d.Platform.Kill()
+}
+
+// Faults switches the platform's faults for one data centre or for all.
+func (d *Deployment) Faults(listener string, f standin.Fault) error {
+	return d.control(http.MethodPost, "/standin/faults?listener="+listener, f, nil)
+}
+
+// SetHosts adds or replaces hosts in the platform's list.
+func (d *Deployment) SetHosts(_ context.Context, l []platform.Host) error {
+	return d.control(http.MethodPost, "/standin/hosts", l, nil)
+}
+
+// Stats returns how many calls the platform took.
+func (d *Deployment) Stats() (standin.Stats, error) {
+	var s standin.Stats
+	return s, d.control(http.MethodGet, "/standin/stats", nil, &s)
+}
+
+func (d *Deployment) control(method, path string, body, v any) error {
+	return call(method, "http://"+d.platforms["control"].String()+path, body, v)
+}
+
+// Runs returns what the target has run.
+func (t *Target) Runs() (standin.Runs, error) {
+	var r standin.Runs
+	err := call(http.MethodGet, "http://"+t.Host.Address.String()+"/standin/runs", nil, &r)
+	return r, err
+}
+
+// Fault switches the target's fault.
+func (t *Target) Fault(f standin.Fault) error {
+	return call(http.MethodPost, "http://"+t.Host.Address.String()+"/standin/faults", f, nil)
+}
+
+func call(method, u string, body, v any) error {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(method, u, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	c := http.Client{Timeout: 5 * time.Second}
+	res, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	out, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d: %s", u, res.StatusCode, strings.TrimSpace(string(out)))
+	}
+	if v == nil {
+		return nil
+	}
+	return json.Unmarshal(out, v)
+}
+
+func waitFor(d time.Duration, f func() error) error {
+	end := time.Now().Add(d)
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(end) {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// freePort returns a loopback address that nothing listened on a moment ago.
+func freePort() (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer l.Close()
+	return netip.ParseAddrPort(l.Addr().String())
+}
--- /dev/null
+++ b/internal/standin/cmd/standin/main.go
@@ -0,0 +1,81 @@
+// Command standin runs the stand-ins of the platform and of a target.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"amberway/internal/standin"
+
+	"github.com/alexflint/go-arg"
+)
+
+type args struct {
+	Platform *platformArgs `arg:"subcommand:platform" help:"run the platform"`
+	Target   *targetArgs   `arg:"subcommand:target" help:"run a target"`
+}
+
+type platformArgs struct {
+	Listen []string      `arg:"--listen,separate,required" help:"NAME=IP:PORT of one listener"`
+	Lag    time.Duration `arg:"--lag" help:"how far the host list is behind"`
+	Reboot time.Duration `arg:"--reboot" default:"1s" help:"how long a reboot takes"`
+}
+
+type targetArgs struct {
+	Name   string        `arg:"--name,required"`
+	Listen string        `arg:"--listen,required" help:"IP:PORT"`
+	Slots  int           `arg:"--slots" default:"8"`
+	Run    time.Duration `arg:"--run" default:"5ms"`
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	if err := run(a); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(a args) error {
+	failed := make(chan error, 1)
+	switch {
+	case a.Platform != nil:
+		runPlatform(a.Platform, failed)
+	case a.Target != nil:
+		t := standin.NewTarget(a.Target.Name, a.Target.Slots, a.Target.Run)
+		serve(a.Target.Listen, t.Handler(), failed)
+	default:
+		return errors.New("name a command")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+func runPlatform(a *platformArgs, failed chan<- error) {
+	p := standin.NewPlatform(nil)
+	p.Lag = a.Lag
+	p.RebootTime = a.Reboot
+	for _, l := range a.Listen {
+		name, addr, _ := strings.Cut(l, "=")
+		serve(addr, p.Handler(name), failed)
+	}
+}
+
+func serve(addr string, h http.Handler, failed chan<- error) {
+	s := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { failed <- s.ListenAndServe() }()
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,267 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"amberway/platform"
+)
+
+// Stats counts the calls that a platform took.
+type Stats struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Watches int64 `json:"watches"`
+}
+
+// Platform takes the place of the platform's service and of its host list.
+type Platform struct {
+	Store  *Store
+	Faults *Faults
+	// Lag is how far the host list is behind.
+	Lag time.Duration
+	// RebootTime is how long a host stays away in a reboot.
+	RebootTime time.Duration
+
+	reads   atomic.Int64
+	writes  atomic.Int64
+	watches atomic.Int64
+	mu      sync.Mutex
+	hosts   map[string]platform.Host
+	terms   map[string]int64
+	lists   []platform.HostList
+	reboots []platform.Order
+}
+
+// NewPlatform returns a platform with the hosts.
+func NewPlatform(hosts []platform.Host) *Platform {
+	p := &Platform{
+		Store:      NewStore(),
+		Faults:     NewFaults(),
+		RebootTime: time.Second,
+		hosts:      map[string]platform.Host{},
+		terms:      map[string]int64{},
+	}
+	for _, h := range hosts {
+		p.hosts[h.Name] = h
+	}
+	return p
+}
+
+// Handler returns the interface of the named listener, with its faults.
+func (p *Platform) Handler(name string) http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /v3/kv/range", p.kvRange)
+	m.HandleFunc("POST /v3/kv/txn", p.kvTxn)
+	m.HandleFunc("POST /v3/kv/deleterange", p.kvDelete)
+	m.HandleFunc("POST /v3/watch", p.watch(name))
+	m.HandleFunc("GET /hosts", p.list)
+	m.HandleFunc("POST /reboot", p.reboot)
+	o := http.NewServeMux()
+	o.Handle("POST /standin/faults", p.Faults)
+	o.HandleFunc("POST /standin/hosts", p.setHosts)
+	o.HandleFunc("GET /standin/stats", p.stats)
+	o.HandleFunc("GET /standin/reboots", p.listReboots)
+	o.Handle("/", p.Faults.Wrap(name, m))
+	return o
+}
+
+func (p *Platform) kvRange(w http.ResponseWriter, r *http.Request) {
+	var q platform.WireRange
+	if !decode(w, r, &q) {
+		return
+	}
+	p.reads.Add(1)
+	l, rev := p.Store.Range(string(q.Key), string(q.RangeEnd))
+	encode(w, platform.WireRangeReply{Header: platform.WireHeader{Revision: rev}, KVs: l})
+}
+
+func (p *Platform) kvTxn(w http.ResponseWriter, r *http.Request) {
+	var q platform.WireTxn
+	if !decode(w, r, &q) {
+		return
+	}
+	p.writes.Add(1)
+	ok, rev := p.Store.Txn(q)
+	encode(w, platform.WireTxnReply{Header: platform.WireHeader{Revision: rev}, Succeeded: ok})
+}
+
+func (p *Platform) kvDelete(w http.ResponseWriter, r *http.Request) {
+	var q platform.WireDelete
+	if !decode(w, r, &q) {
+		return
+	}
+	p.writes.Add(1)
+	l, _ := p.Store.Range(string(q.Key), string(q.RangeEnd))
+	for _, k := range l {
+		p.Store.Txn(platform.WireTxn{Success: []platform.WireOp{{Delete: &platform.WireDelete{Key: k.Key}}}})
+	}
+	encode(w, struct{}{})
+}
+
+// watchCheck is how often an open watch looks whether its listener is down.
+const watchCheck = 100 * time.Millisecond
+
+func (p *Platform) watch(name string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var q platform.WireWatch
+		if !decode(w, r, &q) {
+			return
+		}
+		p.watches.Add(1)
+		encode(w, platform.WireWatchReply{Result: platform.WireWatchResult{Created: true}})
+		_ = http.NewResponseController(w).Flush()
+		p.stream(w, r, q.Create, name)
+	}
+}
+
+func (p *Platform) stream(w http.ResponseWriter, r *http.Request, c platform.WireWatchCreate, name string) {
+	next := c.StartRevision
+	t := time.NewTicker(watchCheck)
+	defer t.Stop()
+	for {
+		l, n, changed := p.Store.Since(next, string(c.Key), string(c.RangeEnd))
+		next = n
+		if len(l) > 0 {
+			encode(w, platform.WireWatchReply{Result: platform.WireWatchResult{Events: l}})
+			_ = http.NewResponseController(w).Flush()
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+		case <-t.C:
+		}
+		if p.Faults.Get(name).Down {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// list answers with the newest list that is at least Lag old.
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	p.reads.Add(1)
+	dc := r.URL.Query().Get("data_centre")
+	l := p.lagging()
+	out := platform.HostList{AsOf: l.AsOf}
+	for _, h := range l.Hosts {
+		if dc == "" || h.DataCentre == dc {
+			out.Hosts = append(out.Hosts, h)
+		}
+	}
+	encode(w, out)
+}
+
+func (p *Platform) lagging() platform.HostList {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.lists = append(p.lists, p.snapshot(now))
+	for len(p.lists) > 1 && !p.lists[1].AsOf.After(now.Add(-p.Lag)) {
+		p.lists = p.lists[1:]
+	}
+	return p.lists[0]
+}
+
+func (p *Platform) snapshot(now time.Time) platform.HostList {
+	l := platform.HostList{AsOf: now}
+	for _, h := range p.hosts {
+		l.Hosts = append(l.Hosts, h)
+	}
+	return l
+}
+
+// reboot takes an order unless it is late or of a lower term.
+func (p *Platform) reboot(w http.ResponseWriter, r *http.Request) {
+	var o platform.Order
+	if !decode(w, r, &o) {
+		return
+	}
+	p.writes.Add(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.hosts[o.Host]
+	if !ok {
+		http.Error(w, "no such host", http.StatusNotFound)
+		return
+	}
+	if time.Now().After(o.Deadline) || o.Term < p.terms[o.Host] {
+		http.Error(w, "late or of a lower term", http.StatusConflict)
+		return
+	}
+	if o.Term == p.terms[o.Host] {
+		return
+	}
+	p.terms[o.Host] = o.Term
+	p.reboots = append(p.reboots, o)
+	h.Live = false
+	p.hosts[o.Host] = h
+	time.AfterFunc(p.RebootTime, func() { p.boot(o.Host) })
+	go tell(h, Fault{Down: true})
+}
+
+func (p *Platform) boot(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[name]
+	h.Live = true
+	h.Boot++
+	p.hosts[name] = h
+	go tell(h, Fault{})
+}
+
+// tell switches the fault of a target.
+func tell(h platform.Host, f Fault) {
+	b, err := json.Marshal(f)
+	if err != nil {
+		return
+	}
+	c := http.Client{Timeout: time.Second}
+	res, err := c.Post("http://"+h.Address.String()+"/standin/faults", "application/json", bytes.NewReader(b))
+	if err == nil {
+		_ = res.Body.Close()
+	}
+}
+
+// SetHosts adds or replaces hosts.
+func (p *Platform) SetHosts(l []platform.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range l {
+		p.hosts[h.Name] = h
+	}
+}
+
+func (p *Platform) setHosts(w http.ResponseWriter, r *http.Request) {
+	var l []platform.Host
+	if decode(w, r, &l) {
+		p.SetHosts(l)
+	}
+}
+
+func (p *Platform) listReboots(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	encode(w, p.reboots)
+}
+
+func (p *Platform) stats(w http.ResponseWriter, _ *http.Request) {
+	encode(w, Stats{Reads: p.reads.Load(), Writes: p.writes.Load(), Watches: p.watches.Load()})
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(r.Body).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func encode(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/target.go
@@ -0,0 +1,149 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"amberway/common"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Headers by which a caller tells a target what to do.
+const (
+	// HeaderRun is how long the run takes, as a Go duration.
+	HeaderRun = "Standin-Run"
+	// HeaderSize is how many bytes of padding the answer gets.
+	HeaderSize = "Standin-Size"
+)
+
+// Runs is what a target has run.
+type Runs struct {
+	// ByID counts the runs of each request id.
+	ByID map[string]int `json:"by_id"`
+	// Most is the highest number of runs at one moment.
+	Most int `json:"most"`
+	// Over counts runs that began with all slots taken.
+	Over int `json:"over"`
+	// Last is when the last run began.
+	Last time.Time `json:"last"`
+}
+
+// Target takes the place of a worker that runs requests.
+type Target struct {
+	Name    string
+	Slots   int
+	RunTime time.Duration
+	Faults  *Faults
+
+	mu     sync.Mutex
+	active int
+	runs   Runs
+}
+
+// NewTarget returns a target with a number of slots and a usual run time.
+func NewTarget(name string, slots int, run time.Duration) *Target {
+	return &Target{
+		Name:    name,
+		Slots:   slots,
+		RunTime: run,
+		Faults:  NewFaults(),
+		runs:    Runs{ByID: map[string]int{}},
+	}
+}
+
+// Handler returns the target's interface.
+func (t *Target) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.Handle("POST /standin/faults", t.Faults)
+	m.HandleFunc("GET /standin/runs", t.listRuns)
+	m.Handle("/", t.Faults.Wrap(All, http.HandlerFunc(t.run)))
+	return m
+}
+
+// Runs returns what the target has run so far.
+func (t *Target) Runs() Runs {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.runs
+	r.ByID = map[string]int{}
+	for k, v := range t.runs.ByID {
+		r.ByID[k] = v
+	}
+	return r
+}
+
+func (t *Target) listRuns(w http.ResponseWriter, _ *http.Request) {
+	encode(w, t.Runs())
+}
+
+func (t *Target) run(w http.ResponseWriter, r *http.Request) {
+	f := t.Faults.Get(All)
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	id := r.Header.Get(common.HeaderID)
+	t.begin(id)
+	defer t.end()
+	if f.Hang {
+		<-r.Context().Done()
+		return
+	}
+	if f.Fail || (f.FailJob != "" && strings.HasPrefix(r.URL.Path, f.FailJob)) {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
+	time.Sleep(t.runTime(r))
+	t.answer(w, r, id, b, f.Half)
+}
+
+func (t *Target) begin(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.active >= t.Slots {
+		t.runs.Over++
+	}
+	t.active++
+	t.runs.Most = max(t.runs.Most, t.active)
+	t.runs.ByID[id]++
+	t.runs.Last = time.Now()
+}
+
+func (t *Target) end() {
+	t.mu.Lock()
+	t.active--
+	t.mu.Unlock()
+}
+
+func (t *Target) runTime(r *http.Request) time.Duration {
+	if d, err := time.ParseDuration(r.Header.Get(HeaderRun)); err == nil {
+		return d
+	}
+	return t.RunTime
+}
+
+// answer sends what Expect tells the caller to wait for.
+func (t *Target) answer(w http.ResponseWriter, r *http.Request, id string, b []byte, half bool) {
+	n, _ := strconv.Atoi(r.Header.Get(HeaderSize))
+	out := Expect(r.URL.Path, b, n)
+	w.Header().Set(common.HeaderID, id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
+	if !half {
+		_, _ = io.WriteString(w, out)
+		return
+	}
+	_, _ = io.WriteString(w, out[:len(out)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// Expect returns the whole answer to a body at a path, with padding bytes.
+func Expect(path string, body []byte, padding int) string {
+	return fmt.Sprintf("%s %016x %s", path, xxhash.Sum64(body), strings.Repeat("x", padding))
+}
--- /dev/null
+++ b/peers/dialer.go
@@ -0,0 +1,103 @@
+package peers
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+)
+
+// tokenKey is the metadata key of the token that entry hosts share.
+const tokenKey = "amberway-peer-token"
+
+// Times of a connection between entry hosts.
+const (
+	dialTimeout   = 500 * time.Millisecond
+	redialAtMost  = time.Second
+	keepaliveTime = 10 * time.Second
+)
+
+// Dialer holds one connection to each peer.
+type Dialer struct {
+	token string
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*grpc.ClientConn
+}
+
+// NewDialer returns a dialer that shows the token to each peer.
+func NewDialer(token string) *Dialer {
+	return &Dialer{token: token, conns: map[netip.AddrPort]*grpc.ClientConn{}}
+}
+
+// Conn returns the connection to the peer at the address. It is opened on
+// first use.
+func (d *Dialer) Conn(a netip.AddrPort) (*grpc.ClientConn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c, ok := d.conns[a]; ok {
+		return c, nil
+	}
+	b := backoff.DefaultConfig
+	b.BaseDelay = 100 * time.Millisecond
+	b.MaxDelay = redialAtMost
+	c, err := grpc.NewClient("passthrough:///"+a.String(),
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: b, MinConnectTimeout: dialTimeout}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: time.Second}),
+		grpc.WithUnaryInterceptor(d.addToken),
+	)
+	if err != nil {
+		return nil, err
+	}
+	d.conns[a] = c
+	return c, nil
+}
+
+// Keep closes the connections to all other addresses.
+func (d *Dialer) Keep(l map[netip.AddrPort]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for a, c := range d.conns {
+		if !l[a] {
+			_ = c.Close()
+			delete(d.conns, a)
+		}
+	}
+}
+
+// Close closes all connections.
+func (d *Dialer) Close() {
+	d.Keep(nil)
+}
+
+func (d *Dialer) addToken(ctx context.Context, method string, req, reply any, c *grpc.ClientConn,
+	invoke grpc.UnaryInvoker, opts ...grpc.CallOption,
+) error {
+	ctx = metadata.AppendToOutgoingContext(ctx, tokenKey, d.token)
+	return invoke(ctx, method, req, reply, c, opts...)
+}
+
+// NewServer returns a server that refuses callers without the token.
+func NewServer(token string) *grpc.Server {
+	check := func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
+		m, _ := metadata.FromIncomingContext(ctx)
+		v := m.Get(tokenKey)
+		if len(v) != 1 || subtle.ConstantTimeCompare([]byte(v[0]), []byte(token)) != 1 {
+			return nil, status.Error(codes.Unauthenticated, "peers: wrong token")
+		}
+		return h(ctx, req)
+	}
+	return grpc.NewServer(
+		grpc.UnaryInterceptor(check),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2}),
+	)
+}
--- /dev/null
+++ b/peers/member.go
@@ -0,0 +1,110 @@
+package peers
+
+import (
+	"cmp"
+	"net/netip"
+
+	"amberway/peers/peerspb"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// State is what is held of a member. A higher state wins over a lower one of
+// the same version.
+type State uint32
+
+// The states of a member.
+const (
+	Alive State = iota
+	Suspect
+	Dead
+	// Left is the state of a member that said that it stops.
+	Left
+)
+
+var stateNames = [...]string{"alive", "suspect", "dead", "left"}
+
+// String returns the state's name.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "unknown"
+}
+
+// MarshalText writes the state's name.
+func (s State) MarshalText() ([]byte, error) {
+	return []byte(s.String()), nil
+}
+
+// UnmarshalText reads the state's name.
+func (s *State) UnmarshalText(b []byte) error {
+	for i, n := range stateNames {
+		if n == string(b) {
+			*s = State(i)
+			return nil
+		}
+	}
+	return merry.Errorf("peers: %q is no state of a member", b)
+}
+
+// Member is one entry host.
+type Member struct {
+	// Name is the host's name from its settings.
+	Name string `json:"name"`
+	// Incarnation tells the starts of a process apart; a later one is higher.
+	Incarnation uint64 `json:"incarnation"`
+	// Peer is the address of its peers' listener.
+	Peer netip.AddrPort `json:"peer"`
+	// Caller is the address of its callers' listener.
+	Caller netip.AddrPort `json:"caller"`
+	// DataCentre is where it stands.
+	DataCentre string `json:"data_centre"`
+	// Version is raised by the member itself to refute a suspicion.
+	Version uint64 `json:"version"`
+	State   State  `json:"state"`
+}
+
+// Newer orders what is known of one name: a later incarnation, then a later
+// version, then the higher state.
+func (m Member) Newer(o Member) bool {
+	if c := cmp.Compare(m.Incarnation, o.Incarnation); c != 0 {
+		return c > 0
+	}
+	if c := cmp.Compare(m.Version, o.Version); c != 0 {
+		return c > 0
+	}
+	return m.State > o.State
+}
+
+func (m Member) proto() *peerspb.Member {
+	return &peerspb.Member{
+		Name:          m.Name,
+		Incarnation:   m.Incarnation,
+		PeerAddress:   m.Peer.String(),
+		CallerAddress: m.Caller.String(),
+		DataCentre:    m.DataCentre,
+		Version:       m.Version,
+		State:         uint32(m.State),
+	}
+}
+
+func memberOf(p *peerspb.Member) (Member, error) {
+	a, err := netip.ParseAddrPort(p.GetPeerAddress())
+	if err != nil {
+		return Member{}, merry.Prepend(err, "peers: member "+p.GetName())
+	}
+	c, err := netip.ParseAddrPort(p.GetCallerAddress())
+	if err != nil {
+		return Member{}, merry.Prepend(err, "peers: member "+p.GetName())
+	}
+	return Member{
+		Name:        p.GetName(),
+		Incarnation: p.GetIncarnation(),
+		Peer:        a,
+		Caller:      c,
+		DataCentre:  p.GetDataCentre(),
+		Version:     p.GetVersion(),
+		State:       State(p.GetState()),
+	}, nil
+}
--- /dev/null
+++ b/peers/service.go
@@ -0,0 +1,379 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"amberway/common"
+	"amberway/peers/peerspb"
+	"amberway/platform"
+
+	"google.golang.org/grpc"
+)
+
+// probeTimeout bounds one probe, direct or by a helper.
+const probeTimeout = 400 * time.Millisecond
+
+// MemberPrefix begins the key under which each entry host writes its address
+// once, at its start.
+const MemberPrefix = "members/"
+
+// rejoinEvery is how often a process that knows no other looks for one.
+const rejoinEvery = 2 * time.Second
+
+// Settings of a Service.
+type Settings struct {
+	Self Member
+	// Seeds are addresses of peers known from settings.
+	Seeds   []netip.AddrPort
+	Options Options
+	// Generation tells the generation in force, handed on with each probe.
+	Generation func() int64
+	// OnGeneration is called when a peer has a higher one.
+	OnGeneration func(ctx context.Context, m Member)
+}
+
+// Service runs the membership of one process.
+type Service struct {
+	peerspb.UnimplementedPeersServer
+	Settings
+	dialer *Dialer
+	store  platform.Store
+	log    common.Log
+	now    func() time.Time
+	mu     sync.Mutex
+	table  *Table
+	live   atomic.Pointer[[]Member]
+	// Sent counts the probes sent.
+	Sent atomic.Int64
+	// busy bounds the fetches of a newer generation to one at a time.
+	busy atomic.Bool
+}
+
+// New returns a membership that is not running yet.
+func New(d common.Deps, s Settings, l *Dialer, store platform.Store) *Service {
+	r := rand.New(rand.NewPCG(rand.Uint64(), s.Self.Incarnation))
+	v := &Service{
+		Settings: s,
+		dialer:   l,
+		store:    store,
+		log:      d.Log("peers"),
+		now:      d.Now,
+		table:    NewTable(s.Self, s.Options, r),
+	}
+	v.publish()
+	return v
+}
+
+// Live returns the members that are alive or only suspected, itself included.
+func (s *Service) Live() []Member {
+	return *s.live.Load()
+}
+
+// LiveNames returns the names of the live members of a data centre, or of all
+// where dc is empty.
+func (s *Service) LiveNames(dc string) []string {
+	var l []string
+	for _, m := range s.Live() {
+		if dc == "" || m.DataCentre == dc {
+			l = append(l, m.Name)
+		}
+	}
+	return l
+}
+
+// Member returns the live member with the name, or false.
+func (s *Service) Member(name string) (Member, bool) {
+	for _, m := range s.Live() {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// Members returns every row of the table.
+func (s *Service) Members() []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Members()
+}
+
+// publish makes the live members readable without a lock. The caller holds mu
+// or is New.
+func (s *Service) publish() {
+	l := s.table.Live()
+	s.live.Store(&l)
+}
+
+// Run probes one peer a period until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	go s.register(ctx)
+	go s.rejoin(ctx)
+	t := time.NewTicker(s.Options.Period)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if m, ok := s.tick(); ok {
+			go s.probe(ctx, m)
+		}
+	}
+}
+
+func (s *Service) tick() (Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.publish()
+	return s.table.Tick(s.now())
+}
+
+// probe asks the member directly, then through helpers, and suspects it where
+// none of them has an answer.
+func (s *Service) probe(ctx context.Context, m Member) {
+	if s.ask(ctx, m.Peer, &peerspb.ProbeRequest{}) {
+		return
+	}
+	s.mu.Lock()
+	h := s.table.Helpers(m.Name)
+	s.mu.Unlock()
+	answers := make(chan bool, len(h))
+	for _, v := range h {
+		go func() { answers <- s.ask(ctx, v.Peer, &peerspb.ProbeRequest{Via: m.Name}) }()
+	}
+	for range h {
+		if <-answers {
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Suspect(s.now(), m)
+	s.publish()
+}
+
+// ask sends one probe and takes in the reply. It reports whether the member
+// that was asked about is alive.
+func (s *Service) ask(ctx context.Context, a netip.AddrPort, q *peerspb.ProbeRequest) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*probeTimeout)
+	defer cancel()
+	c, err := s.dialer.Conn(a)
+	if err != nil {
+		return false
+	}
+	s.fill(q)
+	s.Sent.Add(1)
+	r, err := peerspb.NewPeersClient(c).Probe(ctx, q)
+	if err != nil {
+		return false
+	}
+	s.takeIn(ctx, r.GetFrom(), r.GetNews(), r.GetGeneration())
+	return q.GetVia() == "" || r.GetAlive()
+}
+
+func (s *Service) fill(q *peerspb.ProbeRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q.From = s.table.Self().proto()
+	q.News = protos(s.table.News())
+	q.Generation = s.Generation()
+}
+
+// takeIn merges what a peer handed on.
+func (s *Service) takeIn(ctx context.Context, from *peerspb.Member, news []*peerspb.Member, gen int64) {
+	var l []Member
+	for _, p := range append(news, from) {
+		m, err := memberOf(p)
+		if err != nil {
+			s.log.Warnf("news dropped: %v", err)
+			continue
+		}
+		l = append(l, m)
+	}
+	s.mu.Lock()
+	if s.table.Merge(s.now(), l) {
+		s.publish()
+	}
+	s.mu.Unlock()
+	m, err := memberOf(from)
+	if err == nil && gen > s.Generation() {
+		s.fetch(context.WithoutCancel(ctx), m)
+	}
+}
+
+// fetch has the newer generation fetched, one at a time.
+func (s *Service) fetch(ctx context.Context, m Member) {
+	if !s.busy.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer s.busy.Store(false)
+		s.OnGeneration(ctx, m)
+	}()
+}
+
+// Probe answers a peer's probe, or passes it on.
+func (s *Service) Probe(ctx context.Context, q *peerspb.ProbeRequest) (*peerspb.ProbeReply, error) {
+	s.takeIn(ctx, q.GetFrom(), q.GetNews(), q.GetGeneration())
+	r := &peerspb.ProbeReply{Generation: s.Generation()}
+	if q.GetVia() != "" {
+		r.Alive = s.passOn(ctx, q.GetVia())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.From = s.table.Self().proto()
+	r.News = protos(s.table.News())
+	if q.GetFull() {
+		r.News = protos(s.table.Members())
+	}
+	return r, nil
+}
+
+func (s *Service) passOn(ctx context.Context, name string) bool {
+	m, ok := s.Member(name)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return s.ask(ctx, m.Peer, &peerspb.ProbeRequest{})
+}
+
+// Leave tells the peers that the process stops.
+func (s *Service) Leave(ctx context.Context) {
+	s.mu.Lock()
+	s.table.Leave()
+	s.mu.Unlock()
+	var g sync.WaitGroup
+	for _, m := range s.Live() {
+		if m.Name != s.Self.Name {
+			g.Go(func() { s.ask(ctx, m.Peer, &peerspb.ProbeRequest{}) })
+		}
+	}
+	g.Wait()
+	s.unregister(ctx)
+}
+
+// register writes the process's address to the platform once.
+func (s *Service) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := s.write(ctx); err == nil {
+			return
+		}
+		common.Sleep(ctx, rejoinEvery+rand.N(rejoinEvery))
+	}
+}
+
+func (s *Service) write(ctx context.Context) error {
+	b, err := json.Marshal(s.Self)
+	if err != nil {
+		return err
+	}
+	e, err := s.store.Get(ctx, MemberPrefix+s.Self.Name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	_, err = s.store.Swap(ctx, MemberPrefix+s.Self.Name, b, e.Revision)
+	return err
+}
+
+// unregister removes what register wrote, unless a later start wrote since.
+func (s *Service) unregister(ctx context.Context) {
+	e, err := s.store.Get(ctx, MemberPrefix+s.Self.Name)
+	if err != nil {
+		return
+	}
+	var m Member
+	if json.Unmarshal(e.Value, &m) != nil || m.Incarnation != s.Self.Incarnation {
+		return
+	}
+	_ = s.store.Delete(ctx, e.Key, e.Revision)
+}
+
+// rejoin looks for peers from the settings and from the platform for as long
+// as the process knows no other.
+func (s *Service) rejoin(ctx context.Context) {
+	for ctx.Err() == nil {
+		if len(s.Live()) < 2 {
+			s.join(ctx)
+		}
+		common.Sleep(ctx, rejoinEvery+rand.N(rejoinEvery/2))
+	}
+}
+
+func (s *Service) join(ctx context.Context) {
+	for _, a := range s.Seeds {
+		if a != s.Self.Peer {
+			go s.ask(ctx, a, &peerspb.ProbeRequest{Full: true})
+		}
+	}
+	l, _, err := s.store.List(ctx, MemberPrefix)
+	if err != nil {
+		return
+	}
+	for _, e := range l {
+		var m Member
+		if json.Unmarshal(e.Value, &m) == nil && m.Name != s.Self.Name {
+			go s.ask(ctx, m.Peer, &peerspb.ProbeRequest{Full: true})
+		}
+	}
+}
+
+// Generations asks every live member which generation it has in force. One
+// that does not answer is left out.
+func (s *Service) Generations(ctx context.Context) map[string]int64 {
+	out := map[string]int64{s.Self.Name: s.Generation()}
+	var mu sync.Mutex
+	var g sync.WaitGroup
+	for _, m := range s.Live() {
+		if m.Name == s.Self.Name {
+			continue
+		}
+		g.Go(func() {
+			n, err := s.generationOf(ctx, m)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[m.Name] = n
+		})
+	}
+	g.Wait()
+	return out
+}
+
+func (s *Service) generationOf(ctx context.Context, m Member) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*probeTimeout)
+	defer cancel()
+	c, err := s.dialer.Conn(m.Peer)
+	if err != nil {
+		return 0, err
+	}
+	q := &peerspb.ProbeRequest{}
+	s.fill(q)
+	r, err := peerspb.NewPeersClient(c).Probe(ctx, q)
+	return r.GetGeneration(), err
+}
+
+// Register offers the service on a server.
+func (s *Service) Register(g *grpc.Server) {
+	peerspb.RegisterPeersServer(g, s)
+}
+
+func protos(l []Member) []*peerspb.Member {
+	out := make([]*peerspb.Member, 0, len(l))
+	for _, m := range l {
+		out = append(out, m.proto())
+	}
+	return out
+}
--- /dev/null
+++ b/peers/table.go
@@ -0,0 +1,269 @@
+package peers
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Options bound the table's messages and times.
+type Options struct {
+	// Period is the time between two probes.
+	Period time.Duration
+	// SuspectFor is how long a suspected member has to refute it.
+	SuspectFor time.Duration
+	// ForgetAfter is how long a member that is dead or left is remembered.
+	ForgetAfter time.Duration
+	// News is the most members handed on with one probe.
+	News int
+	// Helpers is how many others are asked to probe one that did not answer.
+	Helpers int
+	// ReviveEvery is the number of periods between two probes of a dead
+	// member, by which two sides of a healed cut find each other again.
+	ReviveEvery int
+}
+
+// DefaultOptions returns options that detect a frozen process in about three
+// seconds.
+func DefaultOptions() Options {
+	return Options{
+		Period:      500 * time.Millisecond,
+		SuspectFor:  1500 * time.Millisecond,
+		ForgetAfter: 10 * time.Minute,
+		News:        8,
+		Helpers:     2,
+		ReviveEvery: 10,
+	}
+}
+
+// entry is one row of the table.
+type entry struct {
+	Member
+	// suspectUntil is when a suspicion becomes a death.
+	suspectUntil time.Time
+	// forgetAt is when a dead row is dropped.
+	forgetAt time.Time
+	// sends is how often the row is still to be handed on.
+	sends int
+}
+
+// Table is the membership as one process sees it. It has no clock and no I/O.
+type Table struct {
+	options Options
+	self    Member
+	rows    map[string]*entry
+	order   []string
+	next    int
+	ticks   int
+	random  *rand.Rand
+}
+
+// NewTable returns a table that holds only the process itself.
+func NewTable(self Member, o Options, r *rand.Rand) *Table {
+	t := &Table{options: o, self: self, rows: map[string]*entry{}, random: r}
+	t.rows[self.Name] = &entry{Member: self, sends: o.News}
+	return t
+}
+
+// Self returns the process's own row.
+func (t *Table) Self() Member {
+	return t.rows[t.self.Name].Member
+}
+
+// Members returns all rows in the order of their names.
+func (t *Table) Members() []Member {
+	l := make([]Member, 0, len(t.rows))
+	for _, e := range t.rows {
+		l = append(l, e.Member)
+	}
+	slices.SortFunc(l, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return l
+}
+
+// Live returns the members that are alive or only suspected, itself included.
+func (t *Table) Live() []Member {
+	return slices.DeleteFunc(t.Members(), func(m Member) bool { return m.State > Suspect })
+}
+
+// Merge takes in what another member knows, and refutes what is wrong about
+// the process itself. It reports whether anything changed.
+func (t *Table) Merge(now time.Time, l []Member) bool {
+	changed := false
+	for _, m := range l {
+		if t.merge(now, m) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (t *Table) merge(now time.Time, m Member) bool {
+	e, ok := t.rows[m.Name]
+	if m.Name == t.self.Name {
+		return t.refute(e, m)
+	}
+	if ok && !m.Newer(e.Member) {
+		return false
+	}
+	if !ok && m.State >= Dead {
+		return false
+	}
+	t.set(now, m)
+	return true
+}
+
+// refute raises the process's own version above a claim that it is not alive.
+func (t *Table) refute(e *entry, m Member) bool {
+	if e.State == Left || m.Incarnation != e.Incarnation || !m.Newer(e.Member) {
+		return false
+	}
+	e.Version = m.Version + 1
+	e.sends = t.budget()
+	return true
+}
+
+// set replaces a row and makes it news.
+func (t *Table) set(now time.Time, m Member) {
+	e, ok := t.rows[m.Name]
+	if !ok {
+		e = &entry{}
+		t.rows[m.Name] = e
+		t.order = append(t.order, m.Name)
+	}
+	e.Member = m
+	e.sends = t.budget()
+	e.suspectUntil = time.Time{}
+	e.forgetAt = time.Time{}
+	if m.State == Suspect {
+		e.suspectUntil = now.Add(t.options.SuspectFor)
+	}
+	if m.State >= Dead {
+		e.forgetAt = now.Add(t.options.ForgetAfter)
+	}
+}
+
+// budget is how often a row is handed on: it grows with the logarithm of the
+// table, which spreads it to all with high probability.
+func (t *Table) budget() int {
+	return 3 * (bits.Len(uint(len(t.rows))) + 1)
+}
+
+// Tick ends suspicions that are due, forgets old rows and returns the member
+// to probe in this period, or false where there is none.
+func (t *Table) Tick(now time.Time) (Member, bool) {
+	t.ticks++
+	t.expire(now)
+	if t.ticks%t.options.ReviveEvery == 0 {
+		if m, ok := t.pick(func(m Member) bool { return m.State == Dead }); ok {
+			return m, true
+		}
+	}
+	return t.probe()
+}
+
+func (t *Table) expire(now time.Time) {
+	for n, e := range t.rows {
+		if e.State == Suspect && !now.Before(e.suspectUntil) {
+			m := e.Member
+			m.State = Dead
+			t.set(now, m)
+		}
+		if e.State >= Dead && n != t.self.Name && !now.Before(e.forgetAt) {
+			delete(t.rows, n)
+			t.order = slices.DeleteFunc(t.order, func(v string) bool { return v == n })
+		}
+	}
+}
+
+// probe returns the next live member of a round through a shuffled order, so
+// that each is probed once a round.
+func (t *Table) probe() (Member, bool) {
+	for range len(t.order) {
+		if t.next >= len(t.order) {
+			t.next = 0
+			t.random.Shuffle(len(t.order), func(i, j int) {
+				t.order[i], t.order[j] = t.order[j], t.order[i]
+			})
+		}
+		e := t.rows[t.order[t.next]]
+		t.next++
+		if e.State <= Suspect {
+			return e.Member, true
+		}
+	}
+	return Member{}, false
+}
+
+// pick returns one member at random for which f holds.
+func (t *Table) pick(f func(Member) bool) (Member, bool) {
+	var l []Member
+	for _, n := range t.order {
+		if m := t.rows[n].Member; f(m) {
+			l = append(l, m)
+		}
+	}
+	if len(l) == 0 {
+		return Member{}, false
+	}
+	return l[t.random.IntN(len(l))], true
+}
+
+// Helpers returns the members to ask for a probe of one that did not answer.
+func (t *Table) Helpers(name string) []Member {
+	var l []Member
+	for range t.options.Helpers {
+		m, ok := t.pick(func(m Member) bool {
+			return m.State == Alive && m.Name != name && !slices.Contains(l, m)
+		})
+		if !ok {
+			break
+		}
+		l = append(l, m)
+	}
+	return l
+}
+
+// Suspect notes that neither the process nor its helpers reached the member in
+// the incarnation and version that were probed.
+func (t *Table) Suspect(now time.Time, m Member) {
+	e, ok := t.rows[m.Name]
+	if !ok || e.State != Alive || e.Incarnation != m.Incarnation || e.Version != m.Version {
+		return
+	}
+	s := e.Member
+	s.State = Suspect
+	t.set(now, s)
+}
+
+// Leave marks the process itself as stopping.
+func (t *Table) Leave() {
+	e := t.rows[t.self.Name]
+	e.State = Left
+	e.sends = t.budget()
+}
+
+// News returns the rows to hand on with the next message, those that were
+// handed on the least often first.
+func (t *Table) News() []Member {
+	var l []*entry
+	for _, e := range t.rows {
+		if e.sends > 0 {
+			l = append(l, e)
+		}
+	}
+	slices.SortFunc(l, func(a, b *entry) int {
+		if a.sends != b.sends {
+			return b.sends - a.sends
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	l = l[:min(len(l), t.options.News)]
+	out := make([]Member, 0, len(l))
+	for _, e := range l {
+		e.sends--
+		out = append(out, e.Member)
+	}
+	return out
+}
--- /dev/null
+++ b/request/claimer.go
@@ -0,0 +1,171 @@
+package request
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"amberway/common"
+	"amberway/peers"
+	"amberway/platform"
+	"amberway/request/requestpb"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// Limits of claims over the whole deployment.
+const (
+	// claimShards is the number of logs that claims are divided over.
+	claimShards = 8
+	// claimWrites is the most segments a second that all shards write
+	// together, of the platform's 100 writes.
+	claimWrites = 60
+	// claimCall bounds one call to a shard's owner.
+	claimCall = 2 * time.Second
+	// claimRetry is the pause before the next try.
+	claimRetry = 50 * time.Millisecond
+	// claimRemote is how often the owner is tried before the process writes to
+	// the log itself.
+	claimRemote = 2
+)
+
+// Members tells who is alive and how to reach them.
+type Members interface {
+	// LiveNames returns the names of live members of a data centre, or of all.
+	LiveNames(dc string) []string
+	// Member returns the live member with the name, or false.
+	Member(name string) (peers.Member, bool)
+}
+
+// Claimer claims requests that may not be repeated. Which process writes to a
+// shard's log is a hint for speed: the swap that creates a segment is what
+// keeps two from claiming the same request.
+type Claimer struct {
+	self    string
+	store   platform.Store
+	members Members
+	dialer  *peers.Dialer
+	deps    common.Deps
+	out     common.Log
+	ctx     context.Context
+	mu      sync.Mutex
+	shards  map[uint32]*shard
+	// Segments counts the segments that this process wrote.
+	Segments atomic.Int64
+}
+
+// NewClaimer returns a claimer whose shards work until the context ends.
+func NewClaimer(ctx context.Context, d common.Deps, self string, s platform.Store, m Members, l *peers.Dialer) *Claimer {
+	return &Claimer{
+		self:    self,
+		store:   s,
+		members: m,
+		dialer:  l,
+		deps:    d,
+		out:     d.Log("claims"),
+		ctx:     ctx,
+		shards:  map[uint32]*shard{},
+	}
+}
+
+// Register offers the shards on a server.
+func (c *Claimer) Register(g *grpc.Server) {
+	requestpb.RegisterClaimsServer(g, claimServer{claimer: c})
+}
+
+// claimServer serves the claims of peers.
+type claimServer struct {
+	requestpb.UnimplementedClaimsServer
+	claimer *Claimer
+}
+
+// ShardOf returns the shard that an id belongs to.
+func ShardOf(id uuid.UUID) uint32 {
+	return uint32(xxhash.Sum64(id[:]) % claimShards)
+}
+
+// Claim claims the id for a new attempt. It tries until the context ends.
+func (c *Claimer) Claim(ctx context.Context, id uuid.UUID) ClaimOutcome {
+	k := Claim{ID: id, Attempt: rand.Uint64()}
+	for n := 0; ctx.Err() == nil; n++ {
+		o, err := c.once(ctx, k, n)
+		if err == nil && o != ClaimUnknown {
+			return o
+		}
+		common.Sleep(ctx, claimRetry)
+	}
+	return ClaimUnknown
+}
+
+// once asks the shard's owner, or writes itself where the owner did not answer
+// before.
+func (c *Claimer) once(ctx context.Context, k Claim, n int) (ClaimOutcome, error) {
+	s := ShardOf(k.ID)
+	owner := common.First(shardPrefix(s), c.members.LiveNames(""))
+	m, ok := c.members.Member(owner)
+	if owner == c.self || !ok || n >= claimRemote {
+		return c.local(ctx, s, k)
+	}
+	return c.remote(ctx, m, s, k)
+}
+
+func (c *Claimer) remote(ctx context.Context, m peers.Member, s uint32, k Claim) (ClaimOutcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimCall)
+	defer cancel()
+	conn, err := c.dialer.Conn(m.Peer)
+	if err != nil {
+		return ClaimUnknown, err
+	}
+	q := &requestpb.ClaimRequest{Shard: s, Claim: &requestpb.Claim{Id: k.ID[:], Attempt: k.Attempt}}
+	r, err := requestpb.NewClaimsClient(conn).Claim(ctx, q)
+	if err != nil {
+		return ClaimUnknown, err
+	}
+	return ClaimOutcome(r.GetOutcome()), nil
+}
+
+// Claim serves a claim on a shard that the peer takes this process to own.
+func (v claimServer) Claim(ctx context.Context, q *requestpb.ClaimRequest) (*requestpb.ClaimReply, error) {
+	id, err := uuid.FromBytes(q.GetClaim().GetId())
+	if err != nil || q.GetShard() != ShardOf(id) {
+		return nil, status.Error(codes.InvalidArgument, "claims: the id is not of the shard")
+	}
+	o, err := v.claimer.local(ctx, q.GetShard(), Claim{ID: id, Attempt: q.GetClaim().GetAttempt()})
+	return &requestpb.ClaimReply{Outcome: uint32(o)}, err
+}
+
+// local commits the claim through the process's own copy of the shard.
+func (c *Claimer) local(ctx context.Context, n uint32, k Claim) (ClaimOutcome, error) {
+	p := pendingClaim{claim: k, done: make(chan ClaimOutcome, 1)}
+	select {
+	case c.shard(n).queue <- p:
+	case <-ctx.Done():
+		return ClaimUnknown, ctx.Err()
+	}
+	select {
+	case o := <-p.done:
+		return o, nil
+	case <-ctx.Done():
+		return ClaimUnknown, ctx.Err()
+	}
+}
+
+func (c *Claimer) shard(n uint32) *shard {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.shards[n]
+	if !ok {
+		per := rate.Limit(float64(claimWrites) / claimShards)
+		s = newShard(claimStore{c.store, n}, per, c.deps.Now, c.out, func() { c.Segments.Add(1) })
+		c.shards[n] = s
+		go s.run(c.ctx)
+	}
+	return s
+}
--- /dev/null
+++ b/request/claimlog.go
@@ -0,0 +1,174 @@
+package request
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Times that at most once rests on. Every clock of the deployment is within
+// MaxSkew of the others.
+const (
+	// MaxSkew is the largest difference between two clocks.
+	MaxSkew = 2 * time.Second
+	// IDWindow is how long after its creation an id may be run.
+	IDWindow = time.Hour + time.Minute
+	// SegmentLife is how long a process that has read a segment waits before
+	// it removes it. A process that last saw the end of the log less than IDWindow ago can therefore
+	// not miss a segment that was removed since.
+	SegmentLife = 2*IDWindow + 4*MaxSkew
+)
+
+// ClaimOutcome is what became of a claim.
+type ClaimOutcome uint32
+
+// The outcomes of a claim.
+const (
+	// ClaimUnknown says that the claim may or may not be in force.
+	ClaimUnknown ClaimOutcome = iota
+	// ClaimGranted says that the attempt, and no other, may run the request.
+	ClaimGranted
+	// ClaimTaken says that another attempt has the request.
+	ClaimTaken
+	// ClaimExpired says that the id is older than IDWindow, so that an earlier
+	// run may have been forgotten.
+	ClaimExpired
+)
+
+// Claim is one attempt's claim on one request.
+type Claim struct {
+	ID      uuid.UUID
+	Attempt uint64
+}
+
+// BornAt returns when the id was made. It returns false for an id that does
+// not carry its time: only version 7 of RFC 9562 does.
+func BornAt(id uuid.UUID) (time.Time, bool) {
+	if id.Version() != 7 || id.Variant() != uuid.RFC4122 {
+		return time.Time{}, false
+	}
+	ms := int64(id[0])<<40 | int64(id[1])<<32 | int64(id[2])<<24 | int64(id[3])<<16 | int64(id[4])<<8 | int64(id[5])
+	return time.UnixMilli(ms), true
+}
+
+// Fresh reports whether an id may still be run: it was made no longer than
+// IDWindow ago and, but for skew, not in the future.
+func Fresh(now time.Time, id uuid.UUID) bool {
+	b, ok := BornAt(id)
+	if !ok {
+		return false
+	}
+	return now.Before(b.Add(IDWindow)) && b.Before(now.Add(MaxSkew))
+}
+
+// Segment is one entry of a shard's log: claims that were committed together.
+type Segment struct {
+	// Write is the id of the write that made it.
+	Write     string
+	Committed time.Time
+	Claims    []Claim
+}
+
+// ClaimLog is one shard's claims as far as this process has read them. It has
+// no clock and no I/O. The log's entries are keys of the platform, each created
+// by compare-and-swap at the number after the last: whoever creates it has
+// read all before it.
+type ClaimLog struct {
+	// last is the number of the last segment read.
+	last int64
+	// endSeenAt is when last was known to be the end of the log.
+	endSeenAt time.Time
+	claims    map[uuid.UUID]uint64
+	// seen holds when this process first read each segment. It is later than
+	// the segment's creation, whatever pause there was before that.
+	seen map[int64]time.Time
+}
+
+// NewClaimLog returns a log of which nothing has been read.
+func NewClaimLog() *ClaimLog {
+	return &ClaimLog{claims: map[uuid.UUID]uint64{}, seen: map[int64]time.Time{}}
+}
+
+// Apply takes in the segment with the number, read at the time. Segments have
+// to be applied in the order of their numbers: the first claim on an id holds.
+func (l *ClaimLog) Apply(now time.Time, n int64, s Segment) {
+	for _, c := range s.Claims {
+		if _, ok := l.claims[c.ID]; !ok {
+			l.claims[c.ID] = c.Attempt
+		}
+	}
+	if _, ok := l.seen[n]; !ok {
+		l.seen[n] = now
+	}
+	l.last = max(l.last, n)
+}
+
+// SawEnd notes that at the time, before which the question was sent, the last
+// segment read was the end of the log.
+func (l *ClaimLog) SawEnd(at time.Time) {
+	l.endSeenAt = at
+}
+
+// Restart forgets what was read, but for when each segment was first seen, so
+// that the log can be read again from its start.
+func (l *ClaimLog) Restart() *ClaimLog {
+	n := NewClaimLog()
+	n.seen = l.seen
+	return n
+}
+
+// Next returns the number of the next segment.
+func (l *ClaimLog) Next() int64 {
+	return l.last + 1
+}
+
+// Current reports whether the log was read to its end recently enough to rely
+// on. It has to be asked again after a segment was created, since the process
+// may have been paused in between.
+func (l *ClaimLog) Current(now time.Time) bool {
+	return !l.endSeenAt.IsZero() && now.Before(l.endSeenAt.Add(IDWindow-MaxSkew))
+}
+
+// Decide returns the outcome of a claim as far as the log tells, and true if it
+// is settled. An unsettled claim goes into the next segment.
+func (l *ClaimLog) Decide(now time.Time, c Claim) (ClaimOutcome, bool) {
+	if !Fresh(now, c.ID) {
+		return ClaimExpired, true
+	}
+	a, ok := l.claims[c.ID]
+	switch {
+	case !ok:
+		return ClaimUnknown, false
+	case a == c.Attempt:
+		return ClaimGranted, true
+	}
+	return ClaimTaken, true
+}
+
+// Trim forgets ids that may not be run any more and returns the numbers of
+// segments that may be removed. The last segment always stays, so that the
+// numbers never start again.
+func (l *ClaimLog) Trim(now time.Time) []int64 {
+	for id := range l.claims {
+		if b, ok := BornAt(id); !ok || now.After(b.Add(IDWindow+MaxSkew)) {
+			delete(l.claims, id)
+		}
+	}
+	var old []int64
+	for n, at := range l.seen {
+		if n < l.last && now.After(at.Add(SegmentLife)) {
+			old = append(old, n)
+		}
+	}
+	return old
+}
+
+// Removed notes that a segment is gone.
+func (l *ClaimLog) Removed(n int64) {
+	delete(l.seen, n)
+}
+
+// Len returns the number of ids that are held.
+func (l *ClaimLog) Len() int {
+	return len(l.claims)
+}
--- /dev/null
+++ b/request/claimshard.go
@@ -0,0 +1,245 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"amberway/common"
+	"amberway/platform"
+
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+)
+
+// Limits of one shard.
+const (
+	// claimBatch is the most claims of one segment.
+	claimBatch = 512
+	// claimTries is how often one batch is offered before its claims are
+	// unknown.
+	claimTries = 12
+	// claimTimeout bounds one batch.
+	claimTimeout = 5 * time.Second
+	// trimEvery is the least time between two removals of old segments.
+	trimEvery = time.Minute
+)
+
+// pendingClaim is a claim that waits for its outcome.
+type pendingClaim struct {
+	claim Claim
+	done  chan ClaimOutcome
+}
+
+// shard commits the claims of one shard: it gathers those that arrive while a
+// write is under way and writes them with the next.
+type shard struct {
+	store   claimStore
+	log     *ClaimLog
+	limiter *rate.Limiter
+	queue   chan pendingClaim
+	now     func() time.Time
+	out     common.Log
+	trimAt  time.Time
+	// commits counts the segments written.
+	commits func()
+}
+
+func newShard(s claimStore, perSecond rate.Limit, now func() time.Time, out common.Log, commits func()) *shard {
+	return &shard{
+		store:   s,
+		log:     NewClaimLog(),
+		limiter: rate.NewLimiter(perSecond, 2),
+		queue:   make(chan pendingClaim, 4*claimBatch),
+		now:     now,
+		out:     out,
+		commits: commits,
+	}
+}
+
+// run commits batches until the context ends.
+func (s *shard) run(ctx context.Context) {
+	for {
+		l := s.gather(ctx)
+		if len(l) == 0 {
+			return
+		}
+		s.commit(ctx, l)
+		s.trim(ctx)
+	}
+}
+
+// gather waits for one claim and for leave to write, and takes all that have
+// arrived by then.
+func (s *shard) gather(ctx context.Context) []pendingClaim {
+	var l []pendingClaim
+	select {
+	case <-ctx.Done():
+		return nil
+	case p := <-s.queue:
+		l = append(l, p)
+	}
+	if s.limiter.Wait(ctx) != nil {
+		finish(l, ClaimUnknown)
+		return nil
+	}
+	for len(l) < claimBatch {
+		select {
+		case p := <-s.queue:
+			l = append(l, p)
+		default:
+			return l
+		}
+	}
+	return l
+}
+
+// commit settles the batch, or leaves its claims unknown.
+func (s *shard) commit(ctx context.Context, l []pendingClaim) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	for range claimTries {
+		l = s.settle(l)
+		if len(l) == 0 {
+			return
+		}
+		err := s.try(ctx, l)
+		if ctx.Err() != nil {
+			break
+		}
+		if err != nil {
+			s.out.Warnf("shard %d not committed: %v", s.store.shard, err)
+			common.Sleep(ctx, 100*time.Millisecond)
+		}
+	}
+	finish(l, ClaimUnknown)
+}
+
+// settle answers the claims that the log decides and returns the others. A log
+// that is not current decides nothing but what is taken or expired.
+func (s *shard) settle(l []pendingClaim) []pendingClaim {
+	var open []pendingClaim
+	now := s.now()
+	for _, p := range l {
+		o, ok := s.log.Decide(now, p.claim)
+		if ok {
+			p.done <- o
+			continue
+		}
+		open = append(open, p)
+	}
+	return open
+}
+
+// try brings the log up to date and writes the claims as its next segment.
+func (s *shard) try(ctx context.Context, l []pendingClaim) error {
+	if !s.log.Current(s.now()) {
+		return s.reload(ctx)
+	}
+	n := s.log.Next()
+	g := Segment{Write: uuid.NewString(), Committed: s.now()}
+	for _, p := range l {
+		g.Claims = append(g.Claims, p.claim)
+	}
+	err := s.store.create(ctx, n, g)
+	if err != nil {
+		return s.readBack(ctx, n, g, err)
+	}
+	s.took(n, g)
+	return nil
+}
+
+// took notes that the process's own segment is the end of the log, unless the
+// process was paused so long that the segment before it may have been removed.
+func (s *shard) took(n int64, g Segment) {
+	if !s.log.Current(s.now()) {
+		s.log = s.log.Restart()
+		return
+	}
+	s.commits()
+	s.log.Apply(s.now(), n, g)
+	s.log.SawEnd(g.Committed)
+}
+
+// readBack learns what stands at the number after a write that failed or
+// whose answer was lost.
+func (s *shard) readBack(ctx context.Context, n int64, g Segment, cause error) error {
+	if errors.Is(cause, platform.ErrNotSent) {
+		return cause
+	}
+	found, ok, err := s.store.get(ctx, n)
+	if err != nil {
+		return err
+	}
+	if !ok {
+		// The write may yet arrive. The next try creates the same number, and
+		// only one of both can.
+		return cause
+	}
+	if found.Write == g.Write {
+		s.took(n, g)
+		return nil
+	}
+	s.log.Apply(s.now(), n, found)
+	return s.catchUp(ctx)
+}
+
+// catchUp reads the segments after the last one known.
+func (s *shard) catchUp(ctx context.Context) error {
+	for {
+		n := s.log.Next()
+		g, ok, err := s.store.get(ctx, n)
+		if err != nil || !ok {
+			return err
+		}
+		s.log.Apply(s.now(), n, g)
+	}
+}
+
+// reload reads the whole log.
+func (s *shard) reload(ctx context.Context) error {
+	at := s.now()
+	m, err := s.store.load(ctx)
+	if err != nil {
+		return err
+	}
+	s.log = s.log.Restart()
+	for _, n := range slices.Sorted(maps.Keys(m)) {
+		s.log.Apply(at, n, m[n])
+	}
+	s.log.SawEnd(at)
+	s.log.Trim(at)
+	return nil
+}
+
+// trim removes old segments.
+func (s *shard) trim(ctx context.Context) {
+	now := s.now()
+	if now.Before(s.trimAt) {
+		return
+	}
+	s.trimAt = now.Add(trimEvery)
+	old := s.log.Trim(now)
+	if len(old) == 0 {
+		return
+	}
+	to := int64(0)
+	for _, n := range old {
+		to = max(to, n+1)
+	}
+	if err := s.store.remove(ctx, to); err != nil {
+		s.out.Warnf("old segments of shard %d not removed: %v", s.store.shard, err)
+		return
+	}
+	for _, n := range old {
+		s.log.Removed(n)
+	}
+}
+
+func finish(l []pendingClaim, o ClaimOutcome) {
+	for _, p := range l {
+		p.done <- o
+	}
+}
--- /dev/null
+++ b/request/dispatcher.go
@@ -0,0 +1,134 @@
+package request
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"amberway/common"
+)
+
+// Dispatcher feeds a Scheduler from many requests at once.
+type Dispatcher struct {
+	mu        sync.Mutex
+	scheduler *Scheduler
+	waiting   map[*Item]chan struct{}
+	now       func() time.Time
+}
+
+// NewDispatcher returns a dispatcher over the scheduler, which nothing else may
+// use from then on.
+func NewDispatcher(s *Scheduler, now func() time.Time) *Dispatcher {
+	return &Dispatcher{scheduler: s, waiting: map[*Item]chan struct{}{}, now: now}
+}
+
+// Update changes targets and services under the lock and starts what can start.
+func (d *Dispatcher) Update(f func(s *Scheduler)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(d.scheduler)
+	for _, p := range d.scheduler.poolNames() {
+		d.pump(p)
+	}
+}
+
+// Offer queues the item. The channel closes when it starts.
+func (d *Dispatcher) Offer(i *Item) (<-chan struct{}, *Refusal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.scheduler.Offer(d.now(), i); r != nil {
+		return nil, r
+	}
+	c := make(chan struct{})
+	d.waiting[i] = c
+	d.pump(d.scheduler.PoolOf(i.Service))
+	return c, nil
+}
+
+// pump starts all that can start in the pool. The caller holds mu.
+func (d *Dispatcher) pump(pool string) {
+	now := d.now()
+	for {
+		s, ok := d.scheduler.Next(now, pool)
+		if !ok {
+			return
+		}
+		close(d.waiting[s.Item])
+		delete(d.waiting, s.Item)
+	}
+}
+
+// Wait waits until the item starts. It returns the refusal once the answer
+// cannot be there by the deadline any more, or the context's error.
+func (d *Dispatcher) Wait(ctx context.Context, i *Item, started <-chan struct{}) (*Refusal, error) {
+	last := i.Deadline.Add(-d.estimate(i))
+	t := time.NewTimer(last.Sub(d.now()))
+	defer t.Stop()
+	select {
+	case <-started:
+		return nil, nil
+	case <-t.C:
+		if d.Cancel(i) {
+			return &Refusal{Reason: ReasonLate, RetryAt: d.now().Add(time.Second)}, nil
+		}
+	case <-ctx.Done():
+		if d.Cancel(i) {
+			return nil, ctx.Err()
+		}
+	}
+	<-started
+	return nil, nil
+}
+
+func (d *Dispatcher) estimate(i *Item) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.Estimate(i)
+}
+
+// Cancel takes a waiting item out. It returns false for one that has started.
+func (d *Dispatcher) Cancel(i *Item) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.scheduler.Cancel(i) {
+		return false
+	}
+	delete(d.waiting, i)
+	return true
+}
+
+// Done ends the item's attempt and starts what can start in its place.
+func (d *Dispatcher) Done(i *Item, o Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Done(d.now(), i, o)
+	d.pump(d.scheduler.PoolOf(i.Service))
+}
+
+// Drop ends an item that will not run, whether it waits or has started.
+func (d *Dispatcher) Drop(i *Item) {
+	if !d.Cancel(i) {
+		d.Done(i, Outcome{Cancelled: true})
+	}
+}
+
+// Idle reports whether nothing runs on the host and nothing new can be sent
+// there.
+func (d *Dispatcher) Idle(host string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.Idle(host)
+}
+
+// Dump returns the scheduler's state.
+func (d *Dispatcher) Dump() SchedulerDump {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.Dump()
+}
+
+// classOf returns the class of a job, which the caller may only make more
+// patient.
+func classOf(job, asked common.Class) common.Class {
+	return max(job, asked)
+}
--- /dev/null
+++ b/request/intake.go
@@ -0,0 +1,197 @@
+package request
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"amberway/common"
+	"amberway/config"
+
+	"github.com/google/uuid"
+)
+
+// MaxBody is the largest body of a request, in bytes.
+const MaxBody = 8 << 20
+
+// intake is one request as it was accepted, and what is known of it since.
+type intake struct {
+	service  config.Service
+	job      config.Job
+	class    common.Class
+	once     bool
+	id       uuid.UUID
+	deadline time.Time
+	call     Call
+	// keyed says that the caller gave the id, so that copies of the request
+	// may be about.
+	keyed bool
+	// hop says that another data centre passed the request on.
+	hop bool
+	// claimed says that this process, and no other, may run the request.
+	claimed bool
+	// sent says that a target may have got some of the request.
+	sent bool
+}
+
+// refused returns the verdict of an answer that gives the request up. Only a
+// request that can have no copy, or whose copies cannot run any more, is known
+// not to have run.
+func (q *intake) refused() common.Verdict {
+	if q.sent || (q.keyed && !q.claimed) {
+		return common.MayHaveRun
+	}
+	return common.NotRun
+}
+
+// problem returns a problem with the verdict that the intake warrants.
+func (q *intake) problem(status int, title, detail string, retry time.Time) *common.ProblemError {
+	return &common.ProblemError{
+		Type: "about:blank", Title: title, Status: status, Detail: detail, Verdict: q.refused(), RetryAt: retry,
+	}
+}
+
+// accept reads a request and checks it against the configuration.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*intake, *common.ProblemError) {
+	q := &intake{keyed: r.Header.Get(common.HeaderKey) != ""}
+	for _, f := range []func(*http.Request, *intake) *common.ProblemError{
+		s.acceptHop, s.acceptJob, s.acceptClass, s.acceptRepeat, s.acceptDeadline,
+	} {
+		if p := f(r, q); p != nil {
+			return nil, p
+		}
+	}
+	b, p := s.readBody(w, r, q)
+	if p != nil {
+		return nil, p
+	}
+	q.call = Call{ID: q.id.String(), Once: q.once, Method: r.Method, Path: r.URL.RequestURI(), Header: targetHeader(r), Body: b}
+	return q, nil
+}
+
+// targetHeader returns the headers that a target gets.
+func targetHeader(r *http.Request) http.Header {
+	h := http.Header{}
+	copyHeader(h, r.Header)
+	for _, k := range []string{common.HeaderHop, common.HeaderKey, common.HeaderID, "Content-Length"} {
+		h.Del(k)
+	}
+	return h
+}
+
+func (s *Server) acceptHop(r *http.Request, q *intake) *common.ProblemError {
+	v := r.Header.Get(common.HeaderHop)
+	if v == "" {
+		return nil
+	}
+	if !s.hopToken(v) {
+		return q.problem(http.StatusForbidden, "wrong hop token", "", time.Time{})
+	}
+	q.hop = true
+	return nil
+}
+
+// acceptJob finds the service and the job, the first two parts of the path.
+func (s *Server) acceptJob(r *http.Request, q *intake) *common.ProblemError {
+	p := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
+	if len(p) < 2 {
+		return q.problem(http.StatusNotFound, "no such job", "the path begins with /{service}/{job}", time.Time{})
+	}
+	d := s.Config().Document
+	v, ok := d.Service(p[0])
+	if !ok {
+		return q.problem(http.StatusNotFound, "no such service", fmt.Sprintf("there is no service %q", p[0]), time.Time{})
+	}
+	j, ok := v.Job(p[1])
+	if !ok {
+		return q.problem(http.StatusNotFound, "no such job", fmt.Sprintf("service %q has no job %q", p[0], p[1]), time.Time{})
+	}
+	q.service = v
+	q.job = j
+	return nil
+}
+
+func (s *Server) acceptClass(r *http.Request, q *intake) *common.ProblemError {
+	q.class = q.job.Class
+	v := r.Header.Get(common.HeaderClass)
+	if v == "" {
+		return nil
+	}
+	c, err := common.ParseClass(v)
+	if err != nil {
+		return q.problem(http.StatusBadRequest, "bad "+common.HeaderClass, err.Error(), time.Time{})
+	}
+	q.class = classOf(q.job.Class, c)
+	return nil
+}
+
+// acceptRepeat finds the id and whether the request may be repeated. A caller
+// may only ask for more care than the job's declaration.
+func (s *Server) acceptRepeat(r *http.Request, q *intake) *common.ProblemError {
+	q.once = !q.job.Repeatable
+	switch v := r.Header.Get(common.HeaderRepeatable); v {
+	case "", "true":
+	case "false":
+		q.once = true
+	default:
+		return q.problem(http.StatusBadRequest, "bad "+common.HeaderRepeatable, fmt.Sprintf("%q is neither true nor false", v), time.Time{})
+	}
+	if !q.once && !q.keyed {
+		q.id = s.newID(r, q)
+		return nil
+	}
+	id, err := uuid.Parse(strings.Trim(r.Header.Get(common.HeaderKey), `"`))
+	if q.once && (err != nil || id.Version() != 7) {
+		return q.problem(http.StatusBadRequest, "bad "+common.HeaderKey,
+			"a request that may not be repeated needs a UUID of version 7 (RFC 9562) as its id", time.Time{})
+	}
+	if err != nil {
+		id = uuid.Must(uuid.NewV7())
+	}
+	q.id = id
+	return nil
+}
+
+// newID makes the id of a request that has none, or takes the one that another
+// data centre made.
+func (s *Server) newID(r *http.Request, q *intake) uuid.UUID {
+	if id, err := uuid.Parse(r.Header.Get(common.HeaderID)); q.hop && err == nil {
+		return id
+	}
+	return uuid.Must(uuid.NewV7())
+}
+
+// acceptDeadline finds the point in time by which the answer has to be there.
+func (s *Server) acceptDeadline(r *http.Request, q *intake) *common.ProblemError {
+	now := s.deps.Now()
+	q.deadline = now.Add(q.job.Patience)
+	if v := r.Header.Get(common.HeaderDeadline); v != "" {
+		d, err := time.Parse(time.RFC3339Nano, v)
+		if err != nil {
+			return q.problem(http.StatusBadRequest, "bad "+common.HeaderDeadline, "it is no point in time of RFC 3339", time.Time{})
+		}
+		q.deadline = d
+	}
+	if most := now.Add(config.MaxPatience); q.deadline.After(most) {
+		q.deadline = most
+	}
+	if !q.deadline.After(now) {
+		return q.problem(http.StatusGatewayTimeout, "the deadline has passed", "", time.Time{})
+	}
+	return nil
+}
+
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, q *intake) ([]byte, *common.ProblemError) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, q.problem(http.StatusRequestEntityTooLarge, "the body is too large", fmt.Sprintf("at most %d bytes", MaxBody), time.Time{})
+	}
+	if err != nil {
+		return nil, q.problem(http.StatusBadRequest, "the body broke off", "", time.Time{})
+	}
+	return b, nil
+}
--- /dev/null
+++ b/request/item.go
@@ -0,0 +1,56 @@
+package request
+
+import (
+	"time"
+
+	"amberway/common"
+)
+
+// Item is one request in the scheduler.
+type Item struct {
+	Service  string
+	Job      string
+	Class    common.Class
+	Deadline time.Time
+	// Target is where the item runs or ran last; empty before its first start.
+	Target string
+
+	estimate time.Duration
+	slot     *common.Slot[*Item]
+	target   *target
+	pool     *pool
+	queue    *queue
+	started  time.Time
+}
+
+// key tells the kinds of work apart that are learned about.
+func (i *Item) key() jobKey {
+	return jobKey{service: i.Service, job: i.Job}
+}
+
+// jobKey names one job of one service.
+type jobKey struct {
+	service string
+	job     string
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons for a refusal.
+const (
+	// ReasonLate says that the answer could not be there by the deadline.
+	ReasonLate Reason = "the answer cannot be there by the deadline"
+	// ReasonFull says that the queue has its largest length.
+	ReasonFull Reason = "the queue is full"
+	// ReasonNoTarget says that the service has no target here.
+	ReasonNoTarget Reason = "no target serves this service here"
+	// ReasonUnknown says that the service is not known here.
+	ReasonUnknown Reason = "the service is not known here"
+)
+
+// Refusal says why a request was not taken and when to come back.
+type Refusal struct {
+	Reason  Reason
+	RetryAt time.Time
+}
--- /dev/null
+++ b/request/retry.go
@@ -0,0 +1,41 @@
+package request
+
+import "sync"
+
+// Shares of the retry budget.
+const (
+	// retryShare is how many retries each request adds to the budget.
+	retryShare = 0.1
+	// retryMost is the largest budget.
+	retryMost = 20
+)
+
+// RetryBudget bounds retries to a share of the requests, so that they cannot
+// multiply the load on targets that fail.
+type RetryBudget struct {
+	mu     sync.Mutex
+	tokens float64
+}
+
+// NewRetryBudget returns a full budget.
+func NewRetryBudget() *RetryBudget {
+	return &RetryBudget{tokens: retryMost}
+}
+
+// Earn adds the share of one request.
+func (b *RetryBudget) Earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+retryShare, retryMost)
+}
+
+// Spend takes one retry out and reports whether there was one.
+func (b *RetryBudget) Spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/request/spill.go
@@ -0,0 +1,52 @@
+package request
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"amberway/common"
+	"amberway/peers"
+)
+
+// Spill passes requests on to another data centre.
+type Spill struct {
+	dc        string
+	token     string
+	live      func() []peers.Member
+	forwarder *Forwarder
+	budget    *RetryBudget
+}
+
+// NewSpill returns a way from the data centre to the live members of others,
+// which know it by the token.
+func NewSpill(dc, token string, live func() []peers.Member, f *Forwarder) *Spill {
+	return &Spill{dc: dc, token: token, live: live, forwarder: f, budget: NewRetryBudget()}
+}
+
+// Run sends the request to one entry host of another data centre. The error is
+// an *AttemptError.
+func (s *Spill) Run(ctx context.Context, q *intake) (*Reply, error) {
+	s.budget.Earn()
+	var l []peers.Member
+	for _, m := range s.live() {
+		if m.DataCentre != s.dc && m.State == peers.Alive {
+			l = append(l, m)
+		}
+	}
+	if len(l) == 0 || !s.budget.Spend() {
+		return nil, &AttemptError{Cause: errNoSpill}
+	}
+	c := q.call
+	c.Header = c.Header.Clone()
+	c.Header.Set(common.HeaderHop, s.token)
+	c.Header.Set(common.HeaderDeadline, q.deadline.Format(time.RFC3339Nano))
+	c.Header.Set(common.HeaderClass, q.class.String())
+	c.Header.Set(common.HeaderRepeatable, strconv.FormatBool(!q.once))
+	c.Header.Set(common.HeaderID, c.ID)
+	if q.keyed {
+		c.Header.Set(common.HeaderKey, c.ID)
+	}
+	return s.forwarder.Run(ctx, l[rand.IntN(len(l))].Caller, c)
+}
