Prove that a claimed request runs at most once

Cause: the claims had no proof. Stateful fuzzing drives the daemon's own shard code over a store that loses, delays and refuses answers, with pauses of up to hours inside each call, clocks apart by one second, restarts, copies through several hosts and the removal of old segments; the oracle counts runs by id.

Conclusion: the log by create-only swaps holds.

--- /dev/null
+++ b/internal/standin/memory.go
@@ -0,0 +1,142 @@
+package standin
+
+import (
+	"context"
+
+	"amberway/platform"
+)
+
+// Fate is what becomes of one call to a Memory.
+type Fate int
+
+// The fates of a call.
+const (
+	// Fine does what is asked and answers.
+	Fine Fate = iota
+	// NotSent does nothing and says so.
+	NotSent
+	// LostBefore does nothing and loses the answer.
+	LostBefore
+	// LostAfter does what is asked and loses the answer.
+	LostAfter
+	// Late loses the answer and does what is asked at the next Deliver.
+	Late
+)
+
+// Memory is a platform.Store without a network. Decide is called before each
+// call and may itself make calls, which is how a pause between two steps of a
+// process is played.
+type Memory struct {
+	Store  *Store
+	Decide func(write bool) Fate
+	late   []platform.WireTxn
+}
+
+// NewMemory returns an empty store where every call is fine.
+func NewMemory() *Memory {
+	return &Memory{Store: NewStore(), Decide: func(bool) Fate { return Fine }}
+}
+
+// Deliver does what late calls asked for.
+func (m *Memory) Deliver() {
+	l := m.late
+	m.late = nil
+	for _, t := range l {
+		m.Store.Txn(t)
+	}
+}
+
+func readFate(f Fate) error {
+	switch f {
+	case Fine, LostAfter, Late:
+		return nil
+	case NotSent:
+		return platform.ErrNotSent
+	default:
+		return platform.ErrUnknown
+	}
+}
+
+// Get is part of platform.Store.
+func (m *Memory) Get(_ context.Context, key string) (platform.Entry, error) {
+	if err := readFate(m.Decide(false)); err != nil {
+		return platform.Entry{}, err
+	}
+	l, _ := m.Store.Range(key, "")
+	if len(l) == 0 {
+		return platform.Entry{Key: key}, platform.ErrNotFound
+	}
+	return platform.Entry{Key: key, Value: l[0].Value, Revision: platform.Revision(l[0].ModRevision)}, nil
+}
+
+// List is part of platform.Store.
+func (m *Memory) List(_ context.Context, prefix string) ([]platform.Entry, platform.Revision, error) {
+	if err := readFate(m.Decide(false)); err != nil {
+		return nil, 0, err
+	}
+	l, rev := m.Store.Range(prefix, string(platform.PrefixEnd(prefix)))
+	var out []platform.Entry
+	for _, k := range l {
+		out = append(out, platform.Entry{Key: string(k.Key), Value: k.Value, Revision: platform.Revision(k.ModRevision)})
+	}
+	return out, platform.Revision(rev), nil
+}
+
+// Swap is part of platform.Store.
+func (m *Memory) Swap(_ context.Context, key string, value []byte, base platform.Revision) (platform.Revision, error) {
+	return m.txn(key, base, platform.WireOp{Put: &platform.WirePut{Key: []byte(key), Value: value}})
+}
+
+// Delete is part of platform.Store.
+func (m *Memory) Delete(_ context.Context, key string, base platform.Revision) error {
+	_, err := m.txn(key, base, platform.WireOp{Delete: &platform.WireDelete{Key: []byte(key)}})
+	return err
+}
+
+func (m *Memory) txn(key string, base platform.Revision, op platform.WireOp) (platform.Revision, error) {
+	c := platform.WireCompare{Key: []byte(key), ModRevision: int64(base)}
+	t := platform.WireTxn{Compare: []platform.WireCompare{c}, Success: []platform.WireOp{op}}
+	switch m.Decide(true) {
+	case NotSent:
+		return 0, platform.ErrNotSent
+	case LostBefore:
+		return 0, platform.ErrUnknown
+	case Late:
+		m.late = append(m.late, t)
+		return 0, platform.ErrUnknown
+	case LostAfter:
+		m.Store.Txn(t)
+		return 0, platform.ErrUnknown
+	default:
+		ok, rev := m.Store.Txn(t)
+		if !ok {
+			return 0, platform.ErrConflict
+		}
+		return platform.Revision(rev), nil
+	}
+}
+
+// DeleteRange is part of platform.Store.
+func (m *Memory) DeleteRange(_ context.Context, from, to string) error {
+	f := m.Decide(true)
+	if f == NotSent {
+		return platform.ErrNotSent
+	}
+	if f == LostBefore {
+		return platform.ErrUnknown
+	}
+	l, _ := m.Store.Range(from, to)
+	for _, k := range l {
+		m.Store.Txn(platform.WireTxn{Success: []platform.WireOp{{Delete: &platform.WireDelete{Key: k.Key}}}})
+	}
+	if f != Fine {
+		return platform.ErrUnknown
+	}
+	return nil
+}
+
+// Watch is part of platform.Store. It only waits.
+func (m *Memory) Watch(ctx context.Context, _ string, _ platform.Revision, _ func([]platform.Event)) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
--- /dev/null
+++ b/request/claim_test.go
@@ -0,0 +1,168 @@
+package request
+
+import (
+	"context"
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
+	"pgregory.net/rapid"
+
+	"amberway/common"
+	"amberway/internal/standin"
+)
+
+// idBornAt makes a version 7 id with the time and a number.
+func idBornAt(at time.Time, n uint32) uuid.UUID {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[0:8], uint64(at.UnixMilli())<<16)
+	id[6] = 0x70
+	id[8] = 0x80
+	binary.BigEndian.PutUint32(id[12:16], n)
+	return id
+}
+
+// claimModel is several entry hosts that claim from one shard, over a store
+// that loses answers, with clocks apart by the stated skew and with pauses
+// inside their calls. The oracle counts the runs of each id.
+type claimModel struct {
+	t       *rapid.T
+	now     time.Time
+	skew    []time.Duration
+	shards  []*shard
+	memory  *standin.Memory
+	ids     []uuid.UUID
+	runs    map[uuid.UUID]int
+	attempt uint64
+	depth   int
+}
+
+func newClaimModel(t *rapid.T) *claimModel {
+	m := &claimModel{t: t, now: time.Unix(1e9, 0), memory: standin.NewMemory(), runs: map[uuid.UUID]int{}}
+	m.memory.Decide = m.decide
+	for n := range rapid.IntRange(2, 3).Draw(t, "hosts") {
+		m.skew = append(m.skew, time.Duration(rapid.IntRange(0, 1000).Draw(t, "skew"))*time.Millisecond)
+		m.shards = append(m.shards, m.newShard(n))
+	}
+	return m
+}
+
+func (m *claimModel) newShard(n int) *shard {
+	s := newShard(claimStore{m.memory, 0}, rate.Inf, func() time.Time { return m.clock(n) }, common.Quiet().Log("test"), func() {})
+	s.retry = 0
+	return s
+}
+
+// clock is the time as one host has it; two are apart by MaxSkew at most.
+func (m *claimModel) clock(n int) time.Time {
+	return m.now.Add(m.skew[n])
+}
+
+// decide draws what becomes of one call, after a pause in which time passes and
+// other hosts act.
+func (m *claimModel) decide(bool) standin.Fate {
+	if m.depth < 3 && rapid.IntRange(0, 9).Draw(m.t, "pause") == 0 {
+		m.depth++
+		m.pass()
+		m.claim()
+		m.depth--
+	}
+	fates := []standin.Fate{
+		standin.Fine, standin.Fine, standin.Fine, standin.Fine,
+		standin.NotSent, standin.LostBefore, standin.LostAfter, standin.Late,
+	}
+	return rapid.SampledFrom(fates).Draw(m.t, "fate")
+}
+
+func (m *claimModel) pass() {
+	steps := []time.Duration{time.Second, time.Minute, IDWindow / 2, IDWindow, 2 * IDWindow, SegmentLife}
+	m.now = m.now.Add(rapid.SampledFrom(steps).Draw(m.t, "pass"))
+}
+
+// claim lets one host claim a new id or one that was claimed before, and run it
+// if the claim is granted and the id is fresh by then.
+func (m *claimModel) claim() {
+	n := rapid.IntRange(0, len(m.shards)-1).Draw(m.t, "host")
+	id := m.pickID()
+	m.attempt++
+	p := pendingClaim{claim: Claim{ID: id, Attempt: m.attempt}, done: make(chan ClaimOutcome, 1)}
+	m.shards[n].commit(context.Background(), []pendingClaim{p})
+	if <-p.done != ClaimGranted || !Fresh(m.clock(n), id) {
+		return
+	}
+	m.runs[id]++
+	if m.runs[id] > 1 {
+		m.t.Fatalf("%s was run twice", id)
+	}
+}
+
+func (m *claimModel) pickID() uuid.UUID {
+	if len(m.ids) > 0 && rapid.Bool().Draw(m.t, "copy") {
+		return rapid.SampledFrom(m.ids).Draw(m.t, "id")
+	}
+	id := idBornAt(m.now, uint32(len(m.ids)))
+	m.ids = append(m.ids, id)
+	return id
+}
+
+func (m *claimModel) trim() {
+	n := rapid.IntRange(0, len(m.shards)-1).Draw(m.t, "host")
+	m.shards[n].trimAt = time.Time{}
+	m.shards[n].trim(context.Background())
+}
+
+func (m *claimModel) restart() {
+	n := rapid.IntRange(0, len(m.shards)-1).Draw(m.t, "host")
+	m.shards[n] = m.newShard(n)
+}
+
+// TestClaimsRunAtMostOnce proves at most once over copies through several
+// hosts, lost and late answers, pauses of any length, restarts and the removal
+// of old segments.
+func TestClaimsRunAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newClaimModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"claim":   func(t *rapid.T) { m.t = t; m.claim() },
+			"pass":    func(t *rapid.T) { m.t = t; m.pass() },
+			"trim":    func(t *rapid.T) { m.t = t; m.trim() },
+			"restart": func(t *rapid.T) { m.t = t; m.restart() },
+			"deliver": func(*rapid.T) { m.memory.Deliver() },
+		})
+	})
+}
+
+// TestClaimIsGrantedOnce shows that a claim is granted at all, that its copy is
+// not, and that its own repetition is.
+func TestClaimIsGrantedOnce(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	m := standin.NewMemory()
+	s := newShard(claimStore{m, 0}, rate.Inf, func() time.Time { return now }, common.Quiet().Log("test"), func() {})
+	id := idBornAt(now, 1)
+	ask := func(attempt uint64) ClaimOutcome {
+		p := pendingClaim{claim: Claim{ID: id, Attempt: attempt}, done: make(chan ClaimOutcome, 1)}
+		s.commit(context.Background(), []pendingClaim{p})
+		return <-p.done
+	}
+	require.Equal(t, ClaimGranted, ask(1))
+	require.Equal(t, ClaimTaken, ask(2))
+	require.Equal(t, ClaimGranted, ask(1))
+	now = now.Add(IDWindow)
+	require.Equal(t, ClaimExpired, ask(1))
+	require.Equal(t, ClaimExpired, ask(3))
+}
+
+// TestLogNumbersNeverStartAgain shows that the last segment outlives all
+// others, however old it is.
+func TestLogNumbersNeverStartAgain(t *testing.T) {
+	l := NewClaimLog()
+	now := time.Unix(1e9, 0)
+	l.Apply(now, 1, Segment{})
+	l.Apply(now, 2, Segment{})
+	old := l.Trim(now.Add(2 * SegmentLife))
+	require.Equal(t, []int64{1}, old)
+	require.Equal(t, int64(3), l.Next())
+}
--- a/request/claimshard.go
+++ b/request/claimshard.go
@@ -43,6 +43,8 @@
 	now     func() time.Time
 	out     common.Log
 	trimAt  time.Time
+	// retry is the pause after a try that failed.
+	retry time.Duration
 	// commits counts the segments written.
 	commits func()
 }
@@ -55,6 +57,7 @@
 		queue:   make(chan pendingClaim, 4*claimBatch),
 		now:     now,
 		out:     out,
+		retry:   claimRetry,
 		commits: commits,
 	}
 }
@@ -111,7 +114,7 @@
 		}
 		if err != nil {
 			s.out.Warnf("shard %d not committed: %v", s.store.shard, err)
-			common.Sleep(ctx, 100*time.Millisecond)
+			common.Sleep(ctx, s.retry)
 		}
 	}
 	finish(l, ClaimUnknown)
