Mend four faults that fuzzing found in claims and scheduling

Causes, each red first and green after: - claims: a reload stamped the segments it read with the time before the read. A segment created while the reader was paused looked old and was removed with ids still fresh: an id ran twice (found after 6,161 cases; ruled out: a read served from an old log, and re-entry of one host, which the model now keeps out as the daemon does). Stamped after the read: 360,000 cases green. - scheduler: a target that left and came back counted as idle while its earlier requests still ran, and got more than its slots. Its count now follows the host's name. - scheduler: a result from before a target was set aside passed for the probe's result; the target was free and aside at once, or lost. A request waited 60 s with slots free. A probe is now known by its attempt. - dispatcher: nobody asked again when a target was due to be probed.

The verdicts of the request path are held against an oracle over copies through two entry hosts with every failure of targets and claims.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -241,8 +241,8 @@
 	d.server = request.NewServer(d.deps, request.Parts{
 		Config:     d.follower.Current,
 		Dispatcher: d.dispatcher,
-		Claimer:    d.claimer,
-		Forwarder:  f,
+		Claims:     d.claimer,
+		Runner:     f,
 		Hosts:      d.view,
 		Spill:      request.NewSpill(d.settings.DataCentre, d.settings.PeerToken, d.members.Live, f),
 		Metrics:    m,
@@ -319,6 +319,7 @@
 			last = n
 			d.refresh()
 		}
+		d.dispatcher.Pump()
 		if d.deps.Now().Sub(d.view.Current().ListedAt) > staleView {
 			d.learnFleet(ctx)
 		}
--- a/request/claimshard.go
+++ b/request/claimshard.go
@@ -210,7 +210,7 @@
 	}
 	s.log = s.log.Restart()
 	for _, n := range slices.Sorted(maps.Keys(m)) {
-		s.log.Apply(at, n, m[n])
+		s.log.Apply(s.now(), n, m[n])
 	}
 	s.log.SawEnd(at)
 	s.log.Trim(at)
--- a/request/dispatcher.go
+++ b/request/dispatcher.go
@@ -27,6 +27,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	f(d.scheduler)
+	d.pumpAll()
+}
+
+// Pump starts what can start because time has passed: a target that was set
+// aside is due to be probed.
+func (d *Dispatcher) Pump() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pumpAll()
+}
+
+func (d *Dispatcher) pumpAll() {
 	for _, p := range d.scheduler.poolNames() {
 		d.pump(p)
 	}
--- a/request/health.go
+++ b/request/health.go
@@ -28,8 +28,6 @@
 	backoff time.Duration
 	// asideUntil is when the target is probed again; zero while in use.
 	asideUntil time.Time
-	// probing says that one request tries whether the target is back.
-	probing bool
 }
 
 // jobHealth is what is learned about one job over all targets.
@@ -63,10 +61,6 @@
 // the target should be set aside.
 func (h *health) note(now time.Time, ok bool) bool {
 	h.ok.add(ok)
-	if h.probing {
-		h.probing = false
-		return h.probed(now, ok)
-	}
 	if ok || h.ok.samples < asideSamples || h.ok.value >= asideBelow {
 		return false
 	}
@@ -76,7 +70,7 @@
 }
 
 // probed ends a probe: one success brings the target back, a failure doubles
-// its time aside.
+// its time aside. It reports whether the target stays aside.
 func (h *health) probed(now time.Time, ok bool) bool {
 	if ok {
 		h.ok = newShare()
@@ -87,3 +81,8 @@
 	h.asideUntil = now.Add(h.backoff)
 	return true
 }
+
+// aside reports whether the target gets nothing but probes.
+func (h *health) aside() bool {
+	return !h.asideUntil.IsZero()
+}
--- a/request/item.go
+++ b/request/item.go
@@ -21,6 +21,8 @@
 	pool     *pool
 	queue    *queue
 	started  time.Time
+	// probe says that the attempt tries whether its target is back.
+	probe bool
 }
 
 // key tells the kinds of work apart that are learned about.
--- a/request/scheduler.go
+++ b/request/scheduler.go
@@ -177,7 +177,7 @@
 		ok = false
 	}
 	if !ok {
-		t = &target{place: -1, health: health{ok: newShare()}}
+		t = &target{place: -1, health: health{ok: newShare()}, busy: s.inFlight[v.Name]}
 		s.targets[v.Name] = t
 		p := s.pool(v.Pool)
 		p.targets = append(p.targets, t)
@@ -213,7 +213,7 @@
 
 // place puts the target into the free list or takes it out, as its slots say.
 func (p *pool) place(t *target) {
-	want := !t.gone && t.busy < t.Slots && t.asideUntil.IsZero()
+	want := !t.gone && t.busy < t.Slots && !t.aside()
 	if want && t.place < 0 {
 		t.place = len(p.free)
 		p.free = append(p.free, t)
@@ -321,7 +321,7 @@
 	if !ok {
 		return Start{}, false
 	}
-	t := s.pick(now, p)
+	t, probe := s.pick(now, p)
 	if t == nil {
 		return Start{}, false
 	}
@@ -332,6 +332,7 @@
 	i.target = t
 	i.pool = p
 	i.started = now
+	i.probe = probe
 	s.inFlight[t.Name]++
 	v.virtual += i.estimate.Seconds() / float64(max(v.Weight, 1))
 	p.begin(t, c)
@@ -377,24 +378,23 @@
 	return p.patient < max(most, 1)
 }
 
-// pick returns a free target: one that is due to be probed, else the better of
-// two at random.
-func (s *Scheduler) pick(now time.Time, p *pool) *target {
+// pick returns a free target: one that is due to be probed, and true, else the
+// better of two at random.
+func (s *Scheduler) pick(now time.Time, p *pool) (*target, bool) {
 	if t, ok := p.aside.Peek(); ok && !now.Before(t.asideUntil) && t.busy < t.Slots {
 		p.aside.Pop()
 		t.asideSlot = nil
-		t.probing = true
-		return t
+		return t, true
 	}
 	if len(p.free) == 0 {
-		return nil
+		return nil, false
 	}
 	a := p.free[s.random.IntN(len(p.free))]
 	b := p.free[s.random.IntN(len(p.free))]
 	if b.cost() < a.cost() {
-		return b
+		return b, false
 	}
-	return a
+	return a, false
 }
 
 // cost is the time that one more request would take there.
@@ -433,12 +433,14 @@
 		p.patient--
 	}
 	s.leave(t.Name)
-	t.busy--
-	if t.gone {
-		return
+	if !t.gone {
+		s.learn(now, p, t, i, o)
+	}
+	// The target may have left and come back since.
+	if cur, ok := s.targets[t.Name]; ok {
+		cur.busy = s.inFlight[t.Name]
+		s.pool(cur.Pool).place(cur)
 	}
-	s.learn(now, p, t, i, o)
-	p.place(t)
 }
 
 // leave counts one run less on the host.
@@ -451,38 +453,29 @@
 
 // learn takes the outcome into what is known of the target and of the job.
 func (s *Scheduler) learn(now time.Time, p *pool, t *target, i *Item, o Outcome) {
-	if o.Cancelled {
-		s.unprobe(p, t)
-		return
-	}
 	j := s.job(i.key())
-	j.note(t.Name, o.OK)
+	speaks := !o.Cancelled
+	if speaks {
+		j.note(t.Name, o.OK)
+		speaks = o.OK || !j.hopeless()
+	}
 	if o.OK {
 		j.run.add(now.Sub(i.started))
 		t.run.add(now.Sub(i.started))
 	}
-	if !o.OK && j.hopeless() {
-		s.unprobe(p, t)
-		return
-	}
-	probing := t.probing
-	if !t.note(now, o.OK) {
-		return
-	}
-	if !probing && !p.mayLose() {
-		t.asideUntil = time.Time{}
-		return
-	}
-	t.asideSlot = p.aside.Push(t)
-}
-
-// unprobe ends a probe without a result: the target stays aside and the next
-// request probes it.
-func (s *Scheduler) unprobe(p *pool, t *target) {
-	if t.probing {
-		t.probing = false
+	switch {
+	case i.probe && (!speaks || t.probed(now, o.OK)):
+		// Without a result the next request probes again.
 		t.asideSlot = p.aside.Push(t)
+	case i.probe || t.aside() || !speaks:
+		// An attempt that began before the target was set aside tells no more.
+	case !t.note(now, o.OK):
+	case p.mayLose():
+		t.asideSlot = p.aside.Push(t)
+	default:
+		t.asideUntil = time.Time{}
 	}
+	i.probe = false
 }
 
 // mayLose reports whether one more target may be set aside.
--- a/request/server.go
+++ b/request/server.go
@@ -14,6 +14,7 @@
 	"amberway/common"
 	"amberway/config"
 
+	"github.com/google/uuid"
 	"golang.org/x/sync/semaphore"
 )
 
@@ -35,13 +36,24 @@
 	Address(name string) (netip.AddrPort, bool)
 }
 
+// Claims settles which attempt may run a request that may not be repeated.
+type Claims interface {
+	// Claim claims the id for a new attempt, until the context ends.
+	Claim(ctx context.Context, id uuid.UUID) ClaimOutcome
+}
+
+// Runner runs one attempt on a target. Its error is an *AttemptError.
+type Runner interface {
+	Run(ctx context.Context, a netip.AddrPort, c Call) (*Reply, error)
+}
+
 // Parts are what a Server is made of.
 type Parts struct {
 	// Config returns the configuration in force.
 	Config     func() *config.Snapshot
 	Dispatcher *Dispatcher
-	Claimer    *Claimer
-	Forwarder  *Forwarder
+	Claims     Claims
+	Runner     Runner
 	Hosts      Hosts
 	Spill      *Spill
 	Metrics    *Metrics
@@ -261,7 +273,7 @@
 		return nil
 	}
 	retry := s.deps.Now().Add(retryLater)
-	switch s.Claimer.Claim(ctx, q.id) {
+	switch s.Claims.Claim(ctx, q.id) {
 	case ClaimGranted:
 		q.claimed = true
 		return nil
@@ -290,7 +302,7 @@
 		s.Dispatcher.Drop(i)
 		return nil, &AttemptError{Cause: errors.New("the target left")}
 	}
-	r, err := s.Forwarder.Run(ctx, a, q.call)
+	r, err := s.Runner.Run(ctx, a, q.call)
 	if err != nil {
 		s.ended(ctx, q, i, err)
 		return nil, err
--- a/request/spill.go
+++ b/request/spill.go
@@ -12,17 +12,17 @@
 
 // Spill passes requests on to another data centre.
 type Spill struct {
-	dc        string
-	token     string
-	live      func() []peers.Member
-	forwarder *Forwarder
-	budget    *RetryBudget
+	dc     string
+	token  string
+	live   func() []peers.Member
+	runner Runner
+	budget *RetryBudget
 }
 
 // NewSpill returns a way from the data centre to the live members of others,
 // which know it by the token.
-func NewSpill(dc, token string, live func() []peers.Member, f *Forwarder) *Spill {
-	return &Spill{dc: dc, token: token, live: live, forwarder: f, budget: NewRetryBudget()}
+func NewSpill(dc, token string, live func() []peers.Member, r Runner) *Spill {
+	return &Spill{dc: dc, token: token, live: live, runner: r, budget: NewRetryBudget()}
 }
 
 // Run sends the request to one entry host of another data centre. The error is
@@ -48,5 +48,5 @@
 	if q.keyed {
 		c.Header.Set(common.HeaderKey, c.ID)
 	}
-	return s.forwarder.Run(ctx, l[rand.IntN(len(l))].Caller, c)
+	return s.runner.Run(ctx, l[rand.IntN(len(l))].Caller, c)
 }
--- /dev/null
+++ b/request/verdict_test.go
@@ -0,0 +1,207 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/metric/noop"
+	"pgregory.net/rapid"
+
+	"amberway/common"
+	"amberway/config"
+)
+
+// verdictModel is several entry hosts that take copies of the same requests,
+// with targets and claims that fail in every way. The oracle counts the runs of
+// each id and remembers what its callers heard.
+type verdictModel struct {
+	t       *rapid.T
+	servers []*Server
+	claimed map[uuid.UUID]bool
+	runs    map[string]int
+	heard   map[string][]common.Verdict
+	once    map[string]bool
+	ids     []string
+	depth   int
+}
+
+func newVerdictModel(t *rapid.T) *verdictModel {
+	m := &verdictModel{
+		t: t, claimed: map[uuid.UUID]bool{}, runs: map[string]int{},
+		heard: map[string][]common.Verdict{}, once: map[string]bool{},
+	}
+	for range 2 {
+		m.servers = append(m.servers, m.newServer())
+	}
+	return m
+}
+
+func (m *verdictModel) newServer() *Server {
+	doc := &config.Document{
+		Pools: []config.Pool{{Name: "p"}},
+		Services: []config.Service{{Name: "s", Pool: "p", Weight: 1, Jobs: []config.Job{
+			{Name: "free", Repeatable: true, Patience: time.Minute},
+			{Name: "once", Class: common.Patient, Patience: time.Minute},
+		}}},
+	}
+	s := NewScheduler(DefaultPolicy(), rand.New(rand.NewPCG(1, 2)))
+	s.SetServices([]ServiceSpec{{Name: "s", Pool: "p", Weight: 1}})
+	s.SetTargets([]TargetSpec{{Name: "a", Pool: "p", Slots: 4}, {Name: "b", Pool: "p", Slots: 4}})
+	metrics, err := NewMetrics(noop.NewMeterProvider().Meter("test"))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return NewServer(common.Quiet(), Parts{
+		Config:     func() *config.Snapshot { return &config.Snapshot{Document: doc} },
+		Dispatcher: NewDispatcher(s, time.Now),
+		Claims:     m,
+		Runner:     m,
+		Hosts:      m,
+		Metrics:    metrics,
+	})
+}
+
+// Address is part of Hosts: now and then a target has left.
+func (m *verdictModel) Address(string) (netip.AddrPort, bool) {
+	return netip.MustParseAddrPort("127.0.0.1:1"), rapid.IntRange(0, 9).Draw(m.t, "left") > 0
+}
+
+// Claim is part of Claims: its answer may be lost before or after it counts.
+func (m *verdictModel) Claim(_ context.Context, id uuid.UUID) ClaimOutcome {
+	m.meanwhile()
+	fate := rapid.IntRange(0, 5).Draw(m.t, "claim")
+	if fate == 0 {
+		return ClaimUnknown
+	}
+	if m.claimed[id] {
+		return ClaimTaken
+	}
+	m.claimed[id] = true
+	if fate == 1 {
+		return ClaimUnknown
+	}
+	return ClaimGranted
+}
+
+var errCut = errors.New("cut")
+
+// Run is part of Runner: a target that is not reached, that runs and whose
+// answer is lost, that fails, or that answers.
+func (m *verdictModel) Run(_ context.Context, _ netip.AddrPort, c Call) (*Reply, error) {
+	m.meanwhile()
+	switch rapid.IntRange(0, 5).Draw(m.t, "run") {
+	case 0:
+		return nil, &AttemptError{Cause: errCut}
+	case 1:
+		return nil, &AttemptError{Sent: true, Cause: errCut}
+	case 2:
+		m.runs[c.ID]++
+		return nil, &AttemptError{Sent: true, Cause: errCut}
+	case 3:
+		m.runs[c.ID]++
+		return &Reply{Status: http.StatusInternalServerError, Header: http.Header{}}, nil
+	default:
+		m.runs[c.ID]++
+		return &Reply{Status: http.StatusOK, Header: http.Header{}, Head: []byte(c.ID)}, nil
+	}
+}
+
+// meanwhile lets another copy come in the middle of a call.
+func (m *verdictModel) meanwhile() {
+	if m.depth < 2 && rapid.IntRange(0, 3).Draw(m.t, "meanwhile") == 0 {
+		m.depth++
+		m.send()
+		m.depth--
+	}
+}
+
+// send sends a new request or a copy through one of the entry hosts.
+func (m *verdictModel) send() {
+	id := ""
+	once := rapid.Bool().Draw(m.t, "once")
+	if len(m.ids) > 0 && rapid.Bool().Draw(m.t, "copy") {
+		id = rapid.SampledFrom(m.ids).Draw(m.t, "id")
+		once = m.once[id]
+	} else if once || rapid.Bool().Draw(m.t, "keyed") {
+		id = uuid.Must(uuid.NewV7()).String()
+		m.ids = append(m.ids, id)
+		m.once[id] = once
+	}
+	path := "/s/free"
+	if once {
+		path = "/s/once"
+	}
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("body"))
+	if id != "" {
+		r.Header.Set(common.HeaderKey, id)
+	}
+	w := httptest.NewRecorder()
+	start := time.Now()
+	defer func() {
+		if d := time.Since(start); d > 10*time.Second {
+			m.t.Fatalf("an answer took %s with slots free", d)
+		}
+	}()
+	rapid.SampledFrom(m.servers).Draw(m.t, "entry").ServeHTTP(w, r)
+	m.check(id, w)
+}
+
+// check notes the verdict. A request without an id of its own is known by the
+// one in its answer.
+func (m *verdictModel) check(id string, w *httptest.ResponseRecorder) {
+	v, err := common.ParseVerdict(w.Header().Get(common.HeaderVerdict))
+	if err != nil {
+		m.t.Fatalf("answer without a verdict: %v", err)
+	}
+	got := w.Header().Get(common.HeaderID)
+	if id == "" {
+		id = got
+	}
+	if id != "" {
+		m.heard[id] = append(m.heard[id], v)
+	}
+	if v == common.Ran && m.runs[id] == 0 {
+		m.t.Fatalf("%s heard ran and did not run", id)
+	}
+	if w.Code == http.StatusOK && w.Body.String() != got {
+		m.t.Fatalf("%s got the answer to %s", got, w.Body.String())
+	}
+	if w.Code >= http.StatusTooManyRequests && w.Code != http.StatusInternalServerError && w.Header().Get("Retry-After") == "" {
+		m.t.Fatalf("status %d without the time to come back", w.Code)
+	}
+}
+
+// end holds every verdict against what ran until the end.
+func (m *verdictModel) end() {
+	for id, l := range m.heard {
+		for _, v := range l {
+			if v == common.NotRun && m.runs[id] > 0 {
+				m.t.Fatalf("%s heard not-run and ran", id)
+			}
+		}
+		if m.once[id] && m.runs[id] > 1 {
+			m.t.Fatalf("%s ran %d times", id, m.runs[id])
+		}
+	}
+}
+
+// TestVerdictsAreTrue proves that "not run" is never said of a request that
+// runs, before or after, through any entry host, and that a request that may
+// not be repeated is run once at most.
+func TestVerdictsAreTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newVerdictModel(t)
+		for range rapid.IntRange(1, 12).Draw(t, "requests") {
+			m.send()
+		}
+		m.end()
+	})
+}
