--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -254,7 +254,7 @@
 		Version:     Version,
 		Tokens:      d.settings.Tokens,
 		Follower:    d.follower,
-		Publisher:   config.NewPublisher(d.store, d.deps.Now),
+		Publisher:   config.NewPublisher(d.store),
 		View:        d.view,
 		Coordinator: d.coord,
 		Members:     d.members,
--- a/config/publish.go
+++ b/config/publish.go
@@ -46,12 +46,13 @@
 // Publisher writes documents to the platform.
 type Publisher struct {
 	store platform.Store
-	now   func() time.Time
+	// wait is the pause before the first retry.
+	wait time.Duration
 }
 
 // NewPublisher returns a publisher to the store.
-func NewPublisher(s platform.Store, now func() time.Time) *Publisher {
-	return &Publisher{store: s, now: now}
+func NewPublisher(s platform.Store) *Publisher {
+	return &Publisher{store: s, wait: publishBackoff}
 }
 
 // ReadHead returns the head in force and its revision; an empty head where
@@ -137,7 +138,7 @@
 		_, err = p.store.Swap(ctx, key, b, e.Revision)
 		return struct{}{}, err
 	}
-	_, err := backoff.Retry(ctx, put, retryOptions()...)
+	_, err := backoff.Retry(ctx, put, p.retries()...)
 	return err
 }
 
@@ -181,7 +182,7 @@
 		_, err = p.store.Swap(ctx, HeadKey, b, rev)
 		return struct{}{}, err
 	}
-	_, err := backoff.Retry(ctx, settle, retryOptions()...)
+	_, err := backoff.Retry(ctx, settle, p.retries()...)
 	var stale *StaleError
 	if err == nil || errors.As(err, &stale) {
 		return err
@@ -227,9 +228,9 @@
 	publishBackoff = 50 * time.Millisecond
 )
 
-func retryOptions() []backoff.RetryOption {
+func (p *Publisher) retries() []backoff.RetryOption {
 	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = publishBackoff
+	b.InitialInterval = p.wait
 	return []backoff.RetryOption{
 		backoff.WithBackOff(b),
 		backoff.WithMaxTries(publishTries),
--- /dev/null
+++ b/fleet/main_test.go
@@ -0,0 +1,11 @@
+package fleet
+
+import (
+	"testing"
+
+	"amberway/internal/checks"
+)
+
+func TestMain(m *testing.M) {
+	checks.Main(m, "3000")
+}
--- /dev/null
+++ b/fleet/plan_test.go
@@ -0,0 +1,529 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"amberway/config"
+	"amberway/internal/standin"
+	"amberway/platform"
+)
+
+const testDC = "north"
+
+// actor is one coordinator with its own, perhaps old, view.
+type actor struct {
+	record   Record
+	revision platform.Revision
+	list     platform.HostList
+	doc      *config.Document
+	gen      int64
+	// idle is what the entry hosts said when they were asked last.
+	idle map[string]int64
+	// orders wait to be sent; the actor may be paused before.
+	orders []platform.Order
+}
+
+// sender is one entry host that sends requests by its own, perhaps old, view.
+type sender struct {
+	record  Record
+	running map[string]int
+}
+
+// idle answers as PeerServer does.
+func (s *sender) idle(host string, term int64) bool {
+	w := s.record.Hosts[host]
+	return w.Term >= term && w.State != InService && s.running[host] == 0
+}
+
+// fleetModel is a data centre with hosts that fail, alone and by the rack, two
+// coordinators, two entry hosts, a list that lags and operators.
+type fleetModel struct {
+	t       *rapid.T
+	now     time.Time
+	memory  *standin.Memory
+	hosts   map[string]platform.Host
+	lists   []platform.HostList
+	terms   map[string]int64
+	reboots map[string]int
+	doc     *config.Document
+	gen     int64
+	actors  []*actor
+	senders []*sender
+	// written is the generation of the newest record seen.
+	written int64
+}
+
+func newFleetModel(t *rapid.T) *fleetModel {
+	m := &fleetModel{
+		t: t, now: time.Unix(1e9, 0), memory: standin.NewMemory(), hosts: map[string]platform.Host{},
+		terms: map[string]int64{}, reboots: map[string]int{}, gen: 1,
+	}
+	m.memory.Decide = m.fate
+	for n := range rapid.IntRange(3, 9).Draw(t, "hosts") {
+		h := platform.Host{
+			Name: fmt.Sprint("h", n), DataCentre: testDC, Rack: fmt.Sprint("r", rapid.IntRange(0, 3).Draw(t, "rack")),
+			Labels: map[string]string{"pool": rapid.SampledFrom([]string{"a", "a", "b", "none"}).Draw(t, "label")},
+			Live:   true, Boot: 1,
+		}
+		m.hosts[h.Name] = h
+	}
+	m.doc = m.document()
+	m.tick()
+	for range 2 {
+		m.actors = append(m.actors, &actor{doc: m.doc, gen: m.gen, list: m.lists[0]})
+		m.senders = append(m.senders, &sender{running: map[string]int{}})
+	}
+	return m
+}
+
+func (m *fleetModel) fate(write bool) standin.Fate {
+	if !write {
+		return standin.Fine
+	}
+	l := []standin.Fate{standin.Fine, standin.Fine, standin.Fine, standin.Fine, standin.LostAfter, standin.LostBefore, standin.Late, standin.NotSent}
+	return rapid.SampledFrom(l).Draw(m.t, "fate")
+}
+
+func (m *fleetModel) document() *config.Document {
+	d := &config.Document{DataCentres: []string{testDC}, Teams: []config.Team{{Name: "t"}}}
+	for _, n := range []string{"a", "b"} {
+		d.Pools = append(d.Pools, config.Pool{
+			Name: n, Team: "t", Select: config.Selector{"pool": {n}},
+			Budget: config.Budget{Available: map[string]int{testDC: rapid.IntRange(0, 3).Draw(m.t, "need")}},
+		})
+	}
+	states := []config.WaveState{config.WaveRunning, config.WaveRunning, config.WavePaused, config.WaveAborted}
+	d.Waves = []config.Wave{{
+		Name: "w", Pools: []string{"a", "b"}, Limit: rapid.IntRange(1, 3).Draw(m.t, "limit"), Failures: 1,
+		State: rapid.SampledFrom(states).Draw(m.t, "state"),
+	}}
+	return d
+}
+
+// tick notes what the list would say now.
+func (m *fleetModel) tick() {
+	l := platform.HostList{AsOf: m.now}
+	for _, h := range m.hosts {
+		l.Hosts = append(l.Hosts, h)
+	}
+	m.lists = append(m.lists, l)
+}
+
+func (m *fleetModel) pass(t *rapid.T) {
+	m.t = t
+	steps := []time.Duration{time.Second, 10 * time.Second, time.Minute, 3 * time.Minute, ReturnWithin}
+	m.now = m.now.Add(rapid.SampledFrom(steps).Draw(t, "pass"))
+	m.tick()
+}
+
+func (m *fleetModel) someHost() platform.Host {
+	names := make([]string, 0, len(m.hosts))
+	for n := range m.hosts {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return m.hosts[rapid.SampledFrom(names).Draw(m.t, "name")]
+}
+
+// fail takes a host or its whole rack down, or brings a host up again.
+func (m *fleetModel) fail(t *rapid.T) {
+	m.t = t
+	h := m.someHost()
+	whole := rapid.Bool().Draw(t, "rack")
+	up := !h.Live && rapid.Bool().Draw(t, "up")
+	for n, o := range m.hosts {
+		if n != h.Name && (!whole || o.Rack != h.Rack) {
+			continue
+		}
+		if up && !o.Live {
+			o.Boot++
+		}
+		o.Live = up
+		m.hosts[n] = o
+	}
+	m.tick()
+}
+
+func (m *fleetModel) label(t *rapid.T) {
+	m.t = t
+	h := m.someHost()
+	h.Labels = map[string]string{"pool": rapid.SampledFrom([]string{"a", "b", "none"}).Draw(t, "label")}
+	m.hosts[h.Name] = h
+	m.tick()
+}
+
+func (m *fleetModel) apply(t *rapid.T) {
+	m.t = t
+	m.doc = m.document()
+	m.gen++
+}
+
+// learn lets one coordinator read the record, a list that may be old, and the
+// configuration.
+func (m *fleetModel) learn(t *rapid.T) {
+	m.t = t
+	a := rapid.SampledFrom(m.actors).Draw(t, "actor")
+	if rapid.Bool().Draw(t, "record") {
+		a.record, a.revision = m.stored()
+	}
+	back := rapid.IntRange(0, min(3, len(m.lists)-1)).Draw(t, "lag")
+	if l := m.lists[len(m.lists)-1-back]; l.AsOf.After(a.list.AsOf) {
+		a.list = l
+	}
+	if rapid.Bool().Draw(t, "config") {
+		a.doc = m.doc
+		a.gen = m.gen
+	}
+}
+
+func (m *fleetModel) stored() (Record, platform.Revision) {
+	l, _ := m.memory.Store.Range(RecordKey(testDC), "")
+	if len(l) == 0 {
+		return Record{}, 0
+	}
+	r, err := DecodeRecord(l[0].Value)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return r, platform.Revision(l[0].ModRevision)
+}
+
+// step lets one coordinator plan and swap.
+func (m *fleetModel) step(t *rapid.T) {
+	m.t = t
+	a := rapid.SampledFrom(m.actors).Draw(t, "actor")
+	in := Input{
+		Now: m.now, Document: a.doc, Generation: a.gen, DataCentre: testDC,
+		Record: a.record, List: a.list, Idle: a.idle,
+	}
+	o := Plan(in)
+	if !o.Changed {
+		a.orders = o.Orders
+		return
+	}
+	next := o.Record
+	next.Version = a.record.Version + 1
+	next.Generation = a.gen
+	b, err := json.Marshal(next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rev, err := m.memory.Swap(context.Background(), RecordKey(testDC), b, a.revision)
+	if err != nil {
+		a.record, a.revision = m.stored()
+		m.checkSwap(in, next)
+		return
+	}
+	m.checkSwap(in, next)
+	a.record = next
+	a.revision = rev
+	a.orders = o.Orders
+}
+
+// ask lets one coordinator ask the entry hosts what is idle.
+func (m *fleetModel) ask(t *rapid.T) {
+	m.t = t
+	a := rapid.SampledFrom(m.actors).Draw(t, "actor")
+	a.idle = m.idle(a.record)
+}
+
+func (m *fleetModel) idle(r Record) map[string]int64 {
+	idle := map[string]int64{}
+	for n, w := range r.Hosts {
+		all := !slices.ContainsFunc(m.senders, func(s *sender) bool { return !s.idle(n, w.Term) })
+		if w.State == Draining && all {
+			idle[n] = w.Term
+		}
+	}
+	return idle
+}
+
+// checkSwap holds one planned change against the rules by counting anew.
+func (m *fleetModel) checkSwap(in Input, next Record) {
+	drained := map[string]bool{}
+	for n, w := range next.Hosts {
+		old, ok := in.Record.Hosts[n]
+		h := listedHost(in.List, n)
+		if !ok && in.Document.PoolOf(h.Labels) != w.Pool {
+			m.t.Fatalf("%s was taken into pool %s, which does not select it", n, w.Pool)
+		}
+		if ok && old.Pool != w.Pool && old.State != Drained && w.Pool != "" && (old.State != Draining || m.anyRuns(n)) {
+			m.t.Fatalf("%s changed its pool from state %s", n, old.State)
+		}
+		if ok && old.State == InService && w.State == Draining && h.Live && !h.Leaving {
+			drained[w.Pool] = true
+		}
+	}
+	for pool := range drained {
+		m.checkBudget(in, next, pool)
+	}
+	m.checkWave(in, next)
+}
+
+func listedHost(l platform.HostList, name string) platform.Host {
+	for _, h := range l.Hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	return platform.Host{}
+}
+
+// checkBudget requires that the pool, after the drains, survives the loss of
+// any one rack.
+func (m *fleetModel) checkBudget(in Input, next Record, pool string) {
+	if m.now.Sub(in.List.AsOf) > ListStaleAfter {
+		m.t.Fatalf("a drain was granted by a list of %s", in.List.AsOf)
+	}
+	p, _ := in.Document.Pool(pool)
+	racks := map[string]int{}
+	total := 0
+	for n, w := range next.Hosts {
+		h := listedHost(in.List, n)
+		if w.Pool == pool && w.State == InService && h.Live && !h.Leaving {
+			racks[h.Rack]++
+			total++
+		}
+	}
+	for r, n := range racks {
+		if total-n < p.Budget.Available[testDC] {
+			m.t.Fatalf("pool %s has %d available, needs %d, and rack %s has %d of them", pool, total, p.Budget.Available[testDC], r, n)
+		}
+	}
+	if total < p.Budget.Available[testDC] {
+		m.t.Fatalf("pool %s has %d available, needs %d", pool, total, p.Budget.Available[testDC])
+	}
+}
+
+func (m *fleetModel) checkWave(in Input, next Record) {
+	v := in.Document.Waves[0]
+	before, after := 0, 0
+	for n, w := range next.Hosts {
+		if w.Wave != "" {
+			after++
+		}
+		if in.Record.Hosts[n].Wave != "" {
+			before++
+		}
+	}
+	if after > before && after > v.Limit {
+		m.t.Fatalf("%d hosts are in a wave that is limited to %d", after, v.Limit)
+	}
+	if after > before && v.State != config.WaveRunning {
+		m.t.Fatalf("a wave that is %s went on", v.State)
+	}
+}
+
+func (m *fleetModel) anyRuns(host string) bool {
+	return slices.ContainsFunc(m.senders, func(s *sender) bool { return s.running[host] > 0 })
+}
+
+// send lets one coordinator send its orders, however late.
+func (m *fleetModel) send(t *rapid.T) {
+	m.t = t
+	a := rapid.SampledFrom(m.actors).Draw(t, "actor")
+	for _, o := range a.orders {
+		if !m.now.Before(o.Deadline) || o.Term <= m.terms[o.Host] {
+			continue
+		}
+		m.terms[o.Host] = o.Term
+		m.reboot(o.Host)
+	}
+}
+
+// reboot is what the platform does with an order that it takes.
+func (m *fleetModel) reboot(name string) {
+	if m.anyRuns(name) {
+		m.t.Fatalf("%s was rebooted with requests in flight", name)
+	}
+	m.reboots[name]++
+	if m.reboots[name] > 1 {
+		m.t.Fatalf("%s was rebooted twice for one wave", name)
+	}
+	h := m.hosts[name]
+	h.Live = false
+	m.hosts[name] = h
+	m.tick()
+}
+
+// view lets one entry host learn the record.
+func (m *fleetModel) view(t *rapid.T) {
+	m.t = t
+	s := rapid.SampledFrom(m.senders).Draw(t, "sender")
+	if r, _ := m.stored(); r.Version > s.record.Version {
+		s.record = r
+	}
+}
+
+// run starts a request on a host that the entry host takes to be in service,
+// and ends one.
+func (m *fleetModel) run(t *rapid.T) {
+	m.t = t
+	s := rapid.SampledFrom(m.senders).Draw(t, "sender")
+	h := m.someHost()
+	if s.running[h.Name] > 0 && rapid.Bool().Draw(t, "end") {
+		s.running[h.Name]--
+		return
+	}
+	if s.record.Hosts[h.Name].State == InService && h.Live {
+		s.running[h.Name]++
+	}
+}
+
+// check holds the stored record against what must hold at any moment.
+func (m *fleetModel) check(t *rapid.T) {
+	r, _ := m.stored()
+	if r.Generation < m.written {
+		t.Fatalf("a record of generation %d followed one of %d", r.Generation, m.written)
+	}
+	m.written = r.Generation
+	for n, w := range r.Hosts {
+		if w.State == Rebooting && m.anyRuns(n) {
+			t.Fatalf("%s is rebooting with requests in flight", n)
+		}
+		if w.State == Drained && m.anyRuns(n) {
+			t.Fatalf("%s is drained with requests in flight", n)
+		}
+	}
+}
+
+// TestFleetKeepsItsPromises proves that a host is in one pool, that no drain is
+// granted that a pool could not stand together with the loss of a rack, that a
+// drained host has nothing in flight from any entry host, that no host reboots
+// twice for one wave, and that waves keep their limits: over two coordinators
+// with old views, lost and late writes, lagging lists, failures of hosts and
+// racks, label and configuration changes.
+func TestFleetKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newFleetModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"":        m.check,
+			"pass":    m.pass,
+			"fail":    m.fail,
+			"label":   m.label,
+			"apply":   m.apply,
+			"learn":   m.learn,
+			"learn2":  m.learn,
+			"step":    m.step,
+			"step2":   m.step,
+			"step3":   m.step,
+			"ask":     m.ask,
+			"ask2":    m.ask,
+			"send":    m.send,
+			"view":    m.view,
+			"view2":   m.view,
+			"run":     m.run,
+			"deliver": func(*rapid.T) { m.memory.Deliver() },
+		})
+	})
+}
+
+// world is a data centre where all goes well, to show that waves end.
+func world(hosts, racks int) (*config.Document, platform.HostList) {
+	d := &config.Document{
+		DataCentres: []string{testDC},
+		Teams:       []config.Team{{Name: "t"}},
+		Pools: []config.Pool{{
+			Name: "a", Team: "t", Select: config.Selector{"pool": {"a"}},
+			Budget: config.Budget{Available: map[string]int{testDC: hosts / 2}},
+		}},
+		Waves: []config.Wave{{Name: "w", Pools: []string{"a"}, Limit: 2, Failures: 1, State: config.WaveRunning}},
+	}
+	var l platform.HostList
+	for n := range hosts {
+		l.Hosts = append(l.Hosts, platform.Host{
+			Name: fmt.Sprintf("h%05d", n), DataCentre: testDC, Rack: fmt.Sprint("r", n%racks),
+			Labels: map[string]string{"pool": "a"}, Live: true, Boot: 1,
+		})
+	}
+	return d, l
+}
+
+// TestWaveMaintainsEveryHost shows that a wave ends, with each host rebooted
+// once.
+func TestWaveMaintainsEveryHost(t *testing.T) {
+	d, l := world(12, 4)
+	now := time.Unix(1e9, 0)
+	r := Record{}
+	reboots := map[string]int{}
+	for range 200 {
+		now = now.Add(time.Second)
+		l.AsOf = now
+		idle := map[string]int64{}
+		for n, w := range r.Hosts {
+			if w.State == Draining {
+				idle[n] = w.Term
+			}
+		}
+		o := Plan(Input{Now: now, Document: d, Generation: 1, DataCentre: testDC, Record: r, List: l, Idle: idle})
+		r = o.Record
+		r.Generation = 1
+		for _, v := range o.Orders {
+			reboots[v.Host]++
+			for i := range l.Hosts {
+				if l.Hosts[i].Name == v.Host {
+					l.Hosts[i].Boot++
+				}
+			}
+		}
+	}
+	require.Len(t, reboots, 12)
+	for n, w := range r.Hosts {
+		require.Equal(t, InService, w.State, n)
+		require.Equal(t, []string{"w"}, w.Done, n)
+		require.Equal(t, 1, reboots[n], n)
+	}
+}
+
+// TestHostThatStaysAwayStopsTheWave shows that one host that does not come back
+// keeps the wave from going on, and that an operator is told.
+func TestHostThatStaysAwayStopsTheWave(t *testing.T) {
+	d, l := world(12, 4)
+	now := time.Unix(1e9, 0)
+	r := Record{}
+	var last Output
+	for range 100 {
+		now = now.Add(time.Minute)
+		l.AsOf = now
+		idle := map[string]int64{}
+		for n, w := range r.Hosts {
+			if w.State == Draining {
+				idle[n] = w.Term
+			}
+		}
+		last = Plan(Input{Now: now, Document: d, Generation: 1, DataCentre: testDC, Record: r, List: l, Idle: idle})
+		r = last.Record
+		r.Generation = 1
+	}
+	away := 0
+	for _, w := range r.Hosts {
+		require.NotEqual(t, Draining, w.State)
+		if w.State == Away {
+			away++
+		}
+	}
+	require.Equal(t, 2, away)
+	require.Contains(t, last.Notes, "wave w is stopped: hosts have not come back")
+}
+
+// TestIdleOfAnEarlierDrainDoesNotCount shows that what was said for one drain
+// of a host does not stand for the next.
+func TestIdleOfAnEarlierDrainDoesNotCount(t *testing.T) {
+	d, l := world(12, 4)
+	now := time.Unix(1e9, 0)
+	l.AsOf = now
+	r := Record{Hosts: map[string]Row{"h00000": {Pool: "a", State: Draining, Term: 5, Wave: "w"}}}
+	in := Input{Now: now, Document: d, Generation: 1, DataCentre: testDC, Record: r, List: l}
+	for term, want := range map[int64]State{4: Draining, 5: Rebooting, 6: Draining} {
+		in.Idle = map[string]int64{"h00000": term}
+		require.Equal(t, want, Plan(in).Record.Hosts["h00000"].State, term)
+	}
+}
--- a/request/scheduler_test.go
+++ b/request/scheduler_test.go
@@ -212,11 +212,10 @@
 	return s
 }
 
-func offered(t *testing.T, s *Scheduler, now time.Time, job string, c common.Class) *Item {
+func offered(t *testing.T, s *Scheduler, now time.Time, job string, c common.Class) {
 	t.Helper()
 	i := &Item{Service: "s", Job: job, Class: c, Deadline: now.Add(time.Hour)}
 	require.Nil(t, s.Offer(now, i))
-	return i
 }
 
 // TestPatientRequestsDoNotStarve shows that every eighth start is a patient one
