Bring about kills, freezes, outages and cuts in whole deployments

Cause: the proofs so far were on decision code alone. These run 4 entry hosts, 6 targets and the platform's stand-in as processes.

First red: 3 of 15 could not start, as a port chosen from the kernel's range was taken by an outgoing connection before its use. Ports now come from below that range. Ruled out: a fault of the daemon.

--- a/internal/local/deployment.go
+++ b/internal/local/deployment.go
@@ -18,6 +18,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -389,12 +390,26 @@
 	}
 }
 
-// freePort returns a loopback address that nothing listened on a moment ago.
+// Ports are taken from below those that the kernel gives to outgoing
+// connections, so that none is lost between its choice and its use.
+const (
+	firstPort = 20000
+	portRange = 12000
+)
+
+var nextPort atomic.Int64
+
+// freePort returns a loopback address that nothing listened on a moment ago
+// and that this process has not returned before.
 func freePort() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
+	for range portRange {
+		n := firstPort + (int64(os.Getpid())*101+nextPort.Add(1))%portRange
+		a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n))
+		l, err := net.Listen("tcp", a.String())
+		if err != nil {
+			continue
+		}
+		return a, l.Close()
 	}
-	defer l.Close()
-	return netip.ParseAddrPort(l.Addr().String())
+	return netip.AddrPort{}, errors.New("no port is free")
 }
--- /dev/null
+++ b/tests/deployment_test.go
@@ -0,0 +1,99 @@
+// Package tests runs whole deployments as processes and brings about kills,
+// freezes, outages and cuts.
+package tests
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/admin"
+	"amberway/fleet"
+	"amberway/internal/local"
+	"amberway/internal/standin"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "amberway-tests")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binaries, err = local.Build(context.Background(), dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// start runs two data centres with two entry hosts and three targets each, one
+// to a rack, with one pool that needs one host available in each.
+func start(t *testing.T) *local.Deployment {
+	t.Helper()
+	ctx := t.Context()
+	d, err := local.Start(ctx, binaries, t.TempDir(), local.Options{
+		DataCentres: []string{"north", "south"},
+		Entries:     2,
+		Targets:     map[string]int{"tint": 3},
+		Rack:        1,
+	})
+	t.Cleanup(d.Stop)
+	require.NoError(t, err)
+	_, err = d.Apply(ctx, document(d, 1), 0)
+	require.NoError(t, err)
+	require.NoError(t, d.WaitHosts(ctx, 10*time.Second, 3, inService))
+	return d
+}
+
+func document(d *local.Deployment, available int) []byte {
+	return local.Document(d.DataCentres, []string{"tint"}, available)
+}
+
+func inService(h admin.Host) bool {
+	return h.State == fleet.InService
+}
+
+// load is a load of both classes and of requests that may not be repeated.
+func load(d *local.Deployment, count int) standin.Load {
+	return standin.Load{
+		Entries: d.URLs(),
+		Paths: []standin.Path{
+			{Path: "/tint/quick", Within: 2 * time.Second},
+			{Path: "/tint/once", Within: 8 * time.Second, Once: true, Run: 20 * time.Millisecond},
+			{Path: "/tint/patient", Within: 8 * time.Second, Run: 30 * time.Millisecond},
+		},
+		Count:    count,
+		Interval: 5 * time.Millisecond,
+	}
+}
+
+// requireTrue requires that no request that may not be repeated ran twice, and
+// that what each of their callers heard is what became of it.
+func requireTrue(t *testing.T, d *local.Deployment, s standin.Tally) {
+	t.Helper()
+	runs, err := d.RunsByID()
+	require.NoError(t, err)
+	for id, v := range s.IDs {
+		switch v {
+		case "ran":
+			require.Equal(t, 1, runs[id], id)
+		case "not-run":
+			require.Zero(t, runs[id], id)
+		default:
+			require.LessOrEqual(t, runs[id], 1, id)
+		}
+	}
+	require.Zero(t, s.Crossed)
+}
--- /dev/null
+++ b/tests/failure_test.go
@@ -0,0 +1,185 @@
+package tests
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/internal/local"
+	"amberway/internal/standin"
+	"amberway/peers"
+)
+
+// during sends a load and calls f while it runs.
+func during(t *testing.T, d *local.Deployment, count int, f func()) standin.Tally {
+	t.Helper()
+	c := make(chan standin.Tally, 1)
+	go func() { c <- standin.NewCaller().Run(t.Context(), load(d, count)) }()
+	time.Sleep(300 * time.Millisecond)
+	f()
+	return <-c
+}
+
+func TestPlannedStopLosesNothing(t *testing.T) {
+	d := start(t)
+	s := during(t, d, 400, func() {
+		require.NoError(t, d.Entries[1].Signal(syscall.SIGTERM))
+		code, err := d.Entries[1].Wait(10 * time.Second)
+		require.NoError(t, err)
+		require.Zero(t, code)
+	})
+	requireTrue(t, d, s)
+	require.Equal(t, s.Sent, s.Answered, "%+v", s)
+}
+
+func TestKilledEntryHostDoublesNothing(t *testing.T) {
+	d := start(t)
+	s := during(t, d, 400, func() { d.Entries[1].Kill() })
+	requireTrue(t, d, s)
+	// The balancer of the stand-in gives up on a request whose connection broke.
+	require.Less(t, s.Lost, 20, "%+v", s)
+	require.Zero(t, s.Late)
+}
+
+func TestFrozenEntryHostIsSurvivedAndComesBack(t *testing.T) {
+	d := start(t)
+	frozen := d.Entries[1]
+	require.NoError(t, frozen.Signal(syscall.SIGSTOP))
+	d.Entries = append(d.Entries[:1], d.Entries[2:]...)
+	requireState(t, d, frozen.Name, peers.Dead, 8*time.Second)
+	s := standin.NewCaller().Run(t.Context(), load(d, 200))
+	requireTrue(t, d, s)
+	require.Equal(t, s.Sent, s.Answered, "%+v", s)
+	require.NoError(t, frozen.Signal(syscall.SIGCONT))
+	d.Entries = append(d.Entries, frozen)
+	requireState(t, d, frozen.Name, peers.Alive, 20*time.Second)
+}
+
+// requireState requires that every entry host comes to hold the member to be in
+// the state.
+func requireState(t *testing.T, d *local.Deployment, name string, want peers.State, within time.Duration) {
+	t.Helper()
+	start := time.Now()
+	require.Eventually(t, func() bool {
+		for _, e := range d.Entries {
+			s, err := e.Client().Status(t.Context())
+			if err != nil || stateOf(s.Members, name) != want {
+				return false
+			}
+		}
+		return true
+	}, within, 50*time.Millisecond)
+	t.Logf("%s is %s everywhere after %s", name, want, time.Since(start).Round(time.Millisecond))
+}
+
+func stateOf(l []peers.Member, name string) peers.State {
+	for _, m := range l {
+		if m.Name == name {
+			return m.State
+		}
+	}
+	return peers.Left
+}
+
+func TestPlatformOutageIsServedThrough(t *testing.T) {
+	d := start(t)
+	require.NoError(t, d.Faults(standin.All, standin.Fault{Down: true}))
+	s := standin.NewCaller().Run(t.Context(), standin.Load{
+		Entries: d.URLs(), Count: 100, Interval: 5 * time.Millisecond,
+		Paths: []standin.Path{{Path: "/tint/quick", Within: 2 * time.Second}},
+	})
+	require.Equal(t, s.Sent, s.Answered, "%+v", s)
+	s = standin.NewCaller().Run(t.Context(), standin.Load{
+		Entries: d.URLs(), Count: 20, Interval: 5 * time.Millisecond,
+		Paths: []standin.Path{{Path: "/tint/once", Within: 2 * time.Second, Once: true}},
+	})
+	requireTrue(t, d, s)
+	require.Zero(t, s.Lost, "%+v", s)
+	require.Equal(t, s.Sent, s.MayHaveRun, "%+v", s)
+
+	before, err := d.Stats()
+	require.NoError(t, err)
+	require.NoError(t, d.Faults(standin.All, standin.Fault{}))
+	require.Eventually(t, func() bool {
+		s = standin.NewCaller().Run(t.Context(), load(d, 30))
+		return s.Answered == s.Sent
+	}, 10*time.Second, 100*time.Millisecond)
+	requireTrue(t, d, s)
+	after, err := d.Stats()
+	require.NoError(t, err)
+	require.Less(t, after.Reads-before.Reads, int64(400), "a storm of reads after the outage")
+}
+
+func TestEntryHostThatStartsInAnOutageServes(t *testing.T) {
+	d := start(t)
+	require.NoError(t, d.Faults(standin.All, standin.Fault{Down: true}))
+	e := d.Entries[1]
+	e.Kill()
+	require.NoError(t, d.Launch(e))
+	require.Eventually(t, func() bool {
+		c, err := e.Client().Config(t.Context())
+		return err == nil && c.Generation == 1
+	}, 10*time.Second, 50*time.Millisecond)
+	require.Eventually(t, func() bool {
+		s := standin.NewCaller().Run(t.Context(), standin.Load{
+			Entries: []string{e.URL()}, Count: 20, Interval: 5 * time.Millisecond,
+			Paths: []standin.Path{{Path: "/tint/quick", Within: 2 * time.Second}},
+		})
+		return s.Answered == s.Sent
+	}, 10*time.Second, 100*time.Millisecond)
+}
+
+func TestCutOffDataCentreGetsTheConfigurationFromPeers(t *testing.T) {
+	d := start(t)
+	require.NoError(t, d.Faults("south", standin.Fault{Down: true}))
+	time.Sleep(300 * time.Millisecond)
+	took, err := d.Apply(t.Context(), document(d, 0), 1)
+	require.NoError(t, err)
+	t.Logf("in force everywhere after %s", took.Round(time.Millisecond))
+	require.Less(t, took, 4*time.Second)
+	s := standin.NewCaller().Run(t.Context(), load(d, 60))
+	requireTrue(t, d, s)
+	require.Zero(t, s.Lost, "%+v", s)
+}
+
+func TestLostAnswersOfThePlatformDoubleNothing(t *testing.T) {
+	d := start(t)
+	s := during(t, d, 400, func() {
+		require.NoError(t, d.Faults(standin.All, standin.Fault{LoseAnswers: true}))
+		time.Sleep(700 * time.Millisecond)
+		require.NoError(t, d.Faults(standin.All, standin.Fault{}))
+	})
+	requireTrue(t, d, s)
+	require.Zero(t, s.Lost, "%+v", s)
+	require.Greater(t, s.Answered, s.Sent*9/10, "%+v", s)
+}
+
+func TestCopiesThroughAllEntryHostsRunOnce(t *testing.T) {
+	d := start(t)
+	const requests = 40
+	answers := make(chan map[string]int, requests)
+	for n := range requests {
+		go func() { answers <- copies(t, d, fmt.Sprint("body ", n)) }()
+	}
+	for range requests {
+		got := <-answers
+		require.Equal(t, 1, got["ran"], "%v", got)
+		require.Zero(t, got["not-run"], "%v", got)
+	}
+	doubled, err := d.Doubled()
+	require.NoError(t, err)
+	require.Empty(t, doubled)
+}
+
+func TestFailingTargetCostsLittle(t *testing.T) {
+	d := start(t)
+	require.NoError(t, d.Targets[0].Fault(standin.Fault{Fail: true}))
+	s := standin.NewCaller().Run(t.Context(), standin.Load{
+		Entries: d.URLs(), Count: 400, Interval: 3 * time.Millisecond,
+		Paths: []standin.Path{{Path: "/tint/quick", Within: 2 * time.Second}},
+	})
+	require.Greater(t, s.Answered, s.Sent*98/100, "%+v", s)
+}
--- /dev/null
+++ b/tests/request_test.go
@@ -0,0 +1,148 @@
+package tests
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"amberway/admin"
+	"amberway/common"
+	"amberway/fleet"
+	"amberway/internal/local"
+	"amberway/internal/standin"
+	"amberway/platform"
+)
+
+// copies sends the same request that may not be repeated twice through each
+// entry host at once, and counts the verdicts.
+func copies(t *testing.T, d *local.Deployment, body string) map[string]int {
+	id := uuid.Must(uuid.NewV7()).String()
+	got := map[string]int{}
+	var mu sync.Mutex
+	var g sync.WaitGroup
+	for n := range 2 * len(d.Entries) {
+		g.Go(func() {
+			v := post(t, d.Entries[n%len(d.Entries)], "/tint/once", body, http.Header{common.HeaderKey: {id}})
+			mu.Lock()
+			defer mu.Unlock()
+			got[v.Header.Get(common.HeaderVerdict)]++
+		})
+	}
+	g.Wait()
+	return got
+}
+
+func post(t *testing.T, e *local.Entry, path, body string, h http.Header) *http.Response {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.URL()+path, strings.NewReader(body))
+	if err != nil {
+		t.Error(err)
+		return &http.Response{Header: http.Header{}}
+	}
+	req.Header = h
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Error(err)
+		return &http.Response{Header: http.Header{}}
+	}
+	return res
+}
+
+func TestCutAnswersAreNeverTakenForWhole(t *testing.T) {
+	d := start(t)
+	for _, v := range d.Targets {
+		require.NoError(t, v.Fault(standin.Fault{Half: true}))
+	}
+	small := post(t, d.Entries[0], "/tint/once", "x", http.Header{common.HeaderKey: {uuid.Must(uuid.NewV7()).String()}})
+	require.Equal(t, http.StatusBadGateway, small.StatusCode)
+	require.Equal(t, "may-have-run", small.Header.Get(common.HeaderVerdict))
+	large := post(t, d.Entries[0], "/tint/quick", "x", http.Header{standin.HeaderSize: {"1000000"}})
+	_, err := io.ReadAll(large.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+func TestLargeAnswersComeWhole(t *testing.T) {
+	d := start(t)
+	const size = 5 << 20
+	res := post(t, d.Entries[0], "/tint/quick", "x", http.Header{standin.HeaderSize: {"5242880"}})
+	b, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	require.Equal(t, standin.Expect("/tint/quick", []byte("x"), size), string(b))
+	require.Equal(t, "ran", res.Header.Get(common.HeaderVerdict))
+}
+
+func TestBadRequestsAreRefusedWithTheReason(t *testing.T) {
+	d := start(t)
+	cases := []struct {
+		path   string
+		header http.Header
+		status int
+	}{
+		{"/nobody/quick", nil, http.StatusNotFound},
+		{"/tint/nothing", nil, http.StatusNotFound},
+		{"/tint/once", nil, http.StatusBadRequest},
+		{"/tint/once", http.Header{common.HeaderKey: {"6b6c4e5e-1111-4111-8111-111111111111"}}, http.StatusBadRequest},
+		{"/tint/quick", http.Header{common.HeaderDeadline: {"soon"}}, http.StatusBadRequest},
+		{"/tint/quick", http.Header{common.HeaderClass: {"urgent"}}, http.StatusBadRequest},
+		{"/tint/quick", http.Header{common.HeaderHop: {"guess"}}, http.StatusForbidden},
+		{"/tint/quick", http.Header{common.HeaderDeadline: {"2001-01-01T00:00:00Z"}}, http.StatusGatewayTimeout},
+	}
+	for _, c := range cases {
+		if c.header == nil {
+			c.header = http.Header{}
+		}
+		res := post(t, d.Entries[0], c.path, "x", c.header)
+		require.Equal(t, c.status, res.StatusCode, "%s %v", c.path, c.header)
+		require.Equal(t, "application/problem+json", res.Header.Get("Content-Type"))
+		_, err := common.ParseVerdict(res.Header.Get(common.HeaderVerdict))
+		require.NoError(t, err)
+	}
+}
+
+func TestRequestsSpillToTheOtherDataCentre(t *testing.T) {
+	d := start(t)
+	for _, h := range d.Targets {
+		if h.Host.DataCentre == "north" {
+			h.Host.Live = false
+			require.NoError(t, d.SetHosts(t.Context(), []platform.Host{h.Host}))
+		}
+	}
+	require.Eventually(t, func() bool {
+		res := post(t, d.Entries[0], "/tint/quick", "x", http.Header{})
+		return res.StatusCode == http.StatusOK && res.Header.Get(common.HeaderVerdict) == "ran"
+	}, 5*time.Second, 100*time.Millisecond)
+}
+
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	d := start(t)
+	leaving := d.Targets[0]
+	var told time.Time
+	s := during(t, d, 1000, func() {
+		leaving.Host.Leaving = true
+		require.NoError(t, d.SetHosts(t.Context(), []platform.Host{leaving.Host}))
+		told = time.Now()
+	})
+	requireTrue(t, d, s)
+	require.Equal(t, s.Sent, s.Answered, "%+v", s)
+	r, err := leaving.Runs()
+	require.NoError(t, err)
+	require.Less(t, r.Last.Sub(told), 3*time.Second)
+}
+
+func TestWaveUnderLoadCutsOffNothing(t *testing.T) {
+	d := start(t)
+	r, err := d.Entries[0].Client().SetWave(t.Context(), "kernel", "running")
+	require.NoError(t, err)
+	require.Equal(t, int64(2), r.Generation)
+	s := standin.NewCaller().Run(t.Context(), load(d, 2000))
+	requireTrue(t, d, s)
+	require.Equal(t, s.Sent, s.Answered, "%+v", s)
+	done := func(h admin.Host) bool { return h.State == fleet.InService && len(h.Done) == 1 }
+	require.NoError(t, d.WaitHosts(t.Context(), 60*time.Second, 3, done))
+}
