Hold back requests after a pause of the process until the fleet is read anew

Cause: a frozen entry host that wakes up would act on a view from before, and could send to a host that has been drained and rebooted since. Ruled out: a right to send with a deadline of its own, as it would end all service in an outage of the platform.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -54,6 +54,7 @@
 	metrics    http.Handler
 	stopping   atomic.Bool
 	started    time.Time
+	pulse      *common.Pulse
 }
 
 // RunDaemon is amberwayd: it returns the exit code.
@@ -103,6 +104,7 @@
 	d.metrics = promhttp.HandlerFor(r, promhttp.HandlerOpts{})
 	d.log = d.deps.Log("daemon")
 	d.started = d.deps.Now()
+	d.pulse = common.NewPulse(d.deps.Now)
 	d.store = platform.NewEtcd(c.platform, &d.calls)
 	d.hosts = platform.NewHTTPHosts(c.hostList, &d.calls)
 	d.dialer = peers.NewDialer(s.PeerToken)
@@ -246,6 +248,7 @@
 		Hosts:      d.view,
 		Spill:      request.NewSpill(d.settings.DataCentre, d.settings.PeerToken, d.members.Live, f),
 		Metrics:    m,
+		Pulse:      d.pulse,
 		HopToken:   d.settings.PeerToken,
 	})
 	d.admin = admin.New(d.deps, admin.Parts{
@@ -296,6 +299,7 @@
 
 // work starts what runs besides the listeners.
 func (d *Daemon) work(ctx context.Context) {
+	go d.pulse.Run(ctx, d.view.Relearn)
 	go d.follower.Run(ctx)
 	go d.view.Run(ctx)
 	go d.members.Run(ctx)
--- /dev/null
+++ b/common/common_test.go
@@ -0,0 +1,104 @@
+package common
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestPulseSuspendsAfterAPauseUntilAllIsLearned(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	p := NewPulse(func() time.Time { return now })
+	require.False(t, p.Beat(now.Add(pulseEvery)))
+	require.False(t, p.Suspended(now.Add(2*pulseEvery)))
+	now = now.Add(time.Minute)
+	require.True(t, p.Suspended(now), "before the first beat after the pause")
+	require.True(t, p.Beat(now))
+	require.True(t, p.Suspended(now), "after the first beat")
+	p.relearn(t.Context(), func(context.Context) error { return nil })
+	require.False(t, p.Suspended(now))
+	require.True(t, p.Beat(now.Add(time.Minute)))
+	later := now.Add(time.Minute).Add(pulseTrust)
+	p.beat.Store(later.UnixNano())
+	require.False(t, p.Suspended(later), "in an outage it acts on what it knew after a time")
+}
+
+func TestHeapRemovesFromTheMiddle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := NewHeap(func(a, b int) bool { return a < b })
+		slots := map[*Slot[int]]bool{}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) { slots[h.Push(rapid.IntRange(0, 20).Draw(t, "value"))] = true },
+			"remove": func(t *rapid.T) {
+				for s := range slots {
+					if !h.Remove(s) || h.Remove(s) {
+						t.Fatal("an item was there twice, or not at all")
+					}
+					delete(slots, s)
+					return
+				}
+			},
+			"pop": func(t *rapid.T) {
+				v, ok := h.Pop()
+				for s := range slots {
+					if s.Value < v {
+						t.Fatalf("%d came before %d", v, s.Value)
+					}
+				}
+				for s := range slots {
+					if s.index < 0 {
+						delete(slots, s)
+						return
+					}
+				}
+				if ok {
+					t.Fatal("an item came that was not pushed")
+				}
+			},
+		})
+	})
+}
+
+func TestRankMovesOnlyWhatItMust(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	for _, k := range []string{"1", "2", "3", "4", "5"} {
+		r := Rank(k, names)
+		require.Equal(t, r[0], First(k, names))
+		require.Equal(t, r[1:], Rank(k, r[1:]), "the order of the others stays when the first leaves")
+	}
+	require.Empty(t, First("1", nil))
+}
+
+func TestVerdictsAndClassesReadWhatTheyWrite(t *testing.T) {
+	for _, v := range []Verdict{Ran, NotRun, MayHaveRun} {
+		got, err := ParseVerdict(v.String())
+		require.NoError(t, err)
+		require.Equal(t, v, got)
+	}
+	_, err := ParseVerdict("perhaps")
+	require.Error(t, err)
+	for _, c := range []Class{Quick, Patient} {
+		var got Class
+		b, err := c.MarshalText()
+		require.NoError(t, errors.Join(err, got.UnmarshalText(b)))
+		require.Equal(t, c, got)
+	}
+	var zero Verdict
+	require.Equal(t, MayHaveRun, zero, "the zero verdict rules nothing out")
+}
+
+func TestProblemTellsWhenToComeBack(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	w := httptest.NewRecorder()
+	p := &ProblemError{Type: "about:blank", Title: "refused", Status: http.StatusServiceUnavailable, Verdict: NotRun, RetryAt: now.Add(1500 * time.Millisecond)}
+	p.Write(w, now)
+	require.Equal(t, "2", w.Header().Get("Retry-After"))
+	require.Equal(t, "not-run", w.Header().Get(HeaderVerdict))
+	require.JSONEq(t, `{"type":"about:blank","title":"refused","status":503,"verdict":"not-run"}`, w.Body.String())
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -123,6 +123,20 @@
 	return e.Revision, v.take(e)
 }
 
+// Relearn reads the record and the list, after a pause in which both may have
+// changed.
+func (v *View) Relearn(ctx context.Context) error {
+	if _, err := v.Refresh(ctx); err != nil {
+		return err
+	}
+	l, err := v.hosts.List(ctx, v.dc)
+	if err != nil {
+		return err
+	}
+	v.OfferList(l)
+	return nil
+}
+
 func (v *View) events(l []platform.Event) {
 	for _, e := range l {
 		if e.Key != RecordKey(v.dc) || e.Deleted {
--- a/request/server.go
+++ b/request/server.go
@@ -57,6 +57,8 @@
 	Hosts      Hosts
 	Spill      *Spill
 	Metrics    *Metrics
+	// Pulse tells whether the process was paused just now.
+	Pulse *common.Pulse
 	// HopToken proves that a request comes from another entry host.
 	HopToken string
 }
@@ -297,6 +299,10 @@
 		s.Dispatcher.Drop(i)
 		return nil, q.problem(http.StatusGatewayTimeout, "the deadline has passed", "", time.Time{})
 	}
+	if s.Pulse.Suspended(now) {
+		s.Dispatcher.Drop(i)
+		return nil, q.problem(http.StatusServiceUnavailable, "this entry host was paused", "", now.Add(retryLater))
+	}
 	a, ok := s.Hosts.Address(i.Target)
 	if !ok {
 		s.Dispatcher.Drop(i)
--- a/request/verdict_test.go
+++ b/request/verdict_test.go
@@ -66,6 +66,7 @@
 		Runner:     m,
 		Hosts:      m,
 		Metrics:    metrics,
+		Pulse:      common.NewPulse(func() time.Time { return time.Now().Add(time.Hour) }),
 	})
 }
 
