--- /dev/null
+++ b/commands/run_test.go
@@ -0,0 +1,70 @@
+package commands
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/tools/txtar"
+
+	"amberway/config"
+)
+
+// TestRuns runs each command in testdata and compares its exit code and what it
+// prints. An expected text in dots has to be contained only.
+func TestRuns(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) { runFixture(t, f) })
+	}
+}
+
+func runFixture(t *testing.T, file string) {
+	a, err := txtar.ParseFile(file)
+	require.NoError(t, err)
+	parts := map[string]string{}
+	dir := t.TempDir()
+	for _, f := range a.Files {
+		parts[f.Name] = string(f.Data)
+		require.NoError(t, os.WriteFile(filepath.Join(dir, f.Name), f.Data, 0o600))
+	}
+	t.Chdir(dir)
+	args := strings.Fields(parts["command"])
+	run := map[string]func([]string, *bytes.Buffer, *bytes.Buffer) int{
+		"amberwayd":   func(a []string, o, e *bytes.Buffer) int { return RunDaemon(a, o, e) },
+		"amberwayctl": func(a []string, o, e *bytes.Buffer) int { return RunTool(a, o, e) },
+	}[args[0]]
+	var out, errs bytes.Buffer
+	code := run(args[1:], &out, &errs)
+	require.Equal(t, strings.TrimSpace(parts["code"]), strconv.Itoa(code), errs.String())
+	requireText(t, parts["stdout"], out.String())
+	requireText(t, parts["stderr"], errs.String())
+}
+
+func requireText(t *testing.T, want, got string) {
+	t.Helper()
+	w := strings.TrimSpace(want)
+	if strings.HasPrefix(w, "...") && strings.HasSuffix(w, "...") {
+		require.Contains(t, got, strings.Trim(w, "."))
+		return
+	}
+	require.Equal(t, want, got)
+}
+
+func TestExamplesHaveNoFaults(t *testing.T) {
+	files, err := filepath.Glob("../examples/*.yaml")
+	require.NoError(t, err)
+	require.Len(t, files, 2)
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		require.NoError(t, err)
+		_, err = config.Parse(b)
+		require.NoError(t, err, f)
+	}
+}
--- a/config/check.go
+++ b/config/check.go
@@ -186,8 +186,7 @@
 // that all selectors have keeps it linear for documents that name pools by a
 // label of their own.
 func (c *checker) overlaps() {
-	groups := c.groups()
-	for _, g := range groups {
+	for _, g := range groupPools(c.doc.Pools, commonKey(c.doc.Pools)) {
 		for i, a := range g {
 			for _, b := range g[:i] {
 				c.overlap(b, a)
@@ -207,52 +206,6 @@
 		a.Name, a.Select, b.Name, b.Select)
 }
 
-// groups returns the indexes of pools that have to be compared pair by pair.
-func (c *checker) groups() map[string][]int {
-	key := c.commonKey()
-	g := map[string][]int{}
-	if key == "" {
-		for i := range c.doc.Pools {
-			g[""] = append(g[""], i)
-		}
-		return g
-	}
-	for i, p := range c.doc.Pools {
-		for _, v := range p.Select[key] {
-			g[v] = append(g[v], i)
-		}
-	}
-	return g
-}
-
-// commonKey returns the key that all selectors have with the most values, or
-// the empty string.
-func (c *checker) commonKey() string {
-	values := map[string]map[string]bool{}
-	count := map[string]int{}
-	for _, p := range c.doc.Pools {
-		for k, l := range p.Select {
-			if values[k] == nil {
-				values[k] = map[string]bool{}
-			}
-			count[k]++
-			for _, v := range l {
-				values[k][v] = true
-			}
-		}
-	}
-	best := ""
-	for k, n := range count {
-		if n != len(c.doc.Pools) {
-			continue
-		}
-		if best == "" || len(values[k]) > len(values[best]) || (len(values[k]) == len(values[best]) && k < best) {
-			best = k
-		}
-	}
-	return best
-}
-
 func (c *checker) services() {
 	seen := map[string]bool{}
 	for i, s := range c.doc.Services {
--- a/config/document.go
+++ b/config/document.go
@@ -135,14 +135,3 @@
 	}
 	return Job{}, false
 }
-
-// PoolOf returns the pool whose selector matches the labels, or the empty
-// string. Checked documents have at most one.
-func (d *Document) PoolOf(labels map[string]string) string {
-	for _, p := range d.Pools {
-		if p.Select.Matches(labels) {
-			return p.Name
-		}
-	}
-	return ""
-}
--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -43,6 +43,8 @@
 	config  func() *config.Snapshot
 	log     common.Log
 	now     func() time.Time
+	// planned is what the last plan was made from.
+	planned basis
 	// sent holds the term of the last order that the platform took.
 	sent map[string]int64
 	last atomic.Pointer[Output]
@@ -86,11 +88,39 @@
 	return c.last.Load()
 }
 
+// replanEvery is how often a plan is made although nothing has changed: what a
+// plan comes to also depends on time.
+const replanEvery = 5 * time.Second
+
+// basis is what a plan is made from, to tell whether anything has changed.
+type basis struct {
+	revision   platform.Revision
+	generation int64
+	hosts      *platform.Host
+	at         time.Time
+}
+
+// due reports whether a plan could come to anything new: something changed, a
+// host is under way, or it is time.
+func (c *Coordinator) due(s *Snapshot, g *config.Snapshot, now time.Time) bool {
+	b := basis{revision: s.Revision, generation: g.Head.Generation, at: now}
+	if len(s.List.Hosts) > 0 {
+		b.hosts = &s.List.Hosts[0]
+	}
+	old := c.planned
+	old.at = now
+	if old == b && !s.Record.underWay() && now.Before(c.planned.at.Add(replanEvery)) {
+		return false
+	}
+	c.planned = b
+	return true
+}
+
 // step makes one plan, swaps it in, and sends its orders only after that.
 func (c *Coordinator) step(ctx context.Context) {
 	s := c.view.Current()
 	g := c.config()
-	if g.Head.Generation == 0 || s.List.AsOf.IsZero() {
+	if g.Head.Generation == 0 || s.List.AsOf.IsZero() || !c.due(s, g, c.now()) {
 		return
 	}
 	o := Plan(Input{
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -53,6 +53,7 @@
 	Input
 	out     Output
 	listed  map[string]platform.Host
+	pools   *config.Matcher
 	tallies map[string]*Tally
 	// teams counts the hosts and accelerators of each team.
 	teams map[string]*quota
@@ -91,6 +92,7 @@
 }
 
 func (p *planner) index() {
+	p.pools = config.NewMatcher(p.Document)
 	p.listed = make(map[string]platform.Host, len(p.List.Hosts))
 	for _, h := range p.List.Hosts {
 		p.listed[h.Name] = h
@@ -198,7 +200,7 @@
 	if p.stale || !ok {
 		return
 	}
-	to := p.Document.PoolOf(h.Labels)
+	to := p.pools.PoolOf(h.Labels)
 	if to == "" {
 		p.drop(name)
 		return
@@ -297,7 +299,7 @@
 		if _, ok := p.out.Record.Hosts[h.Name]; ok {
 			continue
 		}
-		n := p.Document.PoolOf(h.Labels)
+		n := p.pools.PoolOf(h.Labels)
 		if n == "" || !h.Live || h.Leaving {
 			continue
 		}
@@ -347,7 +349,7 @@
 	for _, n := range p.out.Record.Names() {
 		w := p.out.Record.Hosts[n]
 		h, ok := p.listed[n]
-		if !ok || p.Document.PoolOf(h.Labels) == w.Pool {
+		if !ok || p.pools.PoolOf(h.Labels) == w.Pool {
 			continue
 		}
 		switch w.State {
--- a/fleet/plan_test.go
+++ b/fleet/plan_test.go
@@ -252,7 +252,7 @@
 	for n, w := range next.Hosts {
 		old, ok := in.Record.Hosts[n]
 		h := listedHost(in.List, n)
-		if !ok && in.Document.PoolOf(h.Labels) != w.Pool {
+		if !ok && config.NewMatcher(in.Document).PoolOf(h.Labels) != w.Pool {
 			m.t.Fatalf("%s was taken into pool %s, which does not select it", n, w.Pool)
 		}
 		if ok && old.Pool != w.Pool && old.State != Drained && w.Pool != "" && (old.State != Draining || m.anyRuns(n)) {
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -73,6 +73,16 @@
 	return r
 }
 
+// underWay reports whether any host is on its way from one state to another.
+func (r Record) underWay() bool {
+	for _, w := range r.Hosts {
+		if w.State == Draining || w.State == Rebooting {
+			return true
+		}
+	}
+	return false
+}
+
 // Names returns the names of the hosts in order.
 func (r Record) Names() []string {
 	return slices.Sorted(maps.Keys(r.Hosts))
--- /dev/null
+++ b/internal/local/cmd/capacity/main.go
@@ -0,0 +1,144 @@
+// Command capacity measures what an entry host spends on control, with no
+// requests, at several numbers of entry hosts, hosts and pools, and how long a
+// configuration takes to be in force.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"amberway/internal/local"
+	"amberway/platform"
+)
+
+// size is one measured size.
+type size struct {
+	entries int
+	hosts   int
+	pools   int
+}
+
+// settle is how long a deployment runs before it is measured, and measure how
+// long it is.
+const (
+	settle  = 4 * time.Second
+	measure = 10 * time.Second
+)
+
+func main() {
+	sizes := []size{
+		{3, 100, 5},
+		{9, 100, 5},
+		{18, 100, 5},
+		{36, 100, 5},
+		{3, 300, 5},
+		{3, 1000, 5},
+		{3, 100, 50},
+		{3, 100, 259},
+		{9, 1000, 259},
+	}
+	fmt.Println("entry hosts  hosts  pools  cpu % of a core  memory MB  KB/s  reads/s  writes/s  apply s")
+	for _, s := range sizes {
+		if err := one(s); err != nil {
+			fmt.Fprintln(os.Stderr, "capacity:", err)
+			os.Exit(1)
+		}
+	}
+}
+
+func one(s size) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "amberway-capacity")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	bin, err := local.Build(ctx, dir)
+	if err != nil {
+		return err
+	}
+	d, err := local.Start(ctx, bin, dir, local.Options{DataCentres: []string{"north"}, Entries: s.entries})
+	defer d.Stop()
+	if err != nil {
+		return err
+	}
+	if err := d.SetHosts(ctx, hosts(s)); err != nil {
+		return err
+	}
+	if _, err := d.Apply(ctx, document(s, 0), 0); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	return report(ctx, d, s)
+}
+
+// hosts returns hosts that only stand in the list.
+func hosts(s size) []platform.Host {
+	l := make([]platform.Host, 0, s.hosts)
+	for n := range s.hosts {
+		l = append(l, platform.Host{
+			Name: fmt.Sprintf("host-%05d", n), Address: netip.MustParseAddrPort("127.0.0.1:9"), DataCentre: "north",
+			Rack: fmt.Sprint("rack-", n/4), Labels: map[string]string{"pool": pool(n % s.pools)},
+			Live: true, Boot: 1, Slots: 8, Connections: 64, Accelerators: 1,
+		})
+	}
+	return l
+}
+
+func pool(n int) string {
+	return fmt.Sprintf("pool-%03d", n)
+}
+
+func document(s size, available int) []byte {
+	names := make([]string, 0, s.pools)
+	for n := range s.pools {
+		names = append(names, pool(n))
+	}
+	doc := string(local.Document([]string{"north"}, names, 0))
+	return []byte(strings.Replace(doc, "north: 0", fmt.Sprintf("north: %d", available), 1))
+}
+
+func report(ctx context.Context, d *local.Deployment, s size) error {
+	before := make([]local.Usage, len(d.Entries))
+	for i, e := range d.Entries {
+		u, err := e.Usage()
+		if err != nil {
+			return err
+		}
+		before[i] = u
+	}
+	calls, err := d.Stats()
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	time.Sleep(measure)
+	took := time.Since(start).Seconds()
+	var most local.Usage
+	for i, e := range d.Entries {
+		u, err := e.Usage()
+		if err != nil {
+			return err
+		}
+		most.CPU = max(most.CPU, u.CPU-before[i].CPU)
+		most.Moved = max(most.Moved, u.Moved-before[i].Moved)
+		most.Resident = max(most.Resident, u.Resident)
+	}
+	after, err := d.Stats()
+	if err != nil {
+		return err
+	}
+	applied, err := d.Apply(ctx, document(s, 1), 1)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%11d  %5d  %5d  %15.2f  %9.1f  %4.1f  %7.1f  %8.2f  %7.3f\n", s.entries, s.hosts, s.pools,
+		100*most.CPU.Seconds()/took, float64(most.Resident)/(1<<20), float64(most.Moved)/took/1024,
+		float64(after.Reads+after.Watches-calls.Reads-calls.Watches)/took, float64(after.Writes-calls.Writes)/took, applied.Seconds())
+	return nil
+}
