--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -257,6 +257,7 @@
 		Runner:     f,
 		Hosts:      d.view,
 		Spill:      request.NewSpill(d.settings.DataCentre, d.settings.PeerToken, d.members.Live, f),
+		Issuer:     request.NewIssuer(d.settings.Name, uint64(d.started.UnixNano())),
 		Metrics:    m,
 		Pulse:      d.pulse,
 		HopToken:   d.settings.PeerToken,
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -179,6 +179,7 @@
 		Config:     func() *config.Snapshot { return &config.Snapshot{Document: doc} },
 		Dispatcher: NewDispatcher(s, time.Now),
 		Runner:     NewForwarder(64),
+		Issuer:     NewIssuer("bench", 1),
 		Hosts:      fixedHost(target),
 		Metrics:    m,
 		Pulse:      common.NewPulse(func() time.Time { return time.Now().Add(time.Hour) }),
@@ -214,3 +215,14 @@
 		})
 	}
 }
+
+// BenchmarkIssued is the claim of an id by the process that issued it.
+func BenchmarkIssued(b *testing.B) {
+	i := NewIssuer("bench", 1)
+	now := time.Now()
+	for b.Loop() {
+		if i.Claim(now, i.New()) != ClaimGranted {
+			b.Fatal("not granted")
+		}
+	}
+}
--- a/request/intake.go
+++ b/request/intake.go
@@ -26,6 +26,8 @@
 	id       uuid.UUID
 	deadline time.Time
 	call     Call
+	// issued is set where only the process that issued the id may run it.
+	issued *IssuedID
 	// keyed says that the caller gave the id, so that copies of the request
 	// may be about.
 	keyed bool
@@ -143,10 +145,16 @@
 		q.id = s.newID(r, q)
 		return nil
 	}
-	id, err := uuid.Parse(strings.Trim(r.Header.Get(common.HeaderKey), `"`))
+	key := strings.Trim(r.Header.Get(common.HeaderKey), `"`)
+	if v, ok := ParseIssued(key); ok && q.once {
+		q.issued = &v
+		q.id = v.ID
+		return nil
+	}
+	id, err := uuid.Parse(key)
 	if q.once && (err != nil || id.Version() != 7) {
 		return q.problem(http.StatusBadRequest, "bad "+common.HeaderKey,
-			"a request that may not be repeated needs a UUID of version 7 (RFC 9562) as its id", time.Time{})
+			"a request that may not be repeated needs an issued id or a UUID of version 7 (RFC 9562)", time.Time{})
 	}
 	if err != nil {
 		id = uuid.Must(uuid.NewV7())
--- a/request/server.go
+++ b/request/server.go
@@ -4,10 +4,12 @@
 	"context"
 	"crypto/subtle"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -56,6 +58,7 @@
 	Runner     Runner
 	Hosts      Hosts
 	Spill      *Spill
+	Issuer     *Issuer
 	Metrics    *Metrics
 	// Pulse tells whether the process was paused just now.
 	Pulse *common.Pulse
@@ -68,6 +71,7 @@
 	Parts
 	deps   common.Deps
 	log    common.Log
+	mux    *http.ServeMux
 	budget *RetryBudget
 	held   *semaphore.Weighted
 	// stopping asks callers to open their next connection elsewhere.
@@ -76,13 +80,40 @@
 
 // NewServer returns the callers' interface.
 func NewServer(d common.Deps, p Parts) *Server {
-	return &Server{
+	s := &Server{
 		Parts:  p,
 		deps:   d,
 		log:    d.Log("request"),
+		mux:    http.NewServeMux(),
 		budget: NewRetryBudget(),
 		held:   semaphore.NewWeighted(maxHeld),
 	}
+	s.mux.HandleFunc("POST /ids", s.issue)
+	s.mux.HandleFunc("/", s.take)
+	return s
+}
+
+// maxIssued is the most ids issued at once.
+const maxIssued = 1000
+
+// issue answers with ids that only this process may run, a line each.
+func (s *Server) issue(w http.ResponseWriter, r *http.Request) {
+	n := 1
+	if v := r.URL.Query().Get("count"); v != "" {
+		var err error
+		if n, err = strconv.Atoi(v); err != nil || n < 1 || n > maxIssued {
+			p := &common.ProblemError{
+				Type: "about:blank", Title: "bad count", Status: http.StatusBadRequest, Verdict: common.NotRun,
+				Detail: fmt.Sprintf("it is no number from 1 to %d", maxIssued),
+			}
+			p.Write(w, s.deps.Now())
+			return
+		}
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	for range n {
+		fmt.Fprintln(w, s.Issuer.New())
+	}
 }
 
 // Stopping makes every further answer close its connection.
@@ -94,12 +125,17 @@
 	return subtle.ConstantTimeCompare([]byte(v), []byte(s.HopToken)) == 1
 }
 
-// ServeHTTP takes one request and answers it with a verdict.
+// ServeHTTP answers one caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	start := s.deps.Now()
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// take takes one request and answers it with a verdict.
+func (s *Server) take(w http.ResponseWriter, r *http.Request) {
+	start := s.deps.Now()
 	n := heldLeast
 	if r.ContentLength > 0 {
 		n = int(min(r.ContentLength, MaxBody))
@@ -185,6 +221,9 @@
 
 // handle brings the request to its answer, or to a problem with its verdict.
 func (s *Server) handle(ctx context.Context, q *intake) (*run, *common.ProblemError) {
+	if q.issued != nil && !s.Issuer.Issued(*q.issued) {
+		return s.relay(ctx, q)
+	}
 	for n := 1; ; n++ {
 		v, err := s.attempt(ctx, q)
 		if err == nil && !s.again(q, v, n) {
@@ -275,7 +314,7 @@
 		return nil
 	}
 	retry := s.deps.Now().Add(retryLater)
-	switch s.Claims.Claim(ctx, q.id) {
+	switch s.claimOutcome(ctx, q) {
 	case ClaimGranted:
 		q.claimed = true
 		return nil
@@ -291,6 +330,13 @@
 	}
 }
 
+func (s *Server) claimOutcome(ctx context.Context, q *intake) ClaimOutcome {
+	if q.issued != nil {
+		return s.Issuer.Claim(s.deps.Now(), *q.issued)
+	}
+	return s.Claims.Claim(ctx, q.id)
+}
+
 // send runs the item on the target that the scheduler gave it. It is the last
 // point at which a request whose time has passed is held back.
 func (s *Server) send(ctx context.Context, q *intake, i *Item) (*run, error) {
@@ -322,31 +368,52 @@
 // ended notes an attempt without an answer. One that the caller ended says
 // nothing about the target; one that ran into the deadline does.
 func (s *Server) ended(ctx context.Context, q *intake, i *Item, err error) {
-	var a *AttemptError
-	if errors.As(err, &a) && a.Sent {
-		q.sent = true
-	}
+	q.sent = q.sent || wasSent(err)
 	s.Dispatcher.Done(i, Outcome{Cancelled: errors.Is(ctx.Err(), context.Canceled)})
 }
 
 // spill passes a request that was refused here for want of capacity on to
 // another data centre, by one hop.
 func (s *Server) spill(ctx context.Context, q *intake, p *common.ProblemError) (*run, *common.ProblemError) {
-	if q.hop || q.claimed || q.sent || !spillable(p) || s.Spill == nil {
+	if q.hop || q.claimed || q.sent || q.issued != nil || !spillable(p) {
 		return nil, p
 	}
 	r, err := s.Spill.Run(ctx, q)
 	if err == nil {
-		return &run{reply: r, relayed: true, finish: func(bool) {}}, nil
+		return relayed(r), nil
 	}
-	var a *AttemptError
-	if errors.As(err, &a) && a.Sent {
+	if wasSent(err) {
 		q.sent = true
 		return nil, s.gaveUp(ctx, q, err)
 	}
 	return nil, p
 }
 
+// relay passes a request on to the process that issued its id.
+func (s *Server) relay(ctx context.Context, q *intake) (*run, *common.ProblemError) {
+	m, ok := s.Spill.member(q.issued.Name)
+	if q.hop || !ok || m.Incarnation != q.issued.Incarnation {
+		return nil, q.problem(http.StatusGone, "the entry host that issued the id is gone",
+			"nobody else may run it; it may have run", time.Time{})
+	}
+	r, err := s.Spill.to(ctx, m, q)
+	if err == nil {
+		return relayed(r), nil
+	}
+	q.sent = q.sent || wasSent(err)
+	return nil, s.gaveUp(ctx, q, err)
+}
+
+func relayed(r *Reply) *run {
+	return &run{reply: r, relayed: true, finish: func(bool) {}}
+}
+
+// wasSent reports whether the attempt may have reached its target.
+func wasSent(err error) bool {
+	var a *AttemptError
+	return errors.As(err, &a) && a.Sent
+}
+
 // spillable reports whether the refusal is for want of capacity here.
 func spillable(p *common.ProblemError) bool {
 	return slices.Contains([]Reason{ReasonLate, ReasonFull, ReasonNoTarget}, Reason(p.Detail))
--- a/request/spill.go
+++ b/request/spill.go
@@ -38,6 +38,21 @@
 	if len(l) == 0 || !s.budget.Spend() {
 		return nil, &AttemptError{Cause: errNoSpill}
 	}
+	return s.to(ctx, l[rand.IntN(len(l))], q)
+}
+
+// member returns the live member with the name, or false.
+func (s *Spill) member(name string) (peers.Member, bool) {
+	for _, m := range s.live() {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return peers.Member{}, false
+}
+
+// to sends the request to the member. The error is an *AttemptError.
+func (s *Spill) to(ctx context.Context, m peers.Member, q *intake) (*Reply, error) {
 	c := q.call
 	c.Header = c.Header.Clone()
 	c.Header.Set(common.HeaderHop, s.token)
@@ -45,8 +60,11 @@
 	c.Header.Set(common.HeaderClass, q.class.String())
 	c.Header.Set(common.HeaderRepeatable, strconv.FormatBool(!q.once))
 	c.Header.Set(common.HeaderID, c.ID)
-	if q.keyed {
+	switch {
+	case q.issued != nil:
+		c.Header.Set(common.HeaderKey, q.issued.String())
+	case q.keyed:
 		c.Header.Set(common.HeaderKey, c.ID)
 	}
-	return s.runner.Run(ctx, l[rand.IntN(len(l))].Caller, c)
+	return s.runner.Run(ctx, m.Caller, c)
 }
--- a/request/verdict_test.go
+++ b/request/verdict_test.go
@@ -1,8 +1,10 @@
 package request
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +19,7 @@
 
 	"amberway/common"
 	"amberway/config"
+	"amberway/peers"
 )
 
 // verdictModel is several entry hosts that take copies of the same requests,
@@ -31,20 +34,33 @@
 	once    map[string]bool
 	ids     []string
 	depth   int
+	// gone says that the first entry host takes the second for dead.
+	gone bool
 }
 
+// entryAddress is where the second entry host listens for callers.
+var entryAddress = netip.MustParseAddrPort("127.0.0.1:2")
+
 func newVerdictModel(t *rapid.T) *verdictModel {
 	m := &verdictModel{
 		t: t, claimed: map[uuid.UUID]bool{}, runs: map[string]int{},
 		heard: map[string][]common.Verdict{}, once: map[string]bool{},
 	}
-	for range 2 {
-		m.servers = append(m.servers, m.newServer())
+	for n := range 2 {
+		m.servers = append(m.servers, m.newServer(n))
 	}
 	return m
 }
 
-func (m *verdictModel) newServer() *Server {
+// live is the members that the first entry host holds to be alive.
+func (m *verdictModel) live() []peers.Member {
+	if m.gone {
+		return nil
+	}
+	return []peers.Member{{Name: "e1", Incarnation: 1, Caller: entryAddress, DataCentre: "north"}}
+}
+
+func (m *verdictModel) newServer(n int) *Server {
 	doc := &config.Document{
 		Pools: []config.Pool{{Name: "p"}},
 		Services: []config.Service{{Name: "s", Pool: "p", Weight: 1, Jobs: []config.Job{
@@ -65,6 +81,9 @@
 		Claims:     m,
 		Runner:     m,
 		Hosts:      m,
+		Spill:      NewSpill("north", "hop", m.live, m),
+		HopToken:   "hop",
+		Issuer:     NewIssuer(fmt.Sprint("e", n), 1),
 		Metrics:    metrics,
 		Pulse:      common.NewPulse(func() time.Time { return time.Now().Add(time.Hour) }),
 	})
@@ -96,8 +115,11 @@
 
 // Run is part of Runner: a target that is not reached, that runs and whose
 // answer is lost, that fails, or that answers.
-func (m *verdictModel) Run(_ context.Context, _ netip.AddrPort, c Call) (*Reply, error) {
+func (m *verdictModel) Run(_ context.Context, a netip.AddrPort, c Call) (*Reply, error) {
 	m.meanwhile()
+	if a == entryAddress {
+		return m.relay(c)
+	}
 	switch rapid.IntRange(0, 5).Draw(m.t, "run") {
 	case 0:
 		return nil, &AttemptError{Cause: errCut}
@@ -115,6 +137,22 @@
 	}
 }
 
+// relay hands a call to the second entry host; its answer may be lost.
+func (m *verdictModel) relay(c Call) (*Reply, error) {
+	fate := rapid.IntRange(0, 4).Draw(m.t, "relay")
+	if fate == 0 {
+		return nil, &AttemptError{Cause: errCut}
+	}
+	r := httptest.NewRequest(c.Method, c.Path, bytes.NewReader(c.Body))
+	r.Header = c.Header
+	w := httptest.NewRecorder()
+	m.servers[1].ServeHTTP(w, r)
+	if fate == 1 {
+		return nil, &AttemptError{Sent: true, Cause: errCut}
+	}
+	return &Reply{Status: w.Code, Header: w.Header(), Head: w.Body.Bytes()}, nil
+}
+
 // meanwhile lets another copy come in the middle of a call.
 func (m *verdictModel) meanwhile() {
 	if m.depth < 2 && rapid.IntRange(0, 3).Draw(m.t, "meanwhile") == 0 {
@@ -127,12 +165,16 @@
 // send sends a new request or a copy through one of the entry hosts.
 func (m *verdictModel) send() {
 	id := ""
+	m.gone = rapid.IntRange(0, 3).Draw(m.t, "gone") == 0
 	once := rapid.Bool().Draw(m.t, "once")
 	if len(m.ids) > 0 && rapid.Bool().Draw(m.t, "copy") {
 		id = rapid.SampledFrom(m.ids).Draw(m.t, "id")
 		once = m.once[id]
 	} else if once || rapid.Bool().Draw(m.t, "keyed") {
 		id = uuid.Must(uuid.NewV7()).String()
+		if once && rapid.Bool().Draw(m.t, "issued") {
+			id = rapid.SampledFrom(m.servers).Draw(m.t, "issuer").Issuer.New().String()
+		}
 		m.ids = append(m.ids, id)
 		m.once[id] = once
 	}
@@ -166,6 +208,10 @@
 	if id == "" {
 		id = got
 	}
+	if v, ok := ParseIssued(id); ok {
+		m.once[v.ID.String()] = true
+		id = v.ID.String()
+	}
 	if id != "" {
 		m.heard[id] = append(m.heard[id], v)
 	}
--- a/tests/failure_test.go
+++ b/tests/failure_test.go
@@ -100,6 +100,8 @@
 	require.Zero(t, s.Lost, "%+v", s)
 	require.Equal(t, s.Sent, s.MayHaveRun, "%+v", s)
 
+	requireIssued(t, d)
+
 	before, err := d.Stats()
 	require.NoError(t, err)
 	require.NoError(t, d.Faults(standin.All, standin.Fault{}))
--- a/tests/request_test.go
+++ b/tests/request_test.go
@@ -199,3 +199,19 @@
 	}
 	return nil
 }
+
+// requireIssued requires that a request with an issued id runs, once, through
+// whichever entry host it comes.
+func requireIssued(t *testing.T, d *local.Deployment) {
+	t.Helper()
+	res := post(t, d.Entries[0], "/ids", "", http.Header{})
+	b, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	id := strings.TrimSpace(string(b))
+	got := map[string]int{}
+	for _, e := range d.Entries {
+		v := post(t, e, "/tint/once", "x", http.Header{common.HeaderKey: {id}})
+		got[v.Header.Get(common.HeaderVerdict)]++
+	}
+	require.Equal(t, map[string]int{"ran": 1, "may-have-run": len(d.Entries) - 1}, got)
+}
