--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -57,8 +58,13 @@
 	pulse      *common.Pulse
 }
 
+// gcPercent makes the garbage collector keep less memory in reserve than its
+// default of 100, as an entry host is small.
+const gcPercent = 50
+
 // RunDaemon is amberwayd: it returns the exit code.
 func RunDaemon(args []string, out, errs io.Writer) int {
+	debug.SetGCPercent(gcPercent)
 	var s Settings
 	if code, ok := parse(&s, "amberwayd", args, out, errs); !ok {
 		return code
--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -101,7 +101,7 @@
 }
 
 // due reports whether a plan could come to anything new: something changed, a
-// host is under way, or it is time.
+// host is draining, or it is time.
 func (c *Coordinator) due(s *Snapshot, g *config.Snapshot, now time.Time) bool {
 	b := basis{revision: s.Revision, generation: g.Head.Generation, at: now}
 	if len(s.List.Hosts) > 0 {
@@ -109,7 +109,7 @@
 	}
 	old := c.planned
 	old.at = now
-	if old == b && !s.Record.underWay() && now.Before(c.planned.at.Add(replanEvery)) {
+	if old == b && !s.Record.draining() && now.Before(c.planned.at.Add(replanEvery)) {
 		return false
 	}
 	c.planned = b
@@ -178,7 +178,8 @@
 	}
 }
 
-// idle asks every entry host which draining hosts are idle there. A host
+// idle asks every entry host of the data centre, as no other sends to its hosts,
+// which draining hosts are idle there. A host
 // counts as idle only if all of them said so in the same term. One that does
 // not answer holds it back, also when it is taken for dead: it may be paused
 // with requests in flight. Members forgets it after a time, and leaves out one
@@ -193,7 +194,9 @@
 	if len(terms) == 0 {
 		return nil
 	}
-	asked := slices.DeleteFunc(c.members.Members(), func(m peers.Member) bool { return m.State == peers.Left })
+	asked := slices.DeleteFunc(c.members.Members(), func(m peers.Member) bool {
+		return m.State == peers.Left || m.DataCentre != c.dc
+	})
 	answers := make([]map[string]bool, len(asked))
 	var g sync.WaitGroup
 	for n, m := range asked {
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -37,7 +37,6 @@
 }
 
 // Idle tells which of the hosts are idle here in the term that is asked about.
-// A process of another data centre sends nothing to them at all.
 func (p *PeerServer) Idle(_ context.Context, q *fleetpb.IdleRequest) (*fleetpb.IdleReply, error) {
 	r := &fleetpb.IdleReply{}
 	for _, h := range q.GetHosts() {
@@ -49,11 +48,9 @@
 }
 
 func (p *PeerServer) idle(dc string, h *fleetpb.HostTerm) bool {
-	if dc == p.dc {
-		w := p.view.Current().Record.Hosts[h.GetHost()]
-		if w.Term < h.GetTerm() {
-			return false
-		}
+	w := p.view.Current().Record.Hosts[h.GetHost()]
+	if dc != p.dc || w.Term < h.GetTerm() {
+		return false
 	}
 	return p.runs.Idle(h.GetHost())
 }
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -80,10 +80,11 @@
 	return r
 }
 
-// underWay reports whether any host is on its way from one state to another.
-func (r Record) underWay() bool {
+// draining reports whether any host waits for entry hosts to say that it is
+// idle, which nothing but asking them tells.
+func (r Record) draining() bool {
 	for _, w := range r.Hosts {
-		if w.State == Draining || w.State == Rebooting {
+		if w.State == Draining {
 			return true
 		}
 	}
--- a/internal/local/cmd/capacity/main.go
+++ b/internal/local/cmd/capacity/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -30,17 +31,18 @@
 )
 
 func main() {
-	sizes := []size{
+	sizes := pick([]size{
 		{3, 100, 5},
 		{9, 100, 5},
 		{18, 100, 5},
 		{36, 100, 5},
+		{72, 100, 5},
 		{3, 300, 5},
 		{3, 1000, 5},
 		{3, 100, 50},
 		{3, 100, 259},
 		{9, 1000, 259},
-	}
+	})
 	fmt.Println("entry hosts  hosts  pools  cpu % of a core  memory MB  KB/s  reads/s  writes/s  apply s")
 	for _, s := range sizes {
 		if err := one(s); err != nil {
@@ -77,6 +79,15 @@
 	return report(ctx, d, s)
 }
 
+// pick keeps the sizes with the number of entry hosts that the command line
+// names, or all.
+func pick(l []size) []size {
+	if len(os.Args) < 2 {
+		return l
+	}
+	return slices.DeleteFunc(l, func(s size) bool { return !slices.Contains(os.Args[1:], fmt.Sprint(s.entries)) })
+}
+
 // hosts returns hosts that only stand in the list.
 func hosts(s size) []platform.Host {
 	l := make([]platform.Host, 0, s.hosts)
--- a/peers/dialer.go
+++ b/peers/dialer.go
@@ -24,6 +24,9 @@
 	dialTimeout   = 500 * time.Millisecond
 	redialAtMost  = time.Second
 	keepaliveTime = 10 * time.Second
+	// bufferBytes is the size of each buffer of a connection. Messages are
+	// small, and each process holds a connection to every other.
+	bufferBytes = 2 << 10
 )
 
 // Dialer holds one connection to each peer.
@@ -53,6 +56,9 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: b, MinConnectTimeout: dialTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: time.Second}),
+		grpc.WithReadBufferSize(bufferBytes),
+		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithSharedWriteBuffer(true),
 		grpc.WithUnaryInterceptor(d.addToken),
 	)
 	if err != nil {
@@ -98,6 +104,9 @@
 	}
 	return grpc.NewServer(
 		grpc.UnaryInterceptor(check),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
+		grpc.SharedWriteBuffer(true),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2}),
 	)
 }
--- a/peers/service.go
+++ b/peers/service.go
@@ -317,6 +317,9 @@
 		if alone || n%seedEvery == 0 {
 			s.askUnknown(ctx, s.Seeds, alone)
 		}
+		if n%registryEvery == registryEvery/2 {
+			s.dropOld()
+		}
 		if alone || n%registryEvery == 0 {
 			s.askUnknown(ctx, s.registered(ctx), alone)
 		}
@@ -324,6 +327,18 @@
 	}
 }
 
+// dropOld closes the connections to addresses that no member or seed has.
+func (s *Service) dropOld() {
+	keep := map[netip.AddrPort]bool{}
+	for _, a := range s.Seeds {
+		keep[a] = true
+	}
+	for _, m := range s.Members() {
+		keep[m.Peer] = true
+	}
+	s.dialer.Keep(keep)
+}
+
 // askUnknown asks one of the addresses that are of no live member, or all of
 // them.
 func (s *Service) askUnknown(ctx context.Context, l []netip.AddrPort, all bool) {
--- /dev/null
+++ b/tests/slots_test.go
@@ -0,0 +1,71 @@
+package tests
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/internal/local"
+	"amberway/internal/standin"
+)
+
+// saturating is twice the load that two targets of eight slots can run in 50 ms
+// each.
+func saturating(d *local.Deployment, count int) standin.Load {
+	return standin.Load{
+		Entries: d.URLs(), Count: count, Interval: 1560 * time.Microsecond,
+		Paths: []standin.Path{{Path: "/tint/quick", Within: time.Second, Run: 50 * time.Millisecond}},
+	}
+}
+
+// over returns how many runs began on targets with all slots taken, and how
+// many ran in all.
+func over(t *testing.T, d *local.Deployment) (beyond, all int) {
+	t.Helper()
+	for _, v := range d.Targets {
+		r, err := v.Runs()
+		require.NoError(t, err)
+		beyond += r.Over
+		all += len(r.ByID)
+	}
+	return beyond, all
+}
+
+// TestSlotsAreSharedWithoutBeingExceeded sends double load through three entry
+// hosts, and then kills one of them and starts it again under load.
+func TestSlotsAreSharedWithoutBeingExceeded(t *testing.T) {
+	ctx := t.Context()
+	d, err := local.Start(ctx, binaries, t.TempDir(), local.Options{
+		DataCentres: []string{"north"}, Entries: 3, Targets: map[string]int{"tint": 2}, Rack: 1,
+	})
+	t.Cleanup(d.Stop)
+	require.NoError(t, err)
+	_, err = d.Apply(ctx, document(d, 0), 0)
+	require.NoError(t, err)
+	require.NoError(t, d.WaitHosts(ctx, 10*time.Second, 2, inService))
+
+	s := standin.NewCaller().Run(ctx, saturating(d, 2000))
+	beyond, all := over(t, d)
+	t.Logf("double load: %d of %d runs began beyond the slots; %d of %d in time, the longest after %s",
+		beyond, all, s.Answered, s.Sent, s.Longest)
+	require.Zero(t, beyond)
+	require.Zero(t, s.Lost, "%+v", s)
+
+	e := d.Entries[2]
+	c := make(chan standin.Tally, 1)
+	go func() { c <- standin.NewCaller().Run(ctx, saturating(d, 6000)) }()
+	time.Sleep(time.Second)
+	e.Kill()
+	time.Sleep(5 * time.Second)
+	require.NoError(t, d.Launch(e))
+	s = <-c
+	beyond, more := over(t, d)
+	t.Logf("a kill and a start: %d of %d runs began beyond the slots", beyond, more-all)
+	require.Less(t, beyond, (more-all)/50)
+
+	require.NoError(t, e.Signal(syscall.SIGTERM))
+	_, err = e.Wait(5 * time.Second)
+	require.NoError(t, err)
+}
