--- /dev/null
+++ b/commands/routing.go
@@ -0,0 +1,118 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"amberway/common"
+	"amberway/config"
+	"amberway/fleet"
+	"amberway/peers"
+	"amberway/request"
+)
+
+// refresh hands configuration, fleet and membership on to the request path.
+func (d *Daemon) refresh() {
+	if d.dispatcher == nil || d.view == nil || d.members == nil {
+		return
+	}
+	c := d.follower.Current()
+	v := d.view.Current()
+	names := d.members.LiveNames(d.settings.DataCentre)
+	d.dispatcher.Update(func(s *request.Scheduler) {
+		s.SetServices(servicesOf(c.Document, v.Record.Placement))
+		for _, o := range c.Document.Services {
+			for _, j := range o.Jobs {
+				s.Declare(request.UnitOf(o, j), j.Name, j.RunTime)
+			}
+		}
+		s.SetTargets(targetsOf(v, names, d.settings.Name))
+	})
+}
+
+// servicesOf returns the services, and besides each job that has been placed on
+// some of its pool's hosts.
+func servicesOf(d *config.Document, p fleet.Placement) []request.ServiceSpec {
+	l := make([]request.ServiceSpec, 0, len(d.Services))
+	for _, s := range d.Services {
+		l = append(l, request.ServiceSpec{Name: s.Name, Pool: s.Pool, Weight: s.Weight})
+		for _, j := range s.Jobs {
+			if j.Replicas > 0 {
+				l = append(l, request.ServiceSpec{
+					Name: request.UnitOf(s, j), Pool: s.Pool, Weight: s.Weight,
+					Placed: true, Targets: p[fleet.JobName(s.Name, j.Name)],
+				})
+			}
+		}
+	}
+	return l
+}
+
+func targetsOf(v *fleet.Snapshot, members []string, self string) []request.TargetSpec {
+	l := make([]request.TargetSpec, 0, len(v.Usable))
+	for _, h := range v.List.Hosts {
+		if _, ok := v.Usable[h.Name]; !ok {
+			continue
+		}
+		n := request.ShareOf(h.Name, min(h.Slots, h.Connections), members, self)
+		l = append(l, request.TargetSpec{Name: h.Name, Pool: v.Record.Hosts[h.Name].Pool, Slots: n})
+	}
+	return l
+}
+
+// followEvery is how often shares follow the membership, and how often a view
+// that is stale is learned from a peer.
+const followEvery = 500 * time.Millisecond
+
+// staleView is the age of the host list from which a peer is asked for it.
+const staleView = 3 * time.Second
+
+// follow keeps the request path in step with the membership, and learns the
+// fleet from a peer while the platform does not tell of it.
+func (d *Daemon) follow(ctx context.Context) {
+	last := ""
+	for ctx.Err() == nil {
+		if n := fmt.Sprint(d.members.LiveNames(d.settings.DataCentre)); n != last {
+			last = n
+			d.refresh()
+		}
+		d.dispatcher.Pump()
+		if d.deps.Now().Sub(d.view.Current().ListedAt) > staleView {
+			d.learnFleet(ctx)
+		}
+		common.Sleep(ctx, followEvery)
+	}
+}
+
+// learnFleet asks one peer of the same data centre for its view.
+func (d *Daemon) learnFleet(ctx context.Context) {
+	var l []peers.Member
+	for _, m := range d.members.Live() {
+		if m.DataCentre == d.settings.DataCentre && m.Name != d.settings.Name {
+			l = append(l, m)
+		}
+	}
+	if len(l) == 0 {
+		return
+	}
+	c, err := d.dialer.Conn(l[rand.IntN(len(l))].Peer)
+	if err != nil {
+		return
+	}
+	_ = fleet.LearnView(ctx, c, d.view)
+}
+
+// learnConfig fetches a newer configuration from a peer.
+func (d *Daemon) learnConfig(ctx context.Context, m peers.Member) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	c, err := d.dialer.Conn(m.Peer)
+	if err != nil {
+		return
+	}
+	if err := d.follower.Learn(ctx, config.NewPeerSource(c)); err != nil {
+		d.log.Warnf("configuration not learned from %s: %v", m.Name, err)
+	}
+}
--- /dev/null
+++ b/commands/wiring.go
@@ -0,0 +1,127 @@
+package commands
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+	"google.golang.org/grpc"
+
+	"amberway/admin"
+	"amberway/common"
+	"amberway/config"
+	"amberway/fleet"
+	"amberway/peers"
+	"amberway/platform"
+	"amberway/request"
+)
+
+// newDaemon makes the parts and joins them.
+func newDaemon(s Settings, c checked, l *logrus.Logger) (*Daemon, error) {
+	r := prometheus.NewRegistry()
+	e, err := otelprom.New(otelprom.WithRegisterer(r))
+	if err != nil {
+		return nil, merry.Prepend(err, "daemon: metrics")
+	}
+	m := sdk.NewMeterProvider(sdk.WithReader(e)).Meter("amberway")
+	d := &Daemon{settings: s, checked: c, deps: common.NewDeps(l, m)}
+	d.metrics = promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+	d.log = d.deps.Log("daemon")
+	d.started = d.deps.Now()
+	d.pulse = common.NewPulse(d.deps.Now)
+	d.store = platform.NewEtcd(c.platform, &d.calls)
+	d.hosts = platform.NewHTTPHosts(c.hostList, &d.calls)
+	d.dialer = peers.NewDialer(s.PeerToken)
+	d.joinMembers()
+	d.joinFleet()
+	return d, d.observe(m)
+}
+
+// joinMembers makes configuration and membership, which feed each other.
+func (d *Daemon) joinMembers() {
+	d.follower = config.NewFollower(d.deps, d.store, func(*config.Snapshot) { d.refresh() })
+	self := peers.Member{
+		Name:        d.settings.Name,
+		Incarnation: uint64(d.started.UnixNano()),
+		Peer:        d.checked.peers,
+		Caller:      d.checked.callers,
+		DataCentre:  d.settings.DataCentre,
+	}
+	d.members = peers.New(d.deps, peers.Settings{
+		Self:         self,
+		Seeds:        d.checked.seeds,
+		Options:      peers.DefaultOptions(),
+		Generation:   func() int64 { return d.follower.Current().Head.Generation },
+		OnGeneration: d.learnConfig,
+	}, d.dialer, d.store)
+}
+
+// joinFleet makes the request path and the coordinator.
+func (d *Daemon) joinFleet() {
+	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	d.dispatcher = request.NewDispatcher(request.NewScheduler(request.DefaultPolicy(), r), d.deps.Now)
+	d.view = fleet.NewView(d.deps, d.settings.DataCentre, d.store, d.hosts, func(*fleet.Snapshot) { d.refresh() })
+	d.coord = fleet.NewCoordinator(d.deps, fleet.CoordinatorParts{
+		DataCentre: d.settings.DataCentre,
+		Self:       d.settings.Name,
+		Store:      d.store,
+		Hosts:      d.hosts,
+		View:       d.view,
+		Members:    d.members,
+		Dialer:     d.dialer,
+		Runs:       d.dispatcher,
+		Config:     d.follower.Current,
+	})
+}
+
+// joinServers makes the callers' and the operators' interface.
+func (d *Daemon) joinServers(ctx context.Context) error {
+	m, err := request.NewMetrics(d.deps.Meter)
+	if err != nil {
+		return err
+	}
+	f := request.NewForwarder(idleConns)
+	d.claimer = request.NewClaimer(ctx, d.deps, d.settings.Name, d.store, d.members, d.dialer)
+	d.server = request.NewServer(d.deps, request.Parts{
+		Config:     d.follower.Current,
+		Dispatcher: d.dispatcher,
+		Claims:     d.claimer,
+		Runner:     f,
+		Hosts:      d.view,
+		Spill:      request.NewSpill(d.settings.DataCentre, d.settings.PeerToken, d.members.Live, f),
+		Issuer:     request.NewIssuer(d.settings.Name, uint64(d.started.UnixNano())),
+		Metrics:    m,
+		Pulse:      d.pulse,
+		HopToken:   d.settings.PeerToken,
+	})
+	d.admin = admin.New(d.deps, admin.Parts{
+		Name:        d.settings.Name,
+		DataCentre:  d.settings.DataCentre,
+		Version:     Version,
+		Tokens:      d.settings.Tokens,
+		Follower:    d.follower,
+		Publisher:   config.NewPublisher(d.store),
+		View:        d.view,
+		Coordinator: d.coord,
+		Members:     d.members,
+		Ready:       d.ready,
+		Dump:        d.dump,
+		Metrics:     d.metrics,
+	})
+	return nil
+}
+
+func (d *Daemon) offer(g *grpc.Server) {
+	d.members.Register(g)
+	d.claimer.Register(g)
+	config.NewPeerServer(d.follower).Register(g)
+	fleet.NewPeerServer(d.settings.DataCentre, d.view, d.dispatcher).Register(g)
+}
+
+// idleConns is the most idle connections kept to each target.
+const idleConns = 8
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -60,11 +60,6 @@
 	stale bool
 }
 
-type quota struct {
-	hosts        int
-	accelerators int
-}
-
 // Plan returns the next record of a data centre. It does nothing where the
 // record was made under a newer configuration than the one handed in.
 func Plan(in Input) Output {
@@ -105,18 +100,6 @@
 	}
 }
 
-// charge counts a host towards the quota of the pool's team.
-func (p *planner) charge(pool string, h platform.Host) {
-	o, _ := p.Document.Pool(pool)
-	q, ok := p.teams[o.Team]
-	if !ok {
-		q = &quota{}
-		p.teams[o.Team] = q
-	}
-	q.hosts++
-	q.accelerators += h.Accelerators
-}
-
 func (p *planner) set(name string, w Row) {
 	p.out.Record.Hosts[name] = w
 	p.out.Changed = true
@@ -195,26 +178,6 @@
 	}
 }
 
-// settle puts a drained host into the pool that selects it now, or lets it go.
-func (p *planner) settle(name string, w Row) {
-	h, ok := p.listed[name]
-	if p.stale || !ok {
-		return
-	}
-	to := p.pools.PoolOf(h.Labels)
-	if to == "" {
-		p.drop(name)
-		return
-	}
-	if to != w.Pool && !p.within(to, h) {
-		p.out.Blocked[name] = "the quota of the team of pool " + to + " is used up"
-		return
-	}
-	w.Pool = to
-	w.Moving = false
-	p.back(name, w)
-}
-
 // back puts a host into service again.
 func (p *planner) back(name string, w Row) {
 	w.State = InService
@@ -275,99 +238,6 @@
 	p.out.Orders = append(p.out.Orders, platform.Order{Host: name, Term: w.Term, Deadline: w.OrderBy})
 }
 
-// forget drops waves from the row that the configuration no longer has.
-func (p *planner) forget(name string, w Row) {
-	keep := slices.DeleteFunc(slices.Clone(w.Done), func(n string) bool { return p.waveState(n) == "" })
-	if len(keep) == len(w.Done) {
-		return
-	}
-	w.Done = keep
-	p.set(name, w)
-}
-
-func (p *planner) waveState(name string) config.WaveState {
-	for _, w := range p.Document.Waves {
-		if w.Name == name {
-			return w.State
-		}
-	}
-	return ""
-}
-
-// admit gives a row to each host that a pool selects and that has none.
-func (p *planner) admit() {
-	for _, h := range p.sorted() {
-		if _, ok := p.out.Record.Hosts[h.Name]; ok {
-			continue
-		}
-		n := p.pools.PoolOf(h.Labels)
-		if n == "" || !h.Live || h.Leaving {
-			continue
-		}
-		if !p.within(n, h) {
-			p.out.Blocked[h.Name] = "the quota of the team of pool " + n + " is used up"
-			continue
-		}
-		p.charge(n, h)
-		w := Row{Pool: n, State: InService, Term: 1}
-		p.set(h.Name, w)
-		p.tallies[n].gain(h.Rack)
-	}
-}
-
-// within reports whether the team of the pool may have one more host.
-func (p *planner) within(pool string, h platform.Host) bool {
-	o, _ := p.Document.Pool(pool)
-	q := p.teams[o.Team]
-	if q == nil {
-		q = &quota{}
-	}
-	for _, t := range p.Document.Teams {
-		if t.Name != o.Team {
-			continue
-		}
-		if t.Hosts > 0 && q.hosts+1 > t.Hosts {
-			return false
-		}
-		return t.Accelerators == 0 || q.accelerators+h.Accelerators <= t.Accelerators
-	}
-	return true
-}
-
-func (p *planner) sorted() []platform.Host {
-	l := slices.Clone(p.List.Hosts)
-	slices.SortFunc(l, func(a, b platform.Host) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return l
-}
-
-// move drains each host that its pool does not select any more.
-func (p *planner) move() {
-	for _, n := range p.out.Record.Names() {
-		w := p.out.Record.Hosts[n]
-		h, ok := p.listed[n]
-		if !ok || p.pools.PoolOf(h.Labels) == w.Pool {
-			continue
-		}
-		switch w.State {
-		case InService:
-			w.Moving = true
-			p.drain(n, w)
-		case Draining, Drained:
-			if !w.Moving {
-				w.Moving = true
-				p.set(n, w)
-			}
-		case Rebooting, Away:
-			// It moves once it is back in service.
-		}
-	}
-}
-
 // hold drains each host that an operator wants drained.
 func (p *planner) hold() {
 	for _, n := range p.out.Record.Names() {
@@ -397,73 +267,3 @@
 	p.set(name, w)
 	return true
 }
-
-// waves drains the next hosts of each running wave.
-func (p *planner) waves() {
-	for _, v := range p.Document.Waves {
-		if v.State == config.WaveRunning {
-			p.wave(v)
-		}
-	}
-}
-
-func (p *planner) wave(v config.Wave) {
-	busy, away := p.inWave(v.Name)
-	if away >= v.Failures {
-		p.note("wave " + v.Name + " is stopped: hosts have not come back")
-		return
-	}
-	for _, n := range p.candidates(v) {
-		if busy >= v.Limit {
-			return
-		}
-		w := p.out.Record.Hosts[n]
-		w.Wave = v.Name
-		if p.drain(n, w) {
-			busy++
-		}
-	}
-}
-
-// inWave counts the hosts in maintenance for the wave and those of them that
-// stay away.
-func (p *planner) inWave(name string) (busy, away int) {
-	for _, w := range p.out.Record.Hosts {
-		if w.Wave != name {
-			continue
-		}
-		busy++
-		if w.State == Away {
-			away++
-		}
-	}
-	return busy, away
-}
-
-// candidates returns the hosts that the wave still has to maintain, those of
-// one rack together: a rack that is partly away already is the cheapest to go
-// on with, since the budget covers the loss of one rack.
-func (p *planner) candidates(v config.Wave) []string {
-	var l []string
-	for _, n := range p.out.Record.Names() {
-		w := p.out.Record.Hosts[n]
-		if w.State != InService || w.Held || slices.Contains(w.Done, v.Name) {
-			continue
-		}
-		if _, ok := p.listed[n]; ok && slices.Contains(v.Pools, w.Pool) {
-			l = append(l, n)
-		}
-	}
-	slices.SortStableFunc(l, func(a, b string) int {
-		ra := p.listed[a].Rack
-		rb := p.listed[b].Rack
-		switch {
-		case ra < rb:
-			return -1
-		case ra > rb:
-			return 1
-		}
-		return 0
-	})
-	return l
-}
--- /dev/null
+++ b/fleet/plan_wave.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"slices"
+
+	"amberway/config"
+)
+
+// waves drains the next hosts of each running wave.
+func (p *planner) waves() {
+	for _, v := range p.Document.Waves {
+		if v.State == config.WaveRunning {
+			p.wave(v)
+		}
+	}
+}
+
+func (p *planner) wave(v config.Wave) {
+	busy, away := p.inWave(v.Name)
+	if away >= v.Failures {
+		p.note("wave " + v.Name + " is stopped: hosts have not come back")
+		return
+	}
+	for _, n := range p.candidates(v) {
+		if busy >= v.Limit {
+			return
+		}
+		w := p.out.Record.Hosts[n]
+		w.Wave = v.Name
+		if p.drain(n, w) {
+			busy++
+		}
+	}
+}
+
+// inWave counts the hosts in maintenance for the wave and those of them that
+// stay away.
+func (p *planner) inWave(name string) (busy, away int) {
+	for _, w := range p.out.Record.Hosts {
+		if w.Wave != name {
+			continue
+		}
+		busy++
+		if w.State == Away {
+			away++
+		}
+	}
+	return busy, away
+}
+
+// candidates returns the hosts that the wave still has to maintain, those of
+// one rack together: a rack that is partly away already is the cheapest to go
+// on with, since the budget covers the loss of one rack.
+func (p *planner) candidates(v config.Wave) []string {
+	var l []string
+	for _, n := range p.out.Record.Names() {
+		w := p.out.Record.Hosts[n]
+		if w.State != InService || w.Held || slices.Contains(w.Done, v.Name) {
+			continue
+		}
+		if _, ok := p.listed[n]; ok && slices.Contains(v.Pools, w.Pool) {
+			l = append(l, n)
+		}
+	}
+	slices.SortStableFunc(l, func(a, b string) int {
+		ra := p.listed[a].Rack
+		rb := p.listed[b].Rack
+		switch {
+		case ra < rb:
+			return -1
+		case ra > rb:
+			return 1
+		}
+		return 0
+	})
+	return l
+}
+
+func (p *planner) waveState(name string) config.WaveState {
+	for _, w := range p.Document.Waves {
+		if w.Name == name {
+			return w.State
+		}
+	}
+	return ""
+}
+
+// forget drops waves from the row that the configuration no longer has.
+func (p *planner) forget(name string, w Row) {
+	keep := slices.DeleteFunc(slices.Clone(w.Done), func(n string) bool { return p.waveState(n) == "" })
+	if len(keep) == len(w.Done) {
+		return
+	}
+	w.Done = keep
+	p.set(name, w)
+}
--- /dev/null
+++ b/peers/join.go
@@ -0,0 +1,150 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+
+	"amberway/common"
+	"amberway/peers/peerspb"
+	"amberway/platform"
+)
+
+// register writes the process's address to the platform once.
+func (s *Service) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := s.write(ctx); err == nil {
+			return
+		}
+		common.Sleep(ctx, rejoinEvery+rand.N(rejoinEvery))
+	}
+}
+
+func (s *Service) write(ctx context.Context) error {
+	b, err := json.Marshal(s.Self)
+	if err != nil {
+		return err
+	}
+	e, err := s.store.Get(ctx, MemberPrefix+s.Self.Name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	_, err = s.store.Swap(ctx, MemberPrefix+s.Self.Name, b, e.Revision)
+	return err
+}
+
+// unregister removes what register wrote, unless a later start wrote since.
+func (s *Service) unregister(ctx context.Context) {
+	e, err := s.store.Get(ctx, MemberPrefix+s.Self.Name)
+	if err != nil {
+		return
+	}
+	var m Member
+	if json.Unmarshal(e.Value, &m) != nil || m.Incarnation != s.Self.Incarnation {
+		return
+	}
+	_ = s.store.Delete(ctx, e.Key, e.Revision)
+}
+
+// rejoin looks for entry hosts that the process does not know: all the time
+// while it knows no other, and now and then later, as two groups that started
+// apart from each other would else stay so.
+func (s *Service) rejoin(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		alone := len(s.Live()) < 2
+		if alone || n%seedEvery == 0 {
+			s.askUnknown(ctx, s.Seeds, alone)
+		}
+		if n%registryEvery == registryEvery/2 {
+			s.dropOld()
+		}
+		if alone || n%registryEvery == 0 {
+			s.askUnknown(ctx, s.registered(ctx), alone)
+		}
+		common.Sleep(ctx, rejoinEvery+rand.N(rejoinEvery/2))
+	}
+}
+
+// dropOld closes the connections to addresses that no member or seed has.
+func (s *Service) dropOld() {
+	keep := map[netip.AddrPort]bool{}
+	for _, a := range s.Seeds {
+		keep[a] = true
+	}
+	for _, m := range s.Members() {
+		keep[m.Peer] = true
+	}
+	s.dialer.Keep(keep)
+}
+
+// askUnknown asks one of the addresses that are of no live member, or all of
+// them.
+func (s *Service) askUnknown(ctx context.Context, l []netip.AddrPort, all bool) {
+	known := map[netip.AddrPort]bool{s.Self.Peer: true}
+	for _, m := range s.Live() {
+		known[m.Peer] = true
+	}
+	l = slices.DeleteFunc(slices.Clone(l), func(a netip.AddrPort) bool { return known[a] })
+	if len(l) == 0 {
+		return
+	}
+	if !all {
+		l = []netip.AddrPort{l[rand.IntN(len(l))]}
+	}
+	for _, a := range l {
+		go s.ask(ctx, Member{Peer: a}, &peerspb.ProbeRequest{Full: true})
+	}
+}
+
+// registered reads the addresses that entry hosts wrote to the platform, writes
+// its own anew if it is missing, and removes those of processes that have gone.
+func (s *Service) registered(ctx context.Context) []netip.AddrPort {
+	l, _, err := s.store.List(ctx, MemberPrefix)
+	if err != nil {
+		return nil
+	}
+	var out []netip.AddrPort
+	mine := false
+	for _, e := range l {
+		var m Member
+		if json.Unmarshal(e.Value, &m) != nil {
+			continue
+		}
+		mine = mine || m.Name == s.Self.Name
+		out = append(out, m.Peer)
+		s.prune(ctx, e, m)
+	}
+	if !mine {
+		_ = s.write(ctx)
+	}
+	return out
+}
+
+// pruneAfter is how many reads in a row an entry has to be of no live member
+// before it is removed. A process that is only cut off writes it again.
+const pruneAfter = 12
+
+// prune removes the entry of a process that has gone. The first of the live
+// members does so for all.
+func (s *Service) prune(ctx context.Context, e platform.Entry, m Member) {
+	_, live := s.Member(m.Name)
+	if live {
+		delete(s.unseen, e.Key)
+		return
+	}
+	s.unseen[e.Key]++
+	if s.unseen[e.Key] < pruneAfter || common.First(MemberPrefix, s.LiveNames("")) != s.Self.Name {
+		return
+	}
+	if s.store.Delete(ctx, e.Key, e.Revision) == nil {
+		delete(s.unseen, e.Key)
+		s.log.Infof("address of %s removed", m.Name)
+	}
+}
+
+// MemberPrefix begins the key under which each entry host writes its address
+// once, at its start.
+const MemberPrefix = "members/"
--- a/peers/service.go
+++ b/peers/service.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,10 +18,6 @@
 // probeTimeout bounds one probe, direct or by a helper.
 const probeTimeout = 400 * time.Millisecond
 
-// MemberPrefix begins the key under which each entry host writes its address
-// once, at its start.
-const MemberPrefix = "members/"
-
 // Times of the search for entry hosts that the process does not know.
 const (
 	// rejoinEvery is how often a process that knows no other looks for one.
@@ -60,6 +53,9 @@
 	live   atomic.Pointer[[]Member]
 	// Sent counts the probes sent.
 	Sent atomic.Int64
+	// unseen counts for each address in the platform the reads in a row that
+	// found no live member with it. Only the search for members uses it.
+	unseen map[string]int
 	// busy bounds the fetches of a newer generation to one at a time.
 	busy atomic.Bool
 }
@@ -73,6 +69,7 @@
 		store:    store,
 		log:      d.Log("peers"),
 		now:      d.Now,
+		unseen:   map[string]int{},
 		table:    NewTable(s.Self, s.Options, r),
 	}
 	v.publish()
@@ -272,108 +269,6 @@
 	s.unregister(ctx)
 }
 
-// register writes the process's address to the platform once.
-func (s *Service) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := s.write(ctx); err == nil {
-			return
-		}
-		common.Sleep(ctx, rejoinEvery+rand.N(rejoinEvery))
-	}
-}
-
-func (s *Service) write(ctx context.Context) error {
-	b, err := json.Marshal(s.Self)
-	if err != nil {
-		return err
-	}
-	e, err := s.store.Get(ctx, MemberPrefix+s.Self.Name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return err
-	}
-	_, err = s.store.Swap(ctx, MemberPrefix+s.Self.Name, b, e.Revision)
-	return err
-}
-
-// unregister removes what register wrote, unless a later start wrote since.
-func (s *Service) unregister(ctx context.Context) {
-	e, err := s.store.Get(ctx, MemberPrefix+s.Self.Name)
-	if err != nil {
-		return
-	}
-	var m Member
-	if json.Unmarshal(e.Value, &m) != nil || m.Incarnation != s.Self.Incarnation {
-		return
-	}
-	_ = s.store.Delete(ctx, e.Key, e.Revision)
-}
-
-// rejoin looks for entry hosts that the process does not know: all the time
-// while it knows no other, and now and then later, as two groups that started
-// apart from each other would else stay so.
-func (s *Service) rejoin(ctx context.Context) {
-	for n := 0; ctx.Err() == nil; n++ {
-		alone := len(s.Live()) < 2
-		if alone || n%seedEvery == 0 {
-			s.askUnknown(ctx, s.Seeds, alone)
-		}
-		if n%registryEvery == registryEvery/2 {
-			s.dropOld()
-		}
-		if alone || n%registryEvery == 0 {
-			s.askUnknown(ctx, s.registered(ctx), alone)
-		}
-		common.Sleep(ctx, rejoinEvery+rand.N(rejoinEvery/2))
-	}
-}
-
-// dropOld closes the connections to addresses that no member or seed has.
-func (s *Service) dropOld() {
-	keep := map[netip.AddrPort]bool{}
-	for _, a := range s.Seeds {
-		keep[a] = true
-	}
-	for _, m := range s.Members() {
-		keep[m.Peer] = true
-	}
-	s.dialer.Keep(keep)
-}
-
-// askUnknown asks one of the addresses that are of no live member, or all of
-// them.
-func (s *Service) askUnknown(ctx context.Context, l []netip.AddrPort, all bool) {
-	known := map[netip.AddrPort]bool{s.Self.Peer: true}
-	for _, m := range s.Live() {
-		known[m.Peer] = true
-	}
-	l = slices.DeleteFunc(slices.Clone(l), func(a netip.AddrPort) bool { return known[a] })
-	if len(l) == 0 {
-		return
-	}
-	if !all {
-		l = []netip.AddrPort{l[rand.IntN(len(l))]}
-	}
-	for _, a := range l {
-		go s.ask(ctx, Member{Peer: a}, &peerspb.ProbeRequest{Full: true})
-	}
-}
-
-// registered reads the addresses that entry hosts wrote to the platform.
-func (s *Service) registered(ctx context.Context) []netip.AddrPort {
-	l, _, err := s.store.List(ctx, MemberPrefix)
-	if err != nil {
-		return nil
-	}
-	var out []netip.AddrPort
-	for _, e := range l {
-		var m Member
-		if json.Unmarshal(e.Value, &m) == nil {
-			out = append(out, m.Peer)
-		}
-	}
-	return out
-}
-
 // Generations asks every live member which generation it has in force. One
 // that does not answer is left out.
 func (s *Service) Generations(ctx context.Context) map[string]int64 {
--- a/tests/deployment_test.go
+++ b/tests/deployment_test.go
@@ -19,6 +19,12 @@
 
 var binaries string
 
+// How long tests wait for what has to come, and how often they look.
+const (
+	eventually = 5 * time.Second
+	tick       = 50 * time.Millisecond
+)
+
 func TestMain(m *testing.M) {
 	os.Exit(run(m))
 }
