--- a/admin/api.go
+++ b/admin/api.go
@@ -18,7 +18,9 @@
 	// ConfirmedAt is when the platform last told its configuration.
 	ConfirmedAt time.Time `json:"confirmed_at,omitzero"`
 	// ListAsOf is the age of the host list.
-	ListAsOf time.Time      `json:"list_as_of,omitzero"`
+	ListAsOf time.Time `json:"list_as_of,omitzero"`
+	// JobMoves counts the jobs moved in the data centre so far.
+	JobMoves int64          `json:"job_moves"`
 	Members  []peers.Member `json:"members"`
 	// Generations gives the generation in force on each live entry host that
 	// answered.
--- a/admin/server.go
+++ b/admin/server.go
@@ -163,6 +163,7 @@
 		Generation:  s.Follower.Current().Head.Generation,
 		ConfirmedAt: s.Follower.ConfirmedAt(),
 		ListAsOf:    s.View.Current().List.AsOf,
+		JobMoves:    s.View.Current().Record.Moves,
 		Members:     s.Members.Members(),
 		Generations: s.Members.Generations(ctx),
 	}, nil
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -10,8 +10,6 @@
 
 // Times of a host's maintenance.
 const (
-	// MaxSkew is the largest difference between two clocks.
-	MaxSkew = 2 * time.Second
 	// OrderLife is how long an order to the platform may be sent.
 	OrderLife = time.Minute
 	// ReturnWithin is how long a reboot may take.
--- a/internal/local/cmd/demo/main.go
+++ b/internal/local/cmd/demo/main.go
@@ -108,6 +108,10 @@
 	if err != nil {
 		return err
 	}
+	status, err := d.Entries[0].Client().Status(ctx)
+	if err != nil {
+		return err
+	}
 	hosts, err := d.Entries[0].Client().Hosts(ctx)
 	if err != nil {
 		return err
@@ -124,6 +128,7 @@
 		{"lost", t.Lost},
 		{"crossed", t.Crossed},
 		{"doubled", len(doubled)},
+		{"jobs moved in the north", status.JobMoves},
 		{"longest answer", t.Longest.Round(time.Millisecond)},
 		{"first configuration in force everywhere", first.Round(time.Millisecond)},
 		{"second configuration in force everywhere", second.Round(time.Millisecond)},
--- a/internal/local/document.go
+++ b/internal/local/document.go
@@ -26,7 +26,7 @@
 	for _, n := range names {
 		fmt.Fprintf(&b, "  - name: %s\n    pool: %s\n    jobs:\n", n, n)
 		b.WriteString("      - {name: quick, class: quick, repeatable: true, run_time: 5ms}\n")
-		b.WriteString("      - {name: patient, class: patient, repeatable: true, run_time: 20ms}\n")
+		b.WriteString("      - {name: patient, class: patient, repeatable: true, run_time: 20ms, processors: 2, replicas: 2}\n")
 		b.WriteString("      - {name: once, class: patient, repeatable: false, run_time: 20ms}\n")
 	}
 	fmt.Fprintf(&b, "waves:\n  - {name: kernel, pools: [%s], limit: 1}\n", strings.Join(names, ", "))
