Tell on every entry host what a host waits for

Cause: only the coordinator's own process knew why a drain waits, so 'host' showed it on one entry host of a data centre and nothing on the others. Found by reading. What a plan made there would come to tells it on each; the test asks two.

Demo and measurements share one way to run a deployment.

--- a/admin/server.go
+++ b/admin/server.go
@@ -198,14 +198,14 @@
 		return nil, err
 	}
 	c := s.View.Current()
-	return fleet.PreviewOf(fleet.Input{
-		Now:        s.now(),
-		Document:   d,
-		Generation: s.Follower.Current().Head.Generation + 1,
-		DataCentre: s.DataCentre,
-		Record:     c.Record,
-		List:       c.List,
-	}), nil
+	return fleet.PreviewOf(s.input(c, d, s.Follower.Current().Head.Generation+1)), nil
+}
+
+// input is what a plan of this data centre is made from.
+func (s *Server) input(c *fleet.Snapshot, d *config.Document, gen int64) fleet.Input {
+	return fleet.Input{
+		Now: s.now(), Document: d, Generation: gen, DataCentre: s.DataCentre, Record: c.Record, List: c.List,
+	}
 }
 
 func (s *Server) jobs(*http.Request) (any, error) {
@@ -254,10 +254,10 @@
 
 func (s *Server) hosts(*http.Request) (any, error) {
 	c := s.View.Current()
-	blocked := map[string]string{}
-	if o := s.Coordinator.Last(); o != nil {
-		blocked = o.Blocked
-	}
+	// What a plan made here would come to tells what each host waits for, also
+	// where another entry host is the coordinator.
+	g := s.Follower.Current()
+	blocked := fleet.Plan(s.input(c, g.Document, g.Head.Generation)).Blocked
 	l := []Host{}
 	for _, h := range c.List.Hosts {
 		w, ok := c.Record.Hosts[h.Name]
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -112,13 +112,7 @@
 }
 
 func (w *waveRun) plan() {
-	idle := map[string]int64{}
-	for n, r := range w.record.Hosts {
-		if r.State == Draining {
-			idle[n] = r.Term
-		}
-	}
-	o := Plan(Input{Now: w.now, Document: w.doc, Generation: 1, DataCentre: testDC, Record: w.record, List: w.list, Idle: idle})
+	o := Plan(Input{Now: w.now, Document: w.doc, Generation: 1, DataCentre: testDC, Record: w.record, List: w.list, Idle: allIdle(w.record)})
 	w.record = o.Record
 	w.record.Generation = 1
 	for _, v := range o.Orders {
--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -47,7 +47,6 @@
 	planned basis
 	// sent holds the term of the last order that the platform took.
 	sent map[string]int64
-	last atomic.Pointer[Output]
 	// Steps counts the swaps that took effect.
 	Steps atomic.Int64
 }
@@ -83,11 +82,6 @@
 	}
 }
 
-// Last returns what the last plan of this process came to, or nil.
-func (c *Coordinator) Last() *Output {
-	return c.last.Load()
-}
-
 // replanEvery is how often a plan is made although nothing has changed: what a
 // plan comes to also depends on time.
 const replanEvery = 5 * time.Second
@@ -132,7 +126,6 @@
 		List:       s.List,
 		Idle:       c.idle(ctx, s.Record),
 	})
-	c.last.Store(&o)
 	if o.Changed && !c.swap(ctx, s, o.Record, g.Head.Generation) {
 		return
 	}
--- a/fleet/plan_test.go
+++ b/fleet/plan_test.go
@@ -447,6 +447,17 @@
 	return d, l
 }
 
+// allIdle says of every draining host that it is idle.
+func allIdle(r Record) map[string]int64 {
+	idle := map[string]int64{}
+	for n, w := range r.Hosts {
+		if w.State == Draining {
+			idle[n] = w.Term
+		}
+	}
+	return idle
+}
+
 // TestWaveMaintainsEveryHost shows that a wave ends, with each host rebooted
 // once.
 func TestWaveMaintainsEveryHost(t *testing.T) {
@@ -457,13 +468,7 @@
 	for range 200 {
 		now = now.Add(time.Second)
 		l.AsOf = now
-		idle := map[string]int64{}
-		for n, w := range r.Hosts {
-			if w.State == Draining {
-				idle[n] = w.Term
-			}
-		}
-		o := Plan(Input{Now: now, Document: d, Generation: 1, DataCentre: testDC, Record: r, List: l, Idle: idle})
+		o := Plan(Input{Now: now, Document: d, Generation: 1, DataCentre: testDC, Record: r, List: l, Idle: allIdle(r)})
 		r = o.Record
 		r.Generation = 1
 		for _, v := range o.Orders {
@@ -493,13 +498,7 @@
 	for range 100 {
 		now = now.Add(time.Minute)
 		l.AsOf = now
-		idle := map[string]int64{}
-		for n, w := range r.Hosts {
-			if w.State == Draining {
-				idle[n] = w.Term
-			}
-		}
-		last = Plan(Input{Now: now, Document: d, Generation: 1, DataCentre: testDC, Record: r, List: l, Idle: idle})
+		last = Plan(Input{Now: now, Document: d, Generation: 1, DataCentre: testDC, Record: r, List: l, Idle: allIdle(r)})
 		r = last.Record
 		r.Generation = 1
 	}
--- a/internal/local/cmd/capacity/main.go
+++ b/internal/local/cmd/capacity/main.go
@@ -55,28 +55,16 @@
 func one(s size) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
-	dir, err := os.MkdirTemp("", "amberway-capacity")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	bin, err := local.Build(ctx, dir)
-	if err != nil {
-		return err
-	}
-	d, err := local.Start(ctx, bin, dir, local.Options{DataCentres: []string{"north"}, Entries: s.entries})
-	defer d.Stop()
-	if err != nil {
-		return err
-	}
-	if err := d.SetHosts(ctx, hosts(s)); err != nil {
-		return err
-	}
-	if _, err := d.Apply(ctx, document(s, 0), 0); err != nil {
-		return err
-	}
-	time.Sleep(settle)
-	return report(ctx, d, s)
+	return local.Run(ctx, local.Options{DataCentres: []string{"north"}, Entries: s.entries}, func(d *local.Deployment) error {
+		if err := d.SetHosts(ctx, hosts(s)); err != nil {
+			return err
+		}
+		if _, err := d.Apply(ctx, document(s, 0), 0); err != nil {
+			return err
+		}
+		time.Sleep(settle)
+		return report(ctx, d, s)
+	})
 }
 
 // pick keeps the sizes with the number of entry hosts that the command line
--- a/internal/local/cmd/demo/main.go
+++ b/internal/local/cmd/demo/main.go
@@ -26,26 +26,12 @@
 func run() error {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
-	dir, err := os.MkdirTemp("", "amberway-demo")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	bin, err := local.Build(ctx, dir)
-	if err != nil {
-		return err
-	}
-	d, err := local.Start(ctx, bin, dir, local.Options{
+	return local.Run(ctx, local.Options{
 		DataCentres: []string{"north", "south"},
 		Entries:     2,
 		Targets:     map[string]int{"tint": 3, "recipes": 3},
 		Rack:        1,
-	})
-	defer d.Stop()
-	if err != nil {
-		return err
-	}
-	return show(ctx, d)
+	}, func(d *local.Deployment) error { return show(ctx, d) })
 }
 
 // loadCount and loadInterval make a load of about eight seconds.
--- a/internal/local/deployment.go
+++ b/internal/local/deployment.go
@@ -128,6 +128,26 @@
 	}
 }
 
+// Run builds the programs, starts a deployment, calls f with it and stops it,
+// all in a directory of its own.
+func Run(ctx context.Context, o Options, f func(d *Deployment) error) error {
+	dir, err := os.MkdirTemp("", "amberway")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	bin, err := Build(ctx, dir)
+	if err != nil {
+		return err
+	}
+	d, err := Start(ctx, bin, dir, o)
+	defer d.Stop()
+	if err != nil {
+		return err
+	}
+	return f(d)
+}
+
 // Start starts everything and waits until each entry host answers. The caller
 // has to Stop it, also after an error.
 func Start(ctx context.Context, bin, dir string, o Options) (*Deployment, error) {
--- a/tests/operator_test.go
+++ b/tests/operator_test.go
@@ -67,6 +67,16 @@
 		require.Zero(t, code, "%s: %s", c, errs)
 		require.NotEmpty(t, out, c)
 	}
+	_, _, errs = ctl(t, e, "config", "apply", "--wait", file(t, document(d, 3)))
+	require.Empty(t, errs)
+	code, _, errs = ctl(t, e, "host", "drain", "tint-north-0")
+	require.Zero(t, code, errs)
+	for _, v := range d.Entries[:2] {
+		require.Eventually(t, func() bool {
+			_, out, _ := ctl(t, v, "host")
+			return strings.Contains(out, "the budget of pool tint does not allow it")
+		}, eventually, tick, "%s tells what the host waits for", v.Name)
+	}
 	code, out, _ = ctl(t, e, "config", "plan", file(t, document(d, 1)))
 	require.Zero(t, code)
 	require.Contains(t, out, "wave kernel")
