Leave no process behind when nobody reads the demo's output

Cause: a closed pipe ended the demo by SIGPIPE before it stopped its processes; 16 stayed (seen with its output cut short). A write to a closed pipe is an error now, and signals end the demo's context.

--- a/internal/local/cmd/capacity/main.go
+++ b/internal/local/cmd/capacity/main.go
@@ -55,7 +55,7 @@
 func one(s size) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
-	return local.Run(ctx, local.Options{DataCentres: []string{"north"}, Entries: s.entries}, func(d *local.Deployment) error {
+	return local.Run(ctx, local.Options{DataCentres: []string{"north"}, Entries: s.entries}, func(ctx context.Context, d *local.Deployment) error {
 		if err := d.SetHosts(ctx, hosts(s)); err != nil {
 			return err
 		}
--- a/internal/local/cmd/demo/main.go
+++ b/internal/local/cmd/demo/main.go
@@ -31,7 +31,7 @@
 		Entries:     2,
 		Targets:     map[string]int{"tint": 3, "recipes": 3},
 		Rack:        1,
-	}, func(d *local.Deployment) error { return show(ctx, d) })
+	}, show)
 }
 
 // loadCount and loadInterval make a load of about eight seconds.
--- a/internal/local/deployment.go
+++ b/internal/local/deployment.go
@@ -16,6 +16,7 @@
 	"net/url"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
@@ -129,8 +130,12 @@
 }
 
 // Run builds the programs, starts a deployment, calls f with it and stops it,
-// all in a directory of its own.
-func Run(ctx context.Context, o Options, f func(d *Deployment) error) error {
+// all in a directory of its own. A signal ends the context of f, and an output
+// that nobody reads is an error, so that no process stays behind.
+func Run(ctx context.Context, o Options, f func(ctx context.Context, d *Deployment) error) error {
+	signal.Ignore(syscall.SIGPIPE)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	dir, err := os.MkdirTemp("", "amberway")
 	if err != nil {
 		return err
@@ -145,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	return f(d)
+	return f(ctx, d)
 }
 
 // Start starts everything and waits until each entry host answers. The caller
