Answer paths that are not clean with a verdict

Cause: since the callers' listener has a mux, a path with a doubled slash or with dots was redirected, without a verdict and without a look at the request. Found by reading the change anew; red: status 307 and no verdict. Such a path goes to its target as it is, as before. Ruled out: the target's side, which got nothing.

A counter in the coordinator that nothing read is gone.

--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -7,7 +7,6 @@
 	"maps"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -47,8 +46,6 @@
 	planned basis
 	// sent holds the term of the last order that the platform took.
 	sent map[string]int64
-	// Steps counts the swaps that took effect.
-	Steps atomic.Int64
 }
 
 // CoordinatorParts are what a Coordinator is made of.
@@ -145,7 +142,6 @@
 	}
 	rev, err := c.store.Swap(ctx, RecordKey(c.dc), b, s.Revision)
 	if err == nil {
-		c.Steps.Add(1)
 		c.view.Offer(r, rev)
 		return true
 	}
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -163,7 +163,7 @@
 }
 
 // benchServer serves one service on the target at the address.
-func benchServer(b *testing.B, target netip.AddrPort) http.Handler {
+func benchServer(b testing.TB, target netip.AddrPort) http.Handler {
 	b.Helper()
 	doc := &config.Document{
 		Services: []config.Service{{Name: "s", Pool: "p", Jobs: []config.Job{{Name: "job", Repeatable: true, Patience: time.Minute}}}},
--- a/request/server.go
+++ b/request/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"path"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -129,6 +130,11 @@
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if path.Clean(r.URL.Path) != r.URL.Path {
+		// The mux would redirect it, without a verdict.
+		s.take(w, r)
+		return
+	}
 	s.mux.ServeHTTP(w, r)
 }
 
--- a/request/verdict_test.go
+++ b/request/verdict_test.go
@@ -252,3 +252,20 @@
 		m.end()
 	})
 }
+
+// TestUncleanPathsAreAnsweredWithAVerdict shows that a path with doubled slashes
+// goes to its target as it is, and is not redirected without a verdict.
+func TestUncleanPathsAreAnsweredWithAVerdict(t *testing.T) {
+	got := make(chan string, 1)
+	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got <- r.URL.Path }))
+	defer target.Close()
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "/s/job//a/../b", strings.NewReader("body"))
+	benchServer(t, netip.MustParseAddrPort(strings.TrimPrefix(target.URL, "http://"))).ServeHTTP(w, r)
+	if w.Code != http.StatusOK || w.Header().Get(common.HeaderVerdict) != common.Ran.String() {
+		t.Fatalf("status %d, verdict %q", w.Code, w.Header().Get(common.HeaderVerdict))
+	}
+	if p := <-got; p != "/s/job//a/../b" {
+		t.Fatalf("the target got %s", p)
+	}
+}
