Tell lives of a machine apart by answers, and drop what a cut held up

An owner in a cut data centre gave an order to a machine that arrived when the cut healed (ONE): its call had been given up, but its bytes were still queued. Ruled out: a fault of fences or leases on workers; both lives were the same owner's.

--- a/job/lapse.go
+++ b/job/lapse.go
@@ -40,14 +40,8 @@
 	c.rescan = true
 }
 
-// meet adds a worker that was not listed before. Its machine runs one life at a
-// time, so that an earlier life there has ended.
+// meet adds a worker that was not listed before.
 func (c *Core) meet(v platform.Worker) {
-	for _, o := range c.workers {
-		if o.Host != "" && o.Host == v.Host {
-			c.lose(o, "its machine runs a new life")
-		}
-	}
 	w := newWorker(v, c.now)
 	w.listed = true
 	c.workers[v.ID] = w
@@ -57,6 +51,18 @@
 	c.tend(w)
 }
 
+// supersede forgets the other lives of the worker's machine. It runs one life at
+// a time, and this one has just answered; records come and go late, and tell
+// nothing of which life is the later one.
+func (c *Core) supersede(w *worker) {
+	for _, o := range c.workers {
+		if o != w && o.Host != "" && o.Host == w.Host {
+			c.lose(o, "its machine runs another life")
+		}
+	}
+	c.byHost[w.Host] = w
+}
+
 // apply compares the whole list of workers with what is known.
 func (e WorkersListed) apply(c *Core) {
 	there := make(map[platform.WorkerID]bool, len(e))
@@ -90,7 +96,9 @@
 	clear(c.byHost)
 	for _, w := range c.workers {
 		if w.listed {
-			c.byHost[w.Host] = w
+			if o := c.byHost[w.Host]; o == nil || !o.met {
+				c.byHost[w.Host] = w
+			}
 			c.pools[w.Service] = append(c.pools[w.Service], w)
 		}
 	}
--- a/job/looks.go
+++ b/job/looks.go
@@ -97,7 +97,10 @@
 		c.do(Note{What: "worker answers again", Worker: w.ID, Inputs: []any{"looks", w.silent}})
 	}
 	w.silent = 0
-	w.met = true
+	if !w.met {
+		w.met = true
+		c.supersede(w)
+	}
 	w.lookAt = c.now
 	w.hearClock(e.Look.Clock, c.now)
 	w.acked = max(w.acked, e.Acked)
--- a/job/owner.go
+++ b/job/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"amberway/platform"
@@ -42,8 +43,9 @@
 	// mu guards core, which callers' questions read.
 	mu   sync.Mutex
 	core *Core
-	// renewedAt is when the last renewal was sent that the store has answered.
-	renewedAt time.Time
+	// renewedAt is when the last renewal was sent that the store has answered,
+	// in nanoseconds since 1970.
+	renewedAt atomic.Int64
 	end       context.CancelFunc
 	endOnce   sync.Once
 	why       string
@@ -57,16 +59,17 @@
 }
 
 func newOwner(p Clients, log *Journal, now func() time.Time, name string, t tenure) *owner {
-	return &owner{
-		Clients:   p,
-		log:       log,
-		now:       now,
-		events:    make(chan Event, eventBuffer),
-		tenure:    t,
-		keeper:    keeper{kv: p.KV, fence: t.fence},
-		core:      New(t.fence, name, now()),
-		renewedAt: t.since,
+	o := &owner{
+		Clients: p,
+		log:     log,
+		now:     now,
+		events:  make(chan Event, eventBuffer),
+		tenure:  t,
+		keeper:  keeper{kv: p.KV, fence: t.fence},
+		core:    New(t.fence, name, now()),
 	}
+	o.renewedAt.Store(t.since.UnixNano())
+	return o
 }
 
 // run owns until the ownership ends, and returns why it did.
@@ -162,10 +165,16 @@
 			o.resign("its lease is over")
 			return
 		case err == nil:
-			o.renewedAt = sent
-		case o.now().Sub(o.renewedAt) > ownerAuthority:
+			o.renewedAt.Store(sent.UnixNano())
+		case o.sinceRenewal() > ownerAuthority:
 			o.resign("the store has been away for too long: " + err.Error())
 			return
 		}
 	}
 }
+
+// sinceRenewal is how long ago the last renewal was sent that the store has
+// answered.
+func (o *owner) sinceRenewal() time.Duration {
+	return o.now().Sub(time.Unix(0, o.renewedAt.Load()))
+}
--- a/job/perform.go
+++ b/job/perform.go
@@ -17,6 +17,9 @@
 	lookSlack = 700 * time.Millisecond
 )
 
+// errLeaseDoubtful says that an order was not given.
+var errLeaseDoubtful = errors.New("not sent: the owner's lease has not been renewed in time")
+
 // perform does one action. All that waits runs beside the loop.
 func (o *owner) perform(ctx context.Context, a Action) {
 	switch a := a.(type) {
@@ -92,6 +95,11 @@
 }
 
 func (o *owner) orderMachine(ctx context.Context, machine string, order func(context.Context) (platform.MachineVerdict, error)) {
+	if o.sinceRenewal() > ownerTTL {
+		// Somebody else may own by now, and machines do not compare fences.
+		o.send(ctx, MachineOrdered{Machine: machine, Err: errLeaseDoubtful})
+		return
+	}
 	v, err := order(ctx)
 	o.send(ctx, MachineOrdered{Machine: machine, Verdict: v, Err: err})
 }
--- a/job/succession.go
+++ b/job/succession.go
@@ -97,9 +97,6 @@
 func (c *Core) inherit(r Roster) {
 	for _, e := range r.Workers {
 		w := c.workers[e.ID]
-		if w == nil && c.replaced(e) {
-			continue
-		}
 		if w == nil {
 			w = newWorker(platform.Worker{ID: e.ID, Service: e.Service, Address: e.Address, Host: e.Host}, c.now)
 			c.workers[e.ID] = w
@@ -108,16 +105,6 @@
 	}
 }
 
-// replaced reports whether the machine of the worker runs a new life.
-func (c *Core) replaced(e RosterEntry) bool {
-	for _, w := range c.workers {
-		if w.Host != "" && w.Host == e.Host {
-			return true
-		}
-	}
-	return false
-}
-
 // settled reports whether every worker on which an earlier owner may have runs
 // of the job has answered or lapsed.
 func (c *Core) settled(j *job) bool {
