Plan all pools together, from load, waiting tasks and arrivals

Ruled out: a lack of hosts, which were enough for all turns. Now one plan looks at all pools ten times a second, takes what a pool wants from its load and the work that came in over the last second, fills it from the spare pool and then borrows from pools with more than enough.

--- a/job/core.go
+++ b/job/core.go
@@ -156,6 +156,7 @@
 	}
 	c.jobs[id] = j
 	c.live[id] = j
+	c.noteArrival(j)
 	c.openDue(j)
 	for k, n := range j.instances {
 		if q, ok := p.Instances[k]; ok {
--- a/job/learn.go
+++ b/job/learn.go
@@ -37,7 +37,7 @@
 // expect returns how long a task of the step is expected to take: its estimate,
 // drawn towards what tasks of its queue have taken, since estimates are off by
 // up to nine tenths.
-func (c *Core) expect(j *job, s *step) time.Duration {
+func (c *Core) expect(j *job, s *platform.Step) time.Duration {
 	e := c.learn[j.queue.Name]
 	if e == nil || e.runs < 5 {
 		return s.Estimate
--- a/job/machines.go
+++ b/job/machines.go
@@ -40,8 +40,10 @@
 	wave *wave
 	// retryAt holds back the next order.
 	retryAt time.Time
-	// emptying says since when it has been kept free of new runs.
+	// emptyingSince says since when it has been kept free of new runs.
 	emptyingSince time.Time
+	// lend is the pool that the machine is to be lent to once it is empty.
+	lend string
 }
 
 // machineOrder is an order from its sending until the machine is up again.
@@ -164,6 +166,7 @@
 	}
 	c.do(Note{What: "machine up", Why: "its order is done", Inputs: []any{"machine", m.Name, "pool", m.Pool, "took_ms", c.now.Sub(o.sentAt).Milliseconds()}})
 	m.order = nil
+	m.lend = ""
 	m.emptyingSince = time.Time{}
 }
 
@@ -198,6 +201,7 @@
 
 func (c *Core) clearOrder(m *machine) {
 	m.order = nil
+	m.lend = ""
 	m.emptyingSince = time.Time{}
 	c.release(m)
 }
--- a/job/place.go
+++ b/job/place.go
@@ -23,7 +23,8 @@
 type candidate struct {
 	*step
 	priority int
-	late     bool
+	// late says that the job can hardly be in time any more.
+	late bool
 	// latest is when the step has to start for its job to be in time.
 	latest time.Time
 }
@@ -52,12 +53,12 @@
 		if s.idle == 0 || !s.open() {
 			continue
 		}
-		d := c.dueBy(j, n)
+		latest := c.dueBy(j, n).Add(-c.chainFrom(n, s))
 		to[j.queue.Service] = append(to[j.queue.Service], candidate{
 			step:     s,
 			priority: j.queue.Priority,
-			late:     !s.Lasting && c.now.After(d),
-			latest:   d.Add(-c.chainFrom(n, s)),
+			late:     !s.Lasting && c.now.After(latest),
+			latest:   latest,
 		})
 	}
 }
@@ -198,7 +199,7 @@
 			longest = max(longest, c.chainFrom(n, o))
 		}
 	}
-	return longest + c.expect(n.job, s)
+	return longest + c.expect(n.job, s.Step)
 }
 
 // ticket returns the leave to run the step on the worker, which only queues
--- a/job/pools.go
+++ b/job/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -11,23 +12,28 @@
 // Figures of pools: a host in a pool costs each second about what one move
 // costs, at both users.
 const (
-	// idleFor is how long a worker has no runs before its host goes to the
-	// spare pool.
-	idleFor = 2 * time.Second
-	// shortFor is how long tasks wait without room before hosts are brought.
-	shortFor = 100 * time.Millisecond
-	// movePatience is how long a host waits for short tasks before its move.
-	movePatience = 3 * time.Second
-	// marginHosts is how many hosts' worth of free room each pool keeps.
-	marginHosts = 1
+	// idleFor is how long a host is more than its pool wants before it goes to
+	// the spare pool.
+	idleFor = 1500 * time.Millisecond
+	// planEvery is how often pools are looked at.
+	planEvery = 100 * time.Millisecond
+	// roomToSpare is the share of room that a pool keeps beyond its load, since
+	// tasks do not fill hosts to the last core.
+	roomToSpare = 0.1
+	// arrivalWindow is the time over which the work that comes in is averaged:
+	// load turns from one queue to another within a second.
+	arrivalWindow = 1200 * time.Millisecond
+	// lendPatience is how long a host that is to be lent may take to run empty.
+	lendPatience = 2 * time.Second
 )
 
 // pooling is the state of the decisions on pools.
 type pooling struct {
-	// wanting is the processor time, in thousandths of a core, of tasks that
-	// wait without room, by service.
-	wanting   map[string]int64
-	shortAt   map[string]time.Time
+	planAt time.Time
+	// waiting is what tasks without room ask for, by service.
+	waiting map[string]platform.Resources
+	// arrivals is the work that came in lately, by service.
+	arrivals  map[string]*arrivals
 	forbidden map[kindPool]bool
 }
 
@@ -37,34 +43,85 @@
 	pool string
 }
 
+// arrivals averages the work that comes in, in core-milliseconds a millisecond,
+// over the arrivalWindow.
+type arrivals struct {
+	rate float64
+	at   time.Time
+}
+
+func (a *arrivals) add(work float64, now time.Time) {
+	a.decay(now)
+	a.rate += work / float64(arrivalWindow.Milliseconds())
+}
+
+func (a *arrivals) decay(now time.Time) float64 {
+	if d := now.Sub(a.at); d > 0 && !a.at.IsZero() {
+		a.rate *= math.Exp(-float64(d) / float64(arrivalWindow))
+	}
+	a.at = now
+	return a.rate
+}
+
 func newPooling() pooling {
-	return pooling{wanting: map[string]int64{}, shortAt: map[string]time.Time{}, forbidden: map[kindPool]bool{}}
+	return pooling{waiting: map[string]platform.Resources{}, arrivals: map[string]*arrivals{}, forbidden: map[kindPool]bool{}}
+}
+
+// noteArrival counts the work of a new job.
+func (c *Core) noteArrival(j *job) {
+	work := 0.0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		if !s.Lasting && !s.Fills {
+			work += float64(s.Count) * float64(s.MilliCores) / 1000 * float64(c.expect(j, s).Milliseconds())
+		}
+	}
+	a := c.balance.arrivals[j.queue.Service]
+	if a == nil {
+		a = &arrivals{}
+		c.balance.arrivals[j.queue.Service] = a
+	}
+	a.add(work, c.now)
 }
 
 // noteDemand notes what waits without room after placement.
 func (c *Core) noteDemand(service string, l []candidate) {
-	var wants int64
+	var r platform.Resources
 	for _, s := range l {
 		if !s.Fills {
-			wants += int64(s.idle) * s.MilliCores
+			r.MilliCores += int64(s.idle) * s.MilliCores
 		}
+		r.MemoryMB += int64(s.idle) * s.MemoryMB
 	}
-	c.balance.wanting[service] = wants
+	c.balance.waiting[service] = r
+}
+
+// demand is how many hosts a pool wants and has.
+type demand struct {
+	service string
+	want    int
+	// have counts the hosts that take tasks or are on their way.
+	have int
+	// waits says that tasks wait without room.
+	waits bool
 }
 
-// tendPools moves idle hosts to the spare pool and back where they are wanted.
+// tendPools moves hosts between the pools and the spare pool as the load asks.
 func (c *Core) tendPools() {
 	spare := c.sparePool()
-	if spare == "" || c.now.Before(c.ordersAt) {
+	if spare == "" || c.now.Before(c.ordersAt) || c.now.Before(c.balance.planAt) {
 		return
 	}
-	for _, s := range c.config.Services {
-		if s.Name == spare {
-			continue
-		}
-		if !c.fetch(s.Name, spare) {
-			c.giveBack(s.Name, spare)
-		}
+	c.balance.planAt = c.now.Add(planEvery)
+	plan := c.demands(spare)
+	for i := range plan {
+		c.fetchSpares(&plan[i], spare)
+	}
+	for i := range plan {
+		c.borrow(&plan[i], plan)
+	}
+	for i := range plan {
+		c.giveBack(&plan[i], spare)
 	}
 }
 
@@ -77,47 +134,132 @@
 	return ""
 }
 
-// fetch brings hosts to a pool that is short. It reports whether the pool is.
-func (c *Core) fetch(service, spare string) bool {
-	p := &c.balance
-	wants := p.wanting[service]
-	if wants <= 0 {
-		delete(p.shortAt, service)
-		return false
+// demands returns what each pool wants and has, the shortest first.
+func (c *Core) demands(spare string) []demand {
+	var l []demand
+	for _, s := range c.config.Services {
+		if s.Name == spare {
+			continue
+		}
+		d := demand{service: s.Name, want: c.wants(s.Name), have: c.coming(s.Name)}
+		for _, w := range c.pools[s.Name] {
+			if !w.Draining && !w.leaving && w.silent < silentAfter && c.byHost[w.Host] == w {
+				d.have++
+			}
+		}
+		d.waits = c.balance.waiting[s.Name].MilliCores > 0
+		l = append(l, d)
+	}
+	slices.SortFunc(l, func(a, b demand) int {
+		return cmp.Or(cmp.Compare(b.want-b.have, a.want-a.have), cmp.Compare(a.service, b.service))
+	})
+	return l
+}
+
+// wants returns how many hosts a pool needs for what runs, waits and comes in.
+func (c *Core) wants(service string) int {
+	need := c.balance.waiting[service]
+	host := platform.Resources{}
+	hosts := 0
+	for _, w := range c.pools[service] {
+		need.MilliCores += w.used.MilliCores
+		need.MemoryMB += w.used.MemoryMB
+		host.MilliCores = max(host.MilliCores, w.Capacity.MilliCores)
+		host.MemoryMB = max(host.MemoryMB, w.Capacity.MemoryMB)
 	}
-	if p.shortAt[service].IsZero() {
-		p.shortAt[service] = c.now
+	if host.MilliCores == 0 {
+		host = c.anyHost()
 	}
-	if c.now.Sub(p.shortAt[service]) < shortFor {
-		return true
+	if host.MilliCores == 0 || host.MemoryMB == 0 {
+		return 0
 	}
-	wants -= c.coming(service)
-	for _, m := range c.spares(service, spare) {
-		if wants <= 0 {
-			break
-		}
-		wants -= m.Capacity.MilliCores
-		c.move(m, service)
+	cores := float64(need.MilliCores)
+	if a := c.balance.arrivals[service]; a != nil {
+		cores = max(cores, a.decay(c.now)*1000+float64(c.lastingCores(service)))
+	}
+	share := max(cores/float64(host.MilliCores), float64(need.MemoryMB)/float64(host.MemoryMB))
+	if share > 0 {
+		hosts = int(math.Ceil(share*(1+roomToSpare) + 0.25))
 	}
-	return true
+	return max(hosts, c.spread(service))
 }
 
-// coming is the processor time of the hosts on their way to the pool.
-func (c *Core) coming(service string) int64 {
+// lastingCores is what the lasting tasks of a pool take.
+func (c *Core) lastingCores(service string) int64 {
 	var n int64
+	for _, w := range c.pools[service] {
+		for _, r := range w.runs {
+			if r.task.of.Lasting && !r.task.of.Fills {
+				n += r.task.of.MilliCores
+			}
+		}
+	}
+	return n
+}
+
+// spread returns how many hosts the bounds on tasks of one step on one worker
+// ask for.
+func (c *Core) spread(service string) int {
+	most := 0
+	for _, j := range c.live {
+		if j.queue.Service != service {
+			continue
+		}
+		for _, n := range j.instances {
+			for _, s := range n.steps {
+				if s.MaxPerWorker > 0 && s.left > 0 && s.open() {
+					most = max(most, (s.left+s.MaxPerWorker-1)/s.MaxPerWorker)
+				}
+			}
+		}
+	}
+	return most
+}
+
+// anyHost returns the capacity of some machine, for a pool that has none.
+func (c *Core) anyHost() platform.Resources {
+	for _, m := range c.byName {
+		return m.Capacity
+	}
+	return platform.Resources{}
+}
+
+// coming counts the hosts on their way to the pool.
+func (c *Core) coming(service string) int {
+	n := 0
 	for _, m := range c.byName {
-		if m.order != nil && m.order.pool == service {
-			n += m.Capacity.MilliCores
+		if m.order != nil && m.order.pool == service && c.byHost[m.Name] == nil {
+			n++
+		} else if m.order == nil && m.lend == service {
+			n++
 		}
 	}
 	return n
 }
 
-func (c *Core) spares(service, spare string) []*machine {
+// fetchSpares brings hosts from the spare pool to one that is short.
+func (c *Core) fetchSpares(d *demand, spare string) {
+	if d.have >= d.want {
+		return
+	}
+	for _, m := range c.movable(spare) {
+		if d.have >= d.want {
+			return
+		}
+		if c.balance.forbidden[kindPool{m.Kind(), d.service}] {
+			continue
+		}
+		c.move(m, d.service, d)
+		d.have++
+	}
+}
+
+// movable returns the machines of a pool that could get an order now.
+func (c *Core) movable(pool string) []*machine {
 	var l []*machine
 	for _, m := range c.byName {
-		if m.Pool == spare && m.order == nil && m.State == platform.MachineUp && !c.now.Before(m.retryAt) &&
-			!c.balance.forbidden[kindPool{m.Kind(), service}] && !c.inWave(m) {
+		if m.Pool == pool && m.order == nil && m.lend == "" && m.State == platform.MachineUp &&
+			!c.now.Before(m.retryAt) && m.emptyingSince.IsZero() {
 			l = append(l, m)
 		}
 	}
@@ -125,54 +267,100 @@
 	return l
 }
 
-// inWave reports whether the machine is about to be maintained.
-func (c *Core) inWave(m *machine) bool {
-	return !m.emptyingSince.IsZero()
+// borrow takes hosts from pools that have more than they want. Hosts without
+// runs move at once; others run empty first, if no lasting tasks are there.
+func (c *Core) borrow(d *demand, plan []demand) {
+	c.tendLent(d)
+	for i := len(plan) - 1; i >= 0 && d.have < d.want && d.waits; i-- {
+		from := &plan[i]
+		if from.service == d.service || from.have <= from.want {
+			continue
+		}
+		for _, m := range c.lendable(from.service) {
+			if d.have >= d.want || from.have <= from.want {
+				break
+			}
+			if c.balance.forbidden[kindPool{m.Kind(), d.service}] {
+				continue
+			}
+			m.lend = d.service
+			m.emptyingSince = c.now
+			c.byHost[m.Name].leaving = true
+			from.have--
+			d.have++
+		}
+	}
+	c.tendLent(d)
 }
 
-func (c *Core) move(m *machine, pool string) {
-	m.order = &machineOrder{pool: pool, sentAt: c.now, worker: m.Worker}
-	c.do(Note{What: "move", Inputs: []any{"machine", m.Name, "from", m.Pool, "to", pool, "wanting", c.balance.wanting[pool]}})
-	c.send(m)
+// lendable returns the hosts of a pool without lasting tasks, the emptiest
+// first.
+func (c *Core) lendable(pool string) []*machine {
+	var l []*machine
+	for _, m := range c.movable(pool) {
+		w := c.byHost[m.Name]
+		if w != nil && w.met && !w.Draining && !w.leaving && !w.lasting() {
+			l = append(l, m)
+		}
+	}
+	slices.SortStableFunc(l, func(a, b *machine) int {
+		return cmp.Compare(c.byHost[a.Name].used.MilliCores, c.byHost[b.Name].used.MilliCores)
+	})
+	return l
 }
 
-// giveBack sends one idle host of the pool to the spare pool, if the others
-// have room to spare.
-func (c *Core) giveBack(service, spare string) {
-	l := c.idleMachines(service)
-	if len(l) == 0 {
-		return
-	}
-	var free int64
-	for _, w := range c.pools[service] {
-		if w.takes(c.now) {
-			free += w.Capacity.MilliCores - w.used.MilliCores
+// lasting reports whether lasting tasks run on the worker.
+func (w *worker) lasting() bool {
+	for _, r := range w.runs {
+		if r.task.of.Lasting {
+			return true
 		}
 	}
-	for _, m := range l {
-		w := c.workerOf(m)
-		free -= w.Capacity.MilliCores - w.used.MilliCores
-		if free < marginHosts*w.Capacity.MilliCores {
-			return
+	return false
+}
+
+// tendLent moves the hosts that are to be lent to the pool once they are empty,
+// and takes back what is not needed or takes too long.
+func (c *Core) tendLent(d *demand) {
+	for _, m := range c.byName {
+		if m.lend != d.service || m.order != nil {
+			continue
 		}
+		w := c.byHost[m.Name]
+		switch {
+		case w == nil || len(w.runs) == 0:
+			m.lend = ""
+			c.move(m, d.service, d)
+		case !d.waits || c.now.Sub(m.emptyingSince) > lendPatience:
+			m.lend = ""
+			m.emptyingSince = time.Time{}
+			w.leaving = false
+			d.have--
+		}
+	}
+}
+
+func (c *Core) move(m *machine, pool string, d *demand) {
+	m.order = &machineOrder{pool: pool, sentAt: c.now, worker: m.Worker}
+	if w := c.byHost[m.Name]; w != nil {
 		w.leaving = true
-		c.move(m, spare)
 	}
+	c.do(Note{What: "move", Inputs: []any{"machine", m.Name, "from", m.Pool, "to", pool, "want", d.want, "have", d.have, "waits", d.waits}})
+	c.send(m)
 }
 
-// idleMachines returns the machines of a pool that have long been without runs.
-func (c *Core) idleMachines(service string) []*machine {
-	var l []*machine
-	for _, m := range c.byName {
-		if m.Pool != service || m.order != nil || m.State != platform.MachineUp || c.now.Before(m.retryAt) || c.inWave(m) {
-			continue
+// giveBack sends hosts that a pool has not wanted for a while to the spare
+// pool.
+func (c *Core) giveBack(d *demand, spare string) {
+	for _, m := range c.movable(d.service) {
+		if d.have <= d.want {
+			return
 		}
-		w := c.workerOf(m)
+		w := c.byHost[m.Name]
 		if w == nil || w.leaving || w.Draining || !w.met || len(w.runs) > 0 || c.now.Sub(w.idleSince) < idleFor {
 			continue
 		}
-		l = append(l, m)
+		c.move(m, spare, d)
+		d.have--
 	}
-	slices.SortFunc(l, func(a, b *machine) int { return cmp.Compare(b.Name, a.Name) })
-	return l
 }
--- a/job/waves.go
+++ b/job/waves.go
@@ -152,7 +152,7 @@
 	cost := map[*machine]int{}
 	for n := range v.todo {
 		m := c.byName[n]
-		if m == nil || m.order != nil || m.State != platform.MachineUp || c.now.Before(m.retryAt) {
+		if m == nil || m.order != nil || m.lend != "" || m.State != platform.MachineUp || c.now.Before(m.retryAt) {
 			continue
 		}
 		w := c.workerOf(m)
