Count each failed run once, keep early cancel marks, settle machine orders by their list

LOST 'shown as failed': a worker told the next owner again of a failed run that the progress counted already. LIMIT: an order to a machine that had no worker was taken as done by a list from before it. Ruled out for LOST: a wrong budget in the configuration.

--- a/job/core.go
+++ b/job/core.go
@@ -17,6 +17,8 @@
 	config  *platform.Deployed
 	queues  map[string]platform.Queue
 	jobs    map[ID]*job
+	// cancelled are jobs whose cancelling was seen before their record.
+	cancelled map[ID]bool
 	// live are the jobs that are not final.
 	live    map[ID]*job
 	workers map[platform.WorkerID]*worker
@@ -48,6 +50,7 @@
 		queues:     map[string]platform.Queue{},
 		jobs:       map[ID]*job{},
 		live:       map[ID]*job{},
+		cancelled:  map[ID]bool{},
 		workers:    map[platform.WorkerID]*worker{},
 		pools:      map[string][]*worker{},
 		byHost:     map[string]*worker{},
@@ -166,6 +169,10 @@
 	}
 	c.advance(j)
 	c.rescan = true
+	if c.cancelled[id] {
+		delete(c.cancelled, id)
+		CancelAsked{ID: id}.apply(c)
+	}
 }
 
 // openDue makes those times of a job that have come due.
@@ -228,7 +235,12 @@
 // apply cancels a job.
 func (e CancelAsked) apply(c *Core) {
 	j := c.jobs[e.ID]
-	if j == nil || j.state.Final() {
+	if j == nil {
+		// A list names the marks before the jobs.
+		c.cancelled[e.ID] = true
+		return
+	}
+	if j.state.Final() {
 		c.forgetCancel(e.ID)
 		return
 	}
--- a/job/looks.go
+++ b/job/looks.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"amberway/platform"
@@ -162,7 +163,7 @@
 		c.taskDone(t, r)
 		return true
 	case platform.EndFailed:
-		c.taskFailed(t)
+		c.taskFailed(t, e.Run)
 		return true
 	}
 	if t.of.Gang {
@@ -208,29 +209,21 @@
 	}
 }
 
-func (c *Core) taskFailed(t *task) {
+func (c *Core) taskFailed(t *task, run int64) {
 	j := t.of.of.job
 	c.begin(j)
 	c.mark(j)
-	if t.done {
-		return
-	}
-	t.failures++
 	if t.of.Gang {
+		// The members of a gang share their runs and so their failures.
 		t = t.of.tasks[0]
-		t.failures = max(t.failures, t.of.mostFailures())
 	}
-	if t.failures >= max(1, j.queue.Attempts) {
-		c.finalise(j, platform.StateFailed, "task "+t.key().String()+" has failed as often as its queue allows")
+	if t.done || slices.Contains(t.failed, run) {
+		return
 	}
-}
-
-func (s *step) mostFailures() int {
-	n := 0
-	for _, t := range s.tasks {
-		n = max(n, t.failures)
+	t.failed = append(t.failed, run)
+	if len(t.failed) >= max(1, j.queue.Attempts) {
+		c.finalise(j, platform.StateFailed, "task "+t.key().String()+" has failed as often as its queue allows")
 	}
-	return n
 }
 
 func (c *Core) begin(j *job) {
--- a/job/machines.go
+++ b/job/machines.go
@@ -16,6 +16,8 @@
 	// under way, listIdle otherwise.
 	listEvery = 600 * time.Millisecond
 	listIdle  = 4 * time.Second
+	// orderShows is how long after an order the list is sure to show it.
+	orderShows = 100 * time.Millisecond
 	// orderRetry is the pause after an order that was refused or not answered.
 	orderRetry = 500 * time.Millisecond
 )
@@ -51,9 +53,8 @@
 	pool   string
 	wave   *wave
 	sentAt time.Time
-	// taken says that the platform has answered with success.
-	taken  bool
-	worker platform.WorkerID
+	// takenAt is when the platform answered with success.
+	takenAt time.Time
 }
 
 // ListMachines reads the list of machines.
@@ -148,26 +149,19 @@
 	}
 }
 
-// settleOrder ends an order whose machine is up again.
+// settleOrder ends an order whose machine is up in a list that was asked for
+// after the order was taken. An order that was done already leaves the machine
+// as it was.
 func (c *Core) settleOrder(m *machine, listSentAt time.Time) {
 	o := m.order
-	if o == nil || !o.taken || !o.sentAt.Before(listSentAt) || m.State != platform.MachineUp {
-		return
-	}
-	if o.pool != "" && m.Pool != o.pool {
-		return
-	}
-	if w := c.workers[o.worker]; w != nil && o.worker != "" && m.Worker == o.worker {
-		// The list has not yet seen the order.
+	if o == nil || o.takenAt.IsZero() || listSentAt.Before(o.takenAt.Add(orderShows)) || m.State != platform.MachineUp {
 		return
 	}
 	if o.wave != nil {
 		o.wave.finish(m.Name)
 	}
 	c.do(Note{What: "machine up", Why: "its order is done", Inputs: []any{"machine", m.Name, "pool", m.Pool, "took_ms", c.now.Sub(o.sentAt).Milliseconds()}})
-	m.order = nil
-	m.lend = ""
-	m.emptyingSince = time.Time{}
+	c.clearOrder(m)
 }
 
 // apply takes in the answer to an order.
@@ -181,7 +175,7 @@
 	c.do(Note{What: "machine ordered", Why: string(e.Verdict) + errorText(e.Err), Inputs: []any{"machine", e.Machine, "pool", o.pool, "wave", o.wave.name()}})
 	switch {
 	case e.Err == nil && e.Verdict == platform.OrderTaken:
-		o.taken = true
+		o.takenAt = c.now
 		if o.wave != nil {
 			c.waveBegan(o.wave, m.Name)
 		}
@@ -234,7 +228,7 @@
 
 // resend repeats an order whose answer was lost.
 func (c *Core) resend(m *machine) {
-	if m.order == nil || m.order.taken || m.retryAt.IsZero() || c.now.Before(m.retryAt) {
+	if m.order == nil || !m.order.takenAt.IsZero() || m.retryAt.IsZero() || c.now.Before(m.retryAt) {
 		return
 	}
 	m.retryAt = time.Time{}
--- a/job/orders.go
+++ b/job/orders.go
@@ -36,7 +36,7 @@
 		Snapshot: t.snapshot,
 		Ticket:   ticket,
 	}
-	c.do(Note{What: "start", Job: n.job.id, Task: o.Task, Run: number, Worker: w.ID, Inputs: []any{"waited_ms", c.now.Sub(n.due).Milliseconds(), "used", w.used.MilliCores, "failures", t.failures}})
+	c.do(Note{What: "start", Job: n.job.id, Task: o.Task, Run: number, Worker: w.ID, Inputs: []any{"waited_ms", c.now.Sub(n.due).Milliseconds(), "used", w.used.MilliCores, "failures", len(t.failed)}})
 	c.do(StartRun{Worker: w.Worker, Order: o})
 }
 
--- a/job/pools.go
+++ b/job/pools.go
@@ -341,7 +341,7 @@
 }
 
 func (c *Core) move(m *machine, pool string, d *demand) {
-	m.order = &machineOrder{pool: pool, sentAt: c.now, worker: m.Worker}
+	m.order = &machineOrder{pool: pool, sentAt: c.now}
 	if w := c.byHost[m.Name]; w != nil {
 		w.leaving = true
 	}
--- a/job/progress.go
+++ b/job/progress.go
@@ -31,11 +31,12 @@
 	Whole    bool           `json:"w,omitempty"`
 }
 
-// TaskFailures counts the failed runs of one task.
+// TaskFailures are the failed runs of one task, by number: a worker tells of an
+// end again to the next owner until it has forgotten it.
 type TaskFailures struct {
-	Step  int `json:"s"`
-	Index int `json:"i"`
-	Count int `json:"n"`
+	Step  int     `json:"s"`
+	Index int     `json:"i"`
+	Runs  []int64 `json:"r"`
 }
 
 func encodeProgress(p Progress) ([]byte, error) {
@@ -82,8 +83,8 @@
 			switch {
 			case t.done:
 				p.Done[i].SetBit(p.Done[i], x, 1)
-			case t.failures > 0:
-				p.Failures = append(p.Failures, TaskFailures{Step: i, Index: x, Count: t.failures})
+			case len(t.failed) > 0:
+				p.Failures = append(p.Failures, TaskFailures{Step: i, Index: x, Runs: t.failed})
 			}
 		}
 	}
@@ -101,7 +102,7 @@
 	}
 	for _, f := range p.Failures {
 		if f.Step < len(n.steps) && f.Index < len(n.steps[f.Step].tasks) {
-			n.steps[f.Step].tasks[f.Index].failures = f.Count
+			n.steps[f.Step].tasks[f.Index].failed = f.Runs
 		}
 	}
 }
--- a/job/state.go
+++ b/job/state.go
@@ -59,10 +59,11 @@
 
 // task is one task of a step.
 type task struct {
-	of       *step
-	index    int
-	done     bool
-	failures int
+	of    *step
+	index int
+	done  bool
+	// failed are the numbers of its failed runs.
+	failed   []int64
 	runs     []*run
 	snapshot string
 	// avoid is the worker on which the last run did not do well.
@@ -196,7 +197,7 @@
 			return false
 		}
 		for _, t := range s.tasks {
-			if t.failures > 0 {
+			if len(t.failed) > 0 {
 				return false
 			}
 		}
--- a/job/waves.go
+++ b/job/waves.go
@@ -132,19 +132,32 @@
 	if c.now.Before(c.ordersAt) {
 		return
 	}
-	free := max(1, v.Cap) - len(v.down)
+	free := max(1, v.Cap) - c.waveDown(v)
 	for i, m := range c.waveOrder(v) {
 		if i >= free+waveAhead {
 			return
 		}
-		if c.empty(m, wavePatience) && len(v.down) < max(1, v.Cap) {
-			m.order = &machineOrder{wave: v, sentAt: c.now, worker: m.Worker}
+		if c.empty(m, wavePatience) && c.waveDown(v) < max(1, v.Cap) {
+			m.order = &machineOrder{wave: v, sentAt: c.now}
 			v.down[m.Name] = true
 			c.send(m)
 		}
 	}
 }
 
+// waveDown counts the machines of the wave that are down or may be: those with
+// an order of this owner, and those that an earlier owner's order still holds.
+func (c *Core) waveDown(v *wave) int {
+	n := len(v.down)
+	for _, name := range v.Machines {
+		m := c.byName[name]
+		if m != nil && !v.down[name] && (m.State == platform.MachineUpkeep || m.State == platform.MachineDown) {
+			n++
+		}
+	}
+	return n
+}
+
 // waveOrder returns the machines that can be maintained, those first that are
 // being emptied, then those whose upkeep ends least.
 func (c *Core) waveOrder(v *wave) []*machine {
