--- a/job/lasting.go
+++ b/job/lasting.go
@@ -47,13 +47,26 @@
 	}
 	away := 0
 	for _, o := range s.tasks {
-		if o != t && !o.atWork {
+		if o != t && !o.sound() {
 			away++
 		}
 	}
 	return away < s.MayMiss
 }
 
+// sound reports whether a lasting task is at work on a worker that answers.
+func (t *task) sound() bool {
+	if !t.atWork {
+		return false
+	}
+	for _, r := range t.runs {
+		if r.at.silent > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // evacuate ends the lasting runs on a worker that is to be emptied, as far as
 // their steps bear it now. It reports whether none is left.
 func (c *Core) evacuate(w *worker) bool {
--- a/job/looks.go
+++ b/job/looks.go
@@ -51,7 +51,8 @@
 
 func (c *Core) look(w *worker) {
 	o := platform.LookOrder{Fence: c.fence, LastSeen: w.kept}
-	if w.met {
+	if w.met && w.silent == 0 {
+		// A silent worker's lease is left to lapse.
 		o.Until = w.lease(c.now)
 	}
 	if w.met && w.silent == 0 && w.seen == w.kept && len(w.runs) > 0 && len(w.strays) == 0 {
--- a/job/machines.go
+++ b/job/machines.go
@@ -138,6 +138,7 @@
 		}
 		m.Machine = v
 		c.settleOrder(m, e.SentAt)
+		c.compareLife(m)
 		if m.order != nil {
 			c.listAt = c.now.Add(listEvery)
 		}
@@ -149,6 +150,20 @@
 	}
 }
 
+// compareLife marks the record of a worker that its machine does not run any
+// more. A silent one is given up at once.
+func (c *Core) compareLife(m *machine) {
+	for _, w := range c.workers {
+		if w.Host != m.Name {
+			continue
+		}
+		w.stale = m.Worker != w.ID
+		if w.stale && w.silent > 0 && m.Worker != "" && m.State == platform.MachineUp {
+			c.lose(w, "its machine runs another life, by the list of machines")
+		}
+	}
+}
+
 // settleOrder ends an order whose machine is up in a list that was asked for
 // after the order was taken. An order that was done already leaves the machine
 // as it was.
@@ -221,9 +236,26 @@
 	return b
 }
 
-// workerOf returns the worker on the machine, or nil.
+// workerOf returns the worker on the machine, or nil. A worker whose record has
+// gone from the store may live on.
 func (c *Core) workerOf(m *machine) *worker {
-	return c.byHost[m.Name]
+	if w := c.byHost[m.Name]; w != nil {
+		return w
+	}
+	if m.Worker == "" {
+		return nil
+	}
+	return c.workers[m.Worker]
+}
+
+// known reports whether what runs on the machine is known: nothing where it has
+// no worker, else what its worker has answered of late.
+func (c *Core) known(m *machine) bool {
+	if m.Worker == "" {
+		return true
+	}
+	w := c.workers[m.Worker]
+	return w != nil && w.met && w.silent == 0
 }
 
 // resend repeats an order whose answer was lost.
@@ -248,6 +280,9 @@
 // empty keeps new runs from the machine and evacuates it. It reports whether
 // nothing is left that is worth waiting for.
 func (c *Core) empty(m *machine, patience time.Duration) bool {
+	if !c.known(m) {
+		return false
+	}
 	w := c.workerOf(m)
 	if w == nil {
 		return true
--- a/job/pools.go
+++ b/job/pools.go
@@ -299,7 +299,7 @@
 	var l []*machine
 	for _, m := range c.movable(pool) {
 		w := c.byHost[m.Name]
-		if w != nil && w.met && !w.Draining && !w.leaving && !w.lasting() {
+		if w != nil && c.known(m) && !w.Draining && !w.leaving && !w.lasting() {
 			l = append(l, m)
 		}
 	}
@@ -357,7 +357,7 @@
 			return
 		}
 		w := c.byHost[m.Name]
-		if w == nil || w.leaving || w.Draining || !w.met || len(w.runs) > 0 || c.now.Sub(w.idleSince) < idleFor {
+		if w == nil || w.leaving || w.Draining || !c.known(m) || len(w.runs) > 0 || c.now.Sub(w.idleSince) < idleFor {
 			continue
 		}
 		c.move(m, spare, d)
--- a/job/query.go
+++ b/job/query.go
@@ -46,7 +46,7 @@
 func (c *Core) checkReach() {
 	silent, tried := 0, 0
 	for _, w := range c.workers {
-		if !w.listed || (w.met && len(w.runs) == 0 && w.silent == 0) {
+		if !w.listed || w.stale || w.leaving || (w.met && len(w.runs) == 0 && w.silent == 0) {
 			continue
 		}
 		tried++
--- a/job/waves.go
+++ b/job/waves.go
@@ -169,7 +169,7 @@
 			continue
 		}
 		w := c.workerOf(m)
-		if w != nil && w.Draining {
+		if !c.known(m) || (w != nil && w.Draining) {
 			continue
 		}
 		l = append(l, m)
--- a/job/worker.go
+++ b/job/worker.go
@@ -37,6 +37,9 @@
 	// listed says that the store has its record; unlisted workers get no
 	// starts. goneAt is when the record went.
 	listed bool
+	// stale says that its machine runs another life or none, by the list of
+	// machines, so that its record is about to go.
+	stale bool
 	// inherited says that an earlier owner may have started runs on it;
 	// rostered, that the store says so of this owner.
 	inherited, rostered bool
@@ -138,7 +141,7 @@
 
 // takes reports whether the worker may get starts now.
 func (w *worker) takes(now time.Time) bool {
-	return w.listed && w.met && w.rostered && !w.Draining && !w.leaving && w.silent == 0 &&
+	return w.listed && !w.stale && w.met && w.rostered && !w.Draining && !w.leaving && w.silent == 0 &&
 		!now.Before(w.fullUntil) && !now.Before(w.setAside)
 }
 
