--- /dev/null
+++ b/job/core_test.go
@@ -0,0 +1,447 @@
+package job
+
+import (
+	"errors"
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/platform"
+)
+
+// fixture drives a Core by hand: it answers writes and looks as told.
+type fixture struct {
+	t    *testing.T
+	core *Core
+	now  time.Time
+	// out are the actions since they were last taken.
+	out   []Action
+	looks map[platform.WorkerID]LookAt
+	// holdWrites keeps writes unanswered.
+	holdWrites bool
+	clock      platform.WorkerClock
+}
+
+func newFixture(t *testing.T) *fixture {
+	return newOwnerFixture(t, 100)
+}
+
+func newOwnerFixture(t *testing.T, fence platform.Fence) *fixture {
+	f := &fixture{t: t, now: time.Unix(1e9, 0), looks: map[platform.WorkerID]LookAt{}, clock: 1000}
+	f.core = New(fence, "entry-1", f.now)
+	f.step(ConfigTaken{Config: testConfig()})
+	return f
+}
+
+func testConfig() *platform.Deployed {
+	return &platform.Deployed{
+		Version: 1,
+		Queues: []platform.Queue{
+			{Name: "quick", Host: "h", Prefix: "/q/", Service: "blue", Attempts: 2, Stretch: 1.5, Goal: time.Second},
+			{Name: "patient", Host: "h", Prefix: "/p/", Service: "blue", Priority: 1, Attempts: 3, Stretch: 2, Goal: time.Second},
+		},
+		Services: []platform.Service{{Name: "blue", Guards: true}, {Name: "green", Guards: true}, {Name: "spare", Spare: true}},
+	}
+}
+
+// step takes in the event and answers writes.
+func (f *fixture) step(e Event) {
+	l := f.core.Step(f.now, e)
+	for _, a := range l {
+		f.out = append(f.out, a)
+		switch a := a.(type) {
+		case LookAt:
+			f.looks[a.Worker.ID] = a
+		case Keep:
+			if !f.holdWrites {
+				f.step(Kept{Number: a.Number})
+			}
+		}
+	}
+}
+
+// pass lets time pass in steps of one tick.
+func (f *fixture) pass(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(tickEvery)
+		f.clock += platform.WorkerClock(tickEvery.Milliseconds())
+		f.step(Tick{})
+	}
+}
+
+func testWorker(id, service string) platform.Worker {
+	return platform.Worker{
+		ID: platform.WorkerID(id), Service: service, Host: "host-of-" + id,
+		Address:  netip.MustParseAddrPort("10.0.0.1:80"),
+		Capacity: platform.Resources{MilliCores: 4000, MemoryMB: 8000}, Labels: []string{"a", "r1-1"},
+	}
+}
+
+// join adds workers that have answered a look.
+func (f *fixture) join(ids ...string) {
+	for _, id := range ids {
+		f.step(WorkerListed{Worker: testWorker(id, "blue")})
+		f.answer(id, platform.Look{})
+	}
+}
+
+// answer answers the look under way at a worker.
+func (f *fixture) answer(id string, l platform.Look) {
+	a, ok := f.looks[platform.WorkerID(id)]
+	require.True(f.t, ok, "no look at %s is under way", id)
+	delete(f.looks, platform.WorkerID(id))
+	l.Clock = f.clock
+	f.step(Looked{Worker: platform.WorkerID(id), SentAt: f.now, Acked: a.Order.LastSeen, Look: l})
+}
+
+func (f *fixture) fail(id string, err error) {
+	delete(f.looks, platform.WorkerID(id))
+	f.step(Looked{Worker: platform.WorkerID(id), SentAt: f.now, Err: err})
+}
+
+// starts takes the orders to start that were given since the last call.
+func (f *fixture) starts() []StartRun {
+	var l []StartRun
+	var rest []Action
+	for _, a := range f.out {
+		if s, ok := a.(StartRun); ok {
+			l = append(l, s)
+		} else {
+			rest = append(rest, a)
+		}
+	}
+	f.out = rest
+	return l
+}
+
+func (f *fixture) stops() []StopRun {
+	var l []StopRun
+	for _, a := range f.out {
+		if s, ok := a.(StopRun); ok {
+			l = append(l, s)
+		}
+	}
+	return l
+}
+
+func (f *fixture) took(s StartRun) {
+	f.step(Started{Worker: s.Worker.ID, Run: s.Order.Run, Task: s.Order.Task, Clock: f.clock})
+}
+
+func (f *fixture) submit(id string, queue string, steps ...platform.Step) {
+	q := f.core.queues[queue]
+	r := NewRecord(q, platform.Submission{Spec: "spec", Steps: steps}, f.now)
+	require.NoError(f.t, r.Check())
+	f.step(Accepted{ID: ID(id), Record: r, Created: platform.Revision(1000 + len(f.core.jobs))})
+}
+
+func (f *fixture) state(id string) platform.State {
+	s, ok := f.core.StateOf(ID(id))
+	require.True(f.t, ok)
+	return s
+}
+
+func ended(n int64, s StartRun, how platform.End) platform.EndedRow {
+	return platform.EndedRow{Number: n, Task: s.Order.Task, Run: s.Order.Run, How: how}
+}
+
+func runningRow(s StartRun, percent int) platform.RunningRow {
+	return platform.RunningRow{Task: s.Order.Task, Run: s.Order.Run, Percent: percent}
+}
+
+func oneTask() platform.Step {
+	return platform.Step{Count: 1, Resources: platform.Resources{MilliCores: 1000, MemoryMB: 10}, Estimate: time.Second}
+}
+
+const idA, idB = "00000000000000aa", "00000000000000bb"
+
+func TestJobSucceedsOnceItsEndsAreKept(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idA, "quick", oneTask(), platform.Step{Count: 2, Resources: platform.Resources{MilliCores: 500}, After: []int{0}})
+	require.Equal(t, platform.StateQueued, f.state(idA))
+	l := f.starts()
+	require.Len(t, l, 1, "the second step waits for the first")
+	f.took(l[0])
+	require.Equal(t, platform.StateRunning, f.state(idA))
+	f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndDone)}})
+	next := f.starts()
+	require.Len(t, next, 2)
+	f.took(next[0])
+	f.took(next[1])
+	f.pass(200 * time.Millisecond)
+	f.holdWrites = true
+	f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(2, next[0], platform.EndDone), ended(3, next[1], platform.EndDone)}})
+	require.Equal(t, platform.StateRunning, f.state(idA), "the store does not have the end yet")
+	f.step(Kept{Number: f.core.number})
+	require.Equal(t, platform.StateSucceeded, f.state(idA))
+}
+
+func TestEndIsForgottenOnlyAfterItIsKept(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idA, "quick", oneTask(), platform.Step{Count: 1, After: []int{0}})
+	l := f.starts()
+	f.took(l[0])
+	f.holdWrites = true
+	f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndDone)}})
+	f.pass(lookWait + 200*time.Millisecond)
+	if a, ok := f.looks["w1"]; ok {
+		require.Zero(t, a.Order.LastSeen)
+		f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndDone)}})
+	}
+	f.holdWrites = false
+	f.step(Kept{Number: f.core.number})
+	f.pass(time.Second)
+	require.EqualValues(t, 1, f.looks["w1"].Order.LastSeen)
+}
+
+func TestLostAnswerOfAStartIsSettledByAStopBeforeTheTaskRunsElsewhere(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1", "w2")
+	f.submit(idA, "quick", oneTask())
+	l := f.starts()
+	f.step(Started{Worker: l[0].Worker.ID, Run: l[0].Order.Run, Task: l[0].Order.Task, Err: platform.ErrUnknown})
+	id := string(l[0].Worker.ID)
+	for range 10 {
+		f.pass(100 * time.Millisecond)
+		if _, ok := f.looks[platform.WorkerID(id)]; ok {
+			f.answer(id, platform.Look{})
+		}
+	}
+	require.Empty(t, f.starts(), "the order may still be carried out")
+	s := f.stops()
+	require.NotEmpty(t, s)
+	require.Equal(t, l[0].Order.Run, s[0].Run)
+	f.step(Stopped{Worker: s[0].Worker.ID, Run: s[0].Run, Task: s[0].Task, Clock: f.clock})
+	f.pass(50 * time.Millisecond)
+	f.answer(id, platform.Look{})
+	next := f.starts()
+	require.Len(t, next, 1)
+	require.Greater(t, next[0].Order.Run, l[0].Order.Run)
+}
+
+func TestRunThatIsListedAfterALostAnswerGoesOn(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idA, "quick", oneTask())
+	l := f.starts()
+	f.step(Started{Worker: "w1", Run: l[0].Order.Run, Task: l[0].Order.Task, Err: platform.ErrUnknown})
+	f.pass(50 * time.Millisecond)
+	f.answer("w1", platform.Look{Running: []platform.RunningRow{runningRow(l[0], 10)}})
+	f.pass(time.Second)
+	require.Empty(t, f.stops())
+}
+
+func TestSilentWorkerIsGivenUpWhenItsLeaseHasLapsedAndNotBefore(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idA, "quick", oneTask())
+	l := f.starts()
+	f.took(l[0])
+	f.join("w2")
+	begun := f.now
+	f.fail("w1", platform.ErrUnknown)
+	for len(f.starts()) == 0 {
+		require.Less(t, f.now.Sub(begun), 2*leaseFor, "the task is never given up")
+		f.pass(tickEvery)
+		if _, ok := f.looks["w1"]; ok {
+			require.Zero(t, f.looks["w1"].Order.Until, "a look at a silent worker extends its lease")
+			f.fail("w1", platform.ErrUnknown)
+		}
+	}
+	require.GreaterOrEqual(t, f.now.Sub(begun), leaseFor)
+}
+
+func TestRepeatedFailedEndCountsOnceAcrossOwners(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idA, "quick", oneTask())
+	l := f.starts()
+	f.took(l[0])
+	f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndFailed)}})
+	p := f.core.jobs[idA].progress()
+	rec := f.core.jobs[idA].Record
+
+	next := newOwnerFixture(t, 200)
+	next.step(Inherited{
+		Config: testConfig(), Workers: []platform.Worker{testWorker("w1", "blue")},
+		Jobs: []Accepted{{ID: idA, Record: rec, Created: 50}}, Progress: map[ID]Progress{idA: p},
+	})
+	next.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndFailed)}})
+	require.Equal(t, platform.StateRunning, next.state(idA), "one failed run was counted twice")
+	again := next.starts()
+	require.Len(t, again, 1)
+	next.took(again[0])
+	next.pass(100 * time.Millisecond)
+	next.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(2, again[0], platform.EndFailed)}})
+	require.Equal(t, platform.StateFailed, next.state(idA))
+}
+
+func TestCancelMarkThatIsSeenBeforeItsJobCancelsIt(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.step(CancelAsked{ID: idA})
+	f.submit(idA, "quick", oneTask())
+	require.Equal(t, platform.StateCancelled, f.state(idA))
+	require.Empty(t, f.starts())
+}
+
+func TestNextOwnerWaitsForWorkersThatMayRunAnInheritedTask(t *testing.T) {
+	f := newFixture(t)
+	rec := NewRecord(f.core.queues["quick"], platform.Submission{Spec: "s", Steps: []platform.Step{oneTask()}}, f.now)
+	gone := RosterEntry{ID: "w2", Service: "blue", Host: "host-of-w2", Address: netip.MustParseAddrPort("10.0.0.2:80")}
+	f.step(Inherited{
+		Config: testConfig(), Workers: []platform.Worker{testWorker("w1", "blue")},
+		Jobs:   []Accepted{{ID: idA, Record: rec, Created: 50}},
+		Roster: Roster{Workers: []RosterEntry{gone}},
+	})
+	f.answer("w1", platform.Look{})
+	require.Empty(t, f.starts(), "w2 may run the task")
+	f.submit(idB, "quick", oneTask())
+	require.Len(t, f.starts(), 1, "no earlier owner has seen the new job")
+	f.answer("w2", platform.Look{})
+	require.Len(t, f.starts(), 1)
+}
+
+func TestInheritedRunIsTakenOver(t *testing.T) {
+	f := newFixture(t)
+	rec := NewRecord(f.core.queues["quick"], platform.Submission{Spec: "s", Steps: []platform.Step{oneTask()}}, f.now)
+	f.step(Inherited{
+		Config: testConfig(), Workers: []platform.Worker{testWorker("w1", "blue")},
+		Jobs: []Accepted{{ID: idA, Record: rec, Created: 50}},
+	})
+	task := taskKey{id: idA}.String()
+	f.answer("w1", platform.Look{Running: []platform.RunningRow{{Task: task, Run: 7, Percent: 30}, {Task: taskKey{id: idB}.String(), Run: 8}}})
+	require.Empty(t, f.starts())
+	require.Equal(t, platform.StateRunning, f.state(idA))
+	s := f.stops()
+	require.Len(t, s, 1, "a run of no job is stopped")
+	require.EqualValues(t, 8, s[0].Run)
+}
+
+func TestRecordOfAnEarlierLifeDoesNotEndTheLaterOne(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1", "w2")
+	f.submit(idA, "quick", oneTask())
+	l := f.starts()
+	f.took(l[0])
+	stale := testWorker("older", "blue")
+	stale.Host = l[0].Worker.Host
+	f.step(WorkerListed{Worker: stale})
+	require.Empty(t, f.starts())
+	require.Contains(t, f.core.workers, l[0].Worker.ID)
+}
+
+func TestHigherFenceEndsTheOwnership(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idA, "quick", oneTask())
+	l := f.starts()
+	f.step(Started{Worker: "w1", Run: l[0].Order.Run, Task: l[0].Order.Task, Rejection: platform.RejectedFence})
+	require.Contains(t, f.out, Action(StepDown{Why: "a worker has seen a higher fence"}))
+}
+
+func TestGangStartsWholeAndEndsByOneDone(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	g := platform.Step{Count: 3, Resources: platform.Resources{MilliCores: 2000}, Gang: true, Estimate: time.Second}
+	f.submit(idA, "quick", g)
+	require.Empty(t, f.starts(), "there is room for two of three")
+	f.join("w2")
+	l := f.starts()
+	require.Len(t, l, 3)
+	require.Equal(t, l[0].Order.Run, l[2].Order.Run)
+	for _, s := range l {
+		f.took(s)
+	}
+	f.answer(string(l[0].Worker.ID), platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndDone)}})
+	require.Equal(t, platform.StateSucceeded, f.state(idA))
+}
+
+func TestTimesStartWhenTheyAreDue(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	r := NewRecord(f.core.queues["quick"], platform.Submission{
+		Spec: "s", Steps: []platform.Step{oneTask()}, Times: 2, First: f.now.Add(time.Second), Every: time.Second,
+	}, f.now)
+	f.step(Accepted{ID: idA, Record: r, Created: 1000})
+	f.pass(900 * time.Millisecond)
+	require.Empty(t, f.starts())
+	f.pass(200 * time.Millisecond)
+	require.Len(t, f.starts(), 1)
+	f.pass(time.Second)
+	require.Len(t, f.starts(), 1)
+}
+
+func TestTasksOfAStepKeepToTheirBoundOnOneWorker(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1", "w2")
+	s := oneTask()
+	s.Count = 3
+	s.MaxPerWorker = 1
+	s.Lasting = true
+	f.submit(idA, "quick", s)
+	l := f.starts()
+	require.Len(t, l, 2)
+	require.NotEqual(t, l[0].Worker.ID, l[1].Worker.ID)
+}
+
+func TestLastingTaskStartsAgainHoweverItEnds(t *testing.T) {
+	for i, how := range []platform.End{platform.EndDone, platform.EndFailed, platform.EndLapsed, platform.EndStopped} {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			f := newFixture(t)
+			f.join("w1")
+			s := oneTask()
+			s.Lasting = true
+			f.submit(idA, "quick", s)
+			l := f.starts()
+			f.took(l[0])
+			f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, l[0], how)}})
+			f.pass(restartLater + 100*time.Millisecond)
+			require.Len(t, f.starts(), 1)
+		})
+	}
+}
+
+func TestUrgentQueueGoesFirst(t *testing.T) {
+	f := newFixture(t)
+	s := oneTask()
+	s.MilliCores = 4000
+	f.submit(idA, "patient", s)
+	f.submit(idB, "quick", s)
+	f.join("w1")
+	l := f.starts()
+	require.Len(t, l, 1)
+	require.Equal(t, taskKey{id: idB}.String(), l[0].Order.Task)
+}
+
+func TestRefusedStartIsTriedElsewhere(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1", "w2")
+	f.submit(idA, "quick", oneTask())
+	l := f.starts()
+	f.step(Started{Worker: l[0].Worker.ID, Run: l[0].Order.Run, Task: l[0].Order.Task, Err: platform.ErrRefused})
+	f.pass(100 * time.Millisecond)
+	next := f.starts()
+	require.Len(t, next, 1)
+	require.NotEqual(t, l[0].Worker.ID, next[0].Worker.ID)
+}
+
+func TestWriteThatFailsIsMadeAgain(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idA, "quick", oneTask())
+	l := f.starts()
+	f.took(l[0])
+	f.holdWrites = true
+	f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndDone)}})
+	f.step(Kept{Number: f.core.number, Err: errors.New("store is away")})
+	require.Equal(t, platform.StateRunning, f.state(idA))
+	f.holdWrites = false
+	f.pass(2 * keepRetry)
+	require.Equal(t, platform.StateSucceeded, f.state(idA))
+}
--- /dev/null
+++ b/job/machines_test.go
@@ -0,0 +1,167 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/platform"
+)
+
+// lists answers the list of machines for the fixture's workers.
+func (f *fixture) machinesAre(l ...platform.Machine) {
+	f.step(MachinesListed{SentAt: f.now, Machines: l})
+}
+
+func machineOf(id, pool string) platform.Machine {
+	return platform.Machine{
+		Name: "host-of-" + id, Pool: pool, State: platform.MachineUp, Worker: platform.WorkerID(id),
+		Labels: []string{"a", "r1-1"}, Capacity: platform.Resources{MilliCores: 4000, MemoryMB: 8000},
+	}
+}
+
+func (f *fixture) upkeeps() []MaintainMachine {
+	var l []MaintainMachine
+	for _, a := range f.out {
+		if m, ok := a.(MaintainMachine); ok {
+			l = append(l, m)
+		}
+	}
+	return l
+}
+
+func (f *fixture) moves() []MoveMachine {
+	var l []MoveMachine
+	for _, a := range f.out {
+		if m, ok := a.(MoveMachine); ok {
+			l = append(l, m)
+		}
+	}
+	return l
+}
+
+func TestWaveKeepsToItsCapAndIsReportedWhenAllHaveBegun(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1", "w2", "w3")
+	up := []platform.Machine{machineOf("w1", "blue"), machineOf("w2", "blue"), machineOf("w3", "blue")}
+	f.machinesAre(up...)
+	f.step(WaveAsked{Wave: platform.Wave{Number: 4, Machines: []string{up[0].Name, up[1].Name}, Within: 20 * time.Second, Cap: 1}})
+	f.pass(handOver - 200*time.Millisecond)
+	require.Empty(t, f.upkeeps(), "another owner may have given orders just now")
+	f.pass(time.Second)
+	l := f.upkeeps()
+	require.Len(t, l, 1)
+	f.step(MachineOrdered{Machine: l[0].Machine})
+	f.pass(time.Second)
+	require.Len(t, f.upkeeps(), 1, "the first is still down")
+	f.machinesAre(up...)
+	f.pass(200 * time.Millisecond)
+	l = f.upkeeps()
+	require.Len(t, l, 2)
+	f.step(MachineOrdered{Machine: l[1].Machine})
+	f.pass(time.Second)
+	f.machinesAre(up...)
+	f.pass(200 * time.Millisecond)
+	require.True(t, f.core.waves[4].reported)
+}
+
+func TestUpkeepWaitsForAWorkerThatHasNotAnswered(t *testing.T) {
+	f := newFixture(t)
+	f.step(WorkerListed{Worker: testWorker("w1", "blue")})
+	f.machinesAre(machineOf("w1", "blue"))
+	f.step(WaveAsked{Wave: platform.Wave{Number: 4, Machines: []string{"host-of-w1"}, Within: 20 * time.Second, Cap: 1}})
+	f.pass(handOver + time.Second)
+	require.Empty(t, f.upkeeps())
+	f.answer("w1", platform.Look{})
+	f.pass(200 * time.Millisecond)
+	require.Len(t, f.upkeeps(), 1)
+}
+
+func TestMachineOfAWorkerWhoseRecordIsGoneIsNotTakenForEmpty(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.machinesAre(machineOf("w1", "blue"))
+	s := oneTask()
+	s.Lasting = true
+	s.MayMiss = 1
+	f.submit(idA, "quick", s)
+	l := f.starts()
+	f.took(l[0])
+	f.step(WorkerUnlisted{ID: "w1"})
+	f.step(WaveAsked{Wave: platform.Wave{Number: 4, Machines: []string{"host-of-w1"}, Within: 20 * time.Second, Cap: 1}})
+	for range 40 {
+		f.pass(100 * time.Millisecond)
+		if _, ok := f.looks["w1"]; ok {
+			f.answer("w1", platform.Look{Running: []platform.RunningRow{runningRow(l[0], 100)}})
+		}
+	}
+	require.Empty(t, f.upkeeps())
+}
+
+func TestListFromBeforeAnOrderDoesNotSettleIt(t *testing.T) {
+	f := newFixture(t)
+	f.machinesAre(machineOf("", "spare"))
+	m := f.core.byName["host-of-"]
+	m.Worker = ""
+	f.core.move(m, "blue", &demand{})
+	sent := f.now
+	f.pass(100 * time.Millisecond)
+	f.step(MachineOrdered{Machine: m.Name})
+	f.step(MachinesListed{SentAt: sent, Machines: []platform.Machine{machineOf("", "spare")}})
+	require.NotNil(t, m.order)
+}
+
+func TestLastingTasksAreEvacuatedOneByOneWithinTheirBound(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1", "w2", "w3")
+	f.machinesAre(machineOf("w1", "blue"), machineOf("w2", "blue"), machineOf("w3", "blue"))
+	s := oneTask()
+	s.Count, s.MaxPerWorker, s.Lasting, s.MayMiss = 2, 1, true, 1
+	f.submit(idA, "quick", s)
+	l := f.starts()
+	require.Len(t, l, 2)
+	for _, r := range l {
+		f.took(r)
+		f.answer(string(r.Worker.ID), platform.Look{Running: []platform.RunningRow{runningRow(r, 100)}})
+	}
+	w := f.core.workers[l[0].Worker.ID]
+	other := f.core.workers[l[1].Worker.ID]
+	f.core.evacuate(w)
+	f.core.evacuate(other)
+	f.step(Tick{})
+	require.Len(t, f.stops(), 1, "the second would leave none of two at work")
+}
+
+func TestShortPoolGetsSpareHosts(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	spare := machineOf("s1", "spare")
+	spare.Worker = ""
+	f.machinesAre(machineOf("w1", "blue"), spare)
+	f.pass(handOver + 100*time.Millisecond)
+	s := oneTask()
+	s.Count = 8
+	f.submit(idA, "quick", s)
+	f.pass(300 * time.Millisecond)
+	require.Contains(t, f.moves(), MoveMachine{Holder: platform.Holder{Name: "entry-1", Fence: 100}, Machine: "host-of-s1", Pool: "blue"})
+}
+
+func TestIdleHostsGoToTheSparePool(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1", "w2")
+	f.machinesAre(machineOf("w1", "blue"), machineOf("w2", "blue"))
+	f.pass(handOver + idleFor + time.Second)
+	l := f.moves()
+	require.NotEmpty(t, l)
+	require.Equal(t, "spare", l[0].Pool)
+}
+
+func TestPaceFallsAtOnceAndRisesSlowly(t *testing.T) {
+	require.Zero(t, nextPace(100, 1.5))
+	require.Equal(t, 50, nextPace(100, 1.0))
+	require.Zero(t, nextPace(25, 1.0))
+	require.Equal(t, 25, nextPace(0, 0.2))
+	require.Equal(t, 100, nextPace(90, 0.2))
+	require.Equal(t, 50, nextPace(50, 0.7), "between the marks nothing changes")
+}
