Move idle hosts straight to the pool whose turn has come; gather final states

Cause: between turns of the load a host made two moves, by way of the spare pool, and waited 1.5 s before the first; each final state and each change of a job was a priced call of its own. Also: a host that was stopping could claim ownership and keep it unused until its lease ran out.

--- a/job/core.go
+++ b/job/core.go
@@ -94,6 +94,9 @@
 	c.rescan = true
 }
 
+// apply does nothing: what is due is done after each event.
+func (Woken) apply(*Core) {}
+
 // apply takes in the events one after the other.
 func (e Batch) apply(c *Core) {
 	for _, v := range e {
--- a/job/core_test.go
+++ b/job/core_test.go
@@ -138,7 +138,9 @@
 	f.step(Accepted{ID: ID(id), Record: r, Created: platform.Revision(1000 + len(f.core.jobs))})
 }
 
+// state returns a job's state once what is due has been written.
 func (f *fixture) state(id string) platform.State {
+	f.pass(tickEvery)
 	s, ok := f.core.StateOf(ID(id))
 	require.True(f.t, ok)
 	return s
@@ -439,6 +441,7 @@
 	f.took(l[0])
 	f.holdWrites = true
 	f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndDone)}})
+	f.pass(tickEvery)
 	f.step(Kept{Number: f.core.number, Err: errors.New("store is away")})
 	require.Equal(t, platform.StateRunning, f.state(idA))
 	f.holdWrites = false
--- a/job/elect.go
+++ b/job/elect.go
@@ -43,8 +43,9 @@
 	// current is the zero Owner while nobody owns.
 	current Owner
 	vacant  chan struct{}
-	// abstainUntil is when the host may claim again.
+	// abstainUntil is when the host may claim again; retired says never.
 	abstainUntil time.Time
+	retired      bool
 }
 
 func newElection(kv *platform.KV, self Owner, log *Journal, now func() time.Time) *election {
@@ -112,6 +113,19 @@
 	e.abstainUntil = e.now().Add(abstainFor)
 }
 
+// retire leaves ownership to others for good.
+func (e *election) retire() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.retired = true
+}
+
+func (e *election) isRetired() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.retired
+}
+
 func (e *election) abstaining() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -129,8 +143,12 @@
 		if d := e.abstaining(); d > 0 {
 			common.Sleep(ctx, d)
 		}
-		for e.owner().Name == "" && ctx.Err() == nil {
+		for e.owner().Name == "" && ctx.Err() == nil && !e.isRetired() {
 			t, err := e.claim(ctx)
+			if err == nil && e.isRetired() {
+				e.endLease(ctx, t.lease)
+				return tenure{}, false
+			}
 			if err == nil {
 				return t, true
 			}
--- a/job/events.go
+++ b/job/events.go
@@ -83,6 +83,9 @@
 // Tick says only that time has passed.
 type Tick struct{}
 
+// Woken says that the time of a WakeAt has come.
+type Woken struct{}
+
 // Batch is some events in order.
 type Batch []Event
 
@@ -128,6 +131,11 @@
 	Deletes []string
 }
 
+// WakeAt asks for a Woken event at the time.
+type WakeAt struct {
+	At time.Time
+}
+
 // StepDown ends the ownership, since another owner has come.
 type StepDown struct {
 	Why string
@@ -150,5 +158,6 @@
 func (StopRun) action()  {}
 func (PaceRun) action()  {}
 func (Keep) action()     {}
+func (WakeAt) action()   {}
 func (StepDown) action() {}
 func (Note) action()     {}
--- a/job/follow.go
+++ b/job/follow.go
@@ -22,6 +22,8 @@
 type follower struct {
 	kv     *platform.KV
 	prefix string
+	// gather is the pause after changes, so that one watch brings several.
+	gather time.Duration
 	log    *Journal
 	// listed takes all entries; it is called at the start and again whenever
 	// the history was lost.
@@ -68,6 +70,7 @@
 			at = next
 			if len(l) > 0 {
 				f.changed(l)
+				common.Sleep(ctx, f.gather)
 			}
 		}
 	}
--- a/job/keep.go
+++ b/job/keep.go
@@ -9,9 +9,10 @@
 
 // Times of writing to the store.
 const (
-	// keepDelay gathers the ends of some tasks into one write. Final states are
-	// written at once.
+	// keepDelay gathers the ends of some tasks into one write.
 	keepDelay = 60 * time.Millisecond
+	// finalDelay gathers final states, for which callers wait.
+	finalDelay = 15 * time.Millisecond
 	// keepRetry is the pause after a write that failed.
 	keepRetry = 200 * time.Millisecond
 	// keepJobs is the most jobs of one write. A final job takes three entries,
@@ -24,6 +25,7 @@
 	dirty   []*job
 	urgent  bool
 	dueAt   time.Time
+	wakeAt  time.Time
 	number  int64
 	pending *kept
 	// extra are writes beside those of jobs.
@@ -51,7 +53,9 @@
 	if c.dueAt.IsZero() {
 		c.dueAt = c.now.Add(keepDelay)
 	}
-	c.urgent = c.urgent || j.state.Final()
+	if j.state.Final() {
+		c.dueAt = earliest(c.dueAt, c.now.Add(finalDelay))
+	}
 	if !j.dirty {
 		j.dirty = true
 		c.keeping.dirty = append(c.keeping.dirty, j)
@@ -83,6 +87,7 @@
 		return
 	}
 	if c.now.Before(c.dueAt) && (!c.urgent || c.failing) {
+		c.wake(c.dueAt)
 		return
 	}
 	k := &kept{states: map[*job]platform.State{}, seen: map[*worker]int64{}}
@@ -108,6 +113,15 @@
 	c.do(Keep{Number: c.number, Puts: k.puts, Deletes: k.deletes})
 }
 
+// wake asks to be called at a time before the next tick.
+func (c *Core) wake(at time.Time) {
+	if !c.wakeAt.IsZero() && !at.Before(c.wakeAt) && c.now.Before(c.wakeAt) {
+		return
+	}
+	c.wakeAt = at
+	c.do(WakeAt{At: at})
+}
+
 func (c *Core) keepJob(k *kept, j *job) {
 	b, err := encodeProgress(j.progress())
 	if err != nil {
--- a/job/load.go
+++ b/job/load.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"amberway/platform"
 )
 
+// watchGather is how long changes are gathered behind those that came: each
+// watch is a priced call, and a job has some hundred milliseconds to spare.
+const watchGather = 20 * time.Millisecond
+
 // listRevisions are the revisions from which to follow what was listed.
 type listRevisions struct {
 	jobs, workers platform.Revision
@@ -170,7 +175,7 @@
 			}
 		}
 	}
-	f := &follower{kv: o.KV, prefix: jobsPrefix, log: o.log, listed: take}
+	f := &follower{kv: o.KV, prefix: jobsPrefix, gather: watchGather, log: o.log, listed: take}
 	f.changed = func(l []platform.Event) {
 		for _, v := range l {
 			if !v.Deleted {
@@ -184,7 +189,7 @@
 
 // followWorkers tells the core of workers that come, change and go.
 func (o *owner) followWorkers(ctx context.Context, from platform.Revision) {
-	f := &follower{kv: o.KV, prefix: platform.WorkerPrefix, log: o.log}
+	f := &follower{kv: o.KV, prefix: platform.WorkerPrefix, gather: watchGather, log: o.log}
 	f.listed = func(l []platform.Entry) {
 		all := WorkersListed{}
 		for _, v := range l {
--- a/job/node.go
+++ b/job/node.go
@@ -82,6 +82,7 @@
 // Leave hands ownership on and has callers sent elsewhere.
 func (n *Node) Leave() {
 	n.leaving.Store(true)
+	n.election.retire()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.resign != nil {
@@ -159,7 +160,7 @@
 func (n *Node) own(ctx context.Context) {
 	for ctx.Err() == nil && !n.leaving.Load() {
 		t, ok := n.election.wait(ctx)
-		if !ok || n.leaving.Load() {
+		if !ok {
 			return
 		}
 		n.serveTenure(ctx, t)
--- a/job/perform.go
+++ b/job/perform.go
@@ -37,6 +37,8 @@
 		go o.paceRun(ctx, a)
 	case Keep:
 		go o.keep(ctx, a)
+	case WakeAt:
+		time.AfterFunc(a.At.Sub(o.now()), func() { o.send(ctx, Woken{}) })
 	case ListMachines:
 		go o.listMachines(ctx, o.now())
 	case MoveMachine:
--- a/job/pools.go
+++ b/job/pools.go
@@ -14,9 +14,11 @@
 const (
 	// idleFor is how long a host is more than its pool wants before it goes to
 	// the spare pool.
-	idleFor = 1500 * time.Millisecond
+	idleFor = 800 * time.Millisecond
 	// planEvery is how often pools are looked at.
 	planEvery = 100 * time.Millisecond
+	// noteEvery is how often the log tells of all pools.
+	noteEvery = 2 * time.Second
 	// roomToSpare is the share of room that a pool keeps beyond its load, since
 	// tasks do not fill hosts to the last core.
 	roomToSpare = 0.1
@@ -29,7 +31,7 @@
 
 // pooling is the state of the decisions on pools.
 type pooling struct {
-	planAt time.Time
+	planAt, noteAt time.Time
 	// waiting is what tasks without room ask for, by service.
 	waiting map[string]platform.Resources
 	// arrivals is the work that came in lately, by service.
@@ -114,7 +116,9 @@
 	}
 	c.balance.planAt = c.now.Add(planEvery)
 	plan := c.demands(spare)
+	c.notePools(plan)
 	for i := range plan {
+		c.fetchIdle(&plan[i], plan)
 		c.fetchSpares(&plan[i], spare)
 	}
 	for i := range plan {
@@ -125,6 +129,29 @@
 	}
 }
 
+// notePools logs now and then what each pool wants and has.
+func (c *Core) notePools(plan []demand) {
+	if c.now.Before(c.balance.noteAt) {
+		return
+	}
+	c.balance.noteAt = c.now.Add(noteEvery)
+	for _, d := range plan {
+		var used, room platform.Resources
+		for _, w := range c.pools[d.service] {
+			used.MilliCores += w.used.MilliCores
+			used.MemoryMB += w.used.MemoryMB
+			room.MilliCores += w.Capacity.MilliCores
+			room.MemoryMB += w.Capacity.MemoryMB
+		}
+		wait := c.balance.waiting[d.service]
+		c.do(Note{What: "pool", Inputs: []any{
+			"service", d.service, "want", d.want, "have", d.have,
+			"cores_used", used.MilliCores / 1000, "cores", room.MilliCores / 1000, "cores_waiting", wait.MilliCores / 1000,
+			"mb_used", used.MemoryMB, "mb", room.MemoryMB,
+		}})
+	}
+}
+
 func (c *Core) sparePool() string {
 	for _, s := range c.config.Services {
 		if s.Spare {
@@ -254,6 +281,34 @@
 	}
 }
 
+// fetchIdle brings hosts without runs from pools that have more than they want:
+// one move in place of two by way of the spare pool.
+func (c *Core) fetchIdle(d *demand, plan []demand) {
+	for i := range plan {
+		from := &plan[i]
+		if from.service == d.service {
+			continue
+		}
+		for _, m := range c.movable(from.service) {
+			if d.have >= d.want || from.have <= from.want {
+				break
+			}
+			if !c.idle(m) || c.balance.forbidden[kindPool{m.Kind(), d.service}] {
+				continue
+			}
+			c.move(m, d.service, d)
+			d.have++
+			from.have--
+		}
+	}
+}
+
+// idle reports whether the machine has a worker that is known to run nothing.
+func (c *Core) idle(m *machine) bool {
+	w := c.workerOf(m)
+	return w != nil && !w.leaving && !w.Draining && c.known(m) && len(w.runs) == 0
+}
+
 // movable returns the machines of a pool that could get an order now.
 func (c *Core) movable(pool string) []*machine {
 	var l []*machine
@@ -356,8 +411,7 @@
 		if d.have <= d.want {
 			return
 		}
-		w := c.byHost[m.Name]
-		if w == nil || w.leaving || w.Draining || !c.known(m) || len(w.runs) > 0 || c.now.Sub(w.idleSince) < idleFor {
+		if !c.idle(m) || c.now.Sub(c.workerOf(m).idleSince) < idleFor {
 			continue
 		}
 		c.move(m, spare, d)
