Stand-ins of the platform that runs jobs, and whole-run tests of jobs under faults

A store, workers under leases and machines speak the published interface over loopback; the entry hosts run as processes with a settings file.

--- /dev/null
+++ b/internal/fleet/machines.go
@@ -0,0 +1,275 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Capacity is what a machine has.
+type Capacity struct {
+	CPU   int64 `json:"cpu"`
+	MemMB int64 `json:"mem_mb"`
+	GPU   int64 `json:"gpu"`
+}
+
+// Machine is one machine.
+type Machine struct {
+	Name     string   `json:"machine"`
+	Pool     string   `json:"pool"`
+	State    string   `json:"state"`
+	Zone     string   `json:"zone"`
+	Labels   []string `json:"labels"`
+	Capacity Capacity `json:"capacity"`
+	ID       string   `json:"id"`
+	worker   *worker
+	wave     int64
+}
+
+// Fleet is the store, machines with workers, and the interface to machines.
+type Fleet struct {
+	Store *Store
+	Books *Books
+	// Spare is the pool whose machines are switched off.
+	Spare string
+	// DownFor is how long a move or upkeep takes.
+	DownFor  time.Duration
+	mu       sync.Mutex
+	machines []*Machine
+	lives    int
+	kv, api  *httptest.Server
+	down     map[int64]int
+	// MostDown is the most machines of each wave that were down at once.
+	mostDown map[int64]int
+	moves    int
+}
+
+// New returns a running fleet without machines.
+func New(spare string, downFor time.Duration) *Fleet {
+	f := &Fleet{Store: NewStore(), Books: NewBooks(), Spare: spare, DownFor: downFor, down: map[int64]int{}, mostDown: map[int64]int{}}
+	f.kv = httptest.NewServer(f.Store.Handler())
+	m := http.NewServeMux()
+	m.HandleFunc("GET /machines", f.serveList)
+	m.HandleFunc("POST /machine-move", f.serveMove)
+	m.HandleFunc("POST /machine-upkeep", f.serveUpkeep)
+	f.api = httptest.NewServer(m)
+	return f
+}
+
+// Close ends everything.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machines {
+		if m.worker != nil {
+			m.worker.end()
+		}
+	}
+	f.kv.CloseClientConnections()
+	f.kv.Close()
+	f.api.CloseClientConnections()
+	f.api.Close()
+}
+
+// StoreAddress returns where the store listens.
+func (f *Fleet) StoreAddress() string { return strings.TrimPrefix(f.kv.URL, "http://") }
+
+// MachinesAddress returns where the interface to machines listens.
+func (f *Fleet) MachinesAddress() string { return strings.TrimPrefix(f.api.URL, "http://") }
+
+// Add adds machines to a pool.
+func (f *Fleet) Add(pool string, n int, c Capacity) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for range n {
+		i := len(f.machines)
+		m := &Machine{
+			Name: fmt.Sprintf("m-%03d", i), Pool: pool, State: "up", Zone: fmt.Sprint("dc-", i%2),
+			Labels: []string{"a", fmt.Sprintf("r1-%d", i/4)}, Capacity: c,
+		}
+		f.machines = append(f.machines, m)
+		if err := f.boot(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// boot starts the machine's worker, unless its pool is switched off.
+func (f *Fleet) boot(m *Machine) error {
+	m.State, m.ID, m.worker = "up", "", nil
+	if m.Pool == f.Spare {
+		return nil
+	}
+	f.lives++
+	m.ID = fmt.Sprintf("i-%06d", f.lives)
+	m.worker = newWorker(m.ID, m.Pool, m, f.Books)
+	return f.Store.Put("servers/"+m.ID, m.worker.record(false))
+}
+
+// halt ends the machine's worker.
+func (f *Fleet) halt(m *Machine) {
+	if m.worker != nil {
+		m.worker.end()
+		f.Store.Remove("servers/" + m.ID)
+	}
+	m.worker, m.ID = nil, ""
+}
+
+// Crash ends the worker of a machine that runs something; it boots again after
+// the time given.
+func (f *Fleet) Crash(downFor time.Duration) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machines {
+		if m.worker != nil && m.worker.busy() {
+			id := m.ID
+			m.worker.end()
+			m.State = "down"
+			time.AfterFunc(downFor, func() { f.reboot(m, id) })
+			return id
+		}
+	}
+	return ""
+}
+
+func (w *worker) busy() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.runs) > 0
+}
+
+// Silence has the worker of a busy machine answer nothing for a time while it
+// runs on.
+func (f *Fleet) Silence(d time.Duration) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machines {
+		if w := m.worker; w != nil && w.busy() {
+			w.setSilent(true)
+			time.AfterFunc(d, func() { w.setSilent(false) })
+			return w.id
+		}
+	}
+	return ""
+}
+
+func (w *worker) setSilent(s bool) {
+	w.mu.Lock()
+	w.silent = s
+	w.mu.Unlock()
+}
+
+func (f *Fleet) reboot(m *Machine, old string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Store.Remove("servers/" + old)
+	_ = f.boot(m)
+}
+
+// Names returns the names of the machines of a pool, or of all.
+func (f *Fleet) Names(pool string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var l []string
+	for _, m := range f.machines {
+		if pool == "" || m.Pool == pool {
+			l = append(l, m.Name)
+		}
+	}
+	return l
+}
+
+// Moves returns how many moves there were.
+func (f *Fleet) Moves() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.moves
+}
+
+// MostDown returns the most machines of a wave that were down at once.
+func (f *Fleet) MostDown(wave int64) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mostDown[wave]
+}
+
+func (f *Fleet) serveList(w http.ResponseWriter, _ *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	answer(w, http.StatusOK, map[string]any{"machines": f.machines, "next_token": nil})
+}
+
+func (f *Fleet) find(name string) *Machine {
+	for _, m := range f.machines {
+		if m.Name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) serveMove(w http.ResponseWriter, r *http.Request) {
+	var q struct{ Machine, Pool string }
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.find(q.Machine)
+	switch {
+	case m == nil:
+		http.Error(w, "no such machine", http.StatusBadRequest)
+	case m.Pool == q.Pool:
+		answer(w, http.StatusOK, map[string]string{})
+	case m.State != "up":
+		answer(w, http.StatusConflict, map[string]string{"reason": "busy"})
+	default:
+		f.moves++
+		f.halt(m)
+		m.Pool, m.State = q.Pool, "moving"
+		time.AfterFunc(f.DownFor, func() { f.up(m, 0) })
+		answer(w, http.StatusOK, map[string]string{})
+	}
+}
+
+func (f *Fleet) serveUpkeep(w http.ResponseWriter, r *http.Request) {
+	var q struct {
+		Machine string
+		Wave    int64
+	}
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.find(q.Machine)
+	switch {
+	case m == nil:
+		http.Error(w, "no such machine", http.StatusBadRequest)
+	case m.wave == q.Wave:
+		answer(w, http.StatusOK, map[string]string{})
+	case m.State != "up":
+		answer(w, http.StatusConflict, map[string]string{"reason": "busy"})
+	default:
+		f.halt(m)
+		m.wave, m.State = q.Wave, "upkeep"
+		f.down[q.Wave]++
+		f.mostDown[q.Wave] = max(f.mostDown[q.Wave], f.down[q.Wave])
+		time.AfterFunc(f.DownFor, func() { f.up(m, q.Wave) })
+		answer(w, http.StatusOK, map[string]string{})
+	}
+}
+
+func (f *Fleet) up(m *Machine, wave int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down[wave]--
+	_ = f.boot(m)
+}
--- /dev/null
+++ b/internal/fleet/worker.go
@@ -0,0 +1,269 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+)
+
+// worker is one life of a worker.
+type worker struct {
+	id      string
+	pool    string
+	machine *Machine
+	server  *httptest.Server
+	books   *Books
+	born    time.Time
+	mu      sync.Mutex
+	over    bool
+	silent  bool
+	fence   int64
+	until   int64
+	runs    map[string]*run
+	highest map[string]int64
+	ended   [][]any
+	number  int64
+	changed chan struct{}
+}
+
+type run struct {
+	number  int64
+	began   time.Time
+	work    time.Duration
+	lasting bool
+	failing bool
+	pace    int
+}
+
+func newWorker(id, pool string, m *Machine, b *Books) *worker {
+	w := &worker{
+		id: id, pool: pool, machine: m, books: b, born: time.Now(),
+		runs: map[string]*run{}, highest: map[string]int64{}, changed: make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /run-start", w.serveStart)
+	mux.HandleFunc("POST /run-stop", w.serveStop)
+	mux.HandleFunc("POST /hold", w.serveHold)
+	mux.HandleFunc("POST /pace", w.servePace)
+	w.server = httptest.NewServer(w.guard(mux))
+	return w
+}
+
+// guard answers only calls that mean this life, and none while it is silent.
+func (w *worker) guard(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		silent := w.silent
+		w.mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			return
+		}
+		if x := r.Header.Get("Amberway-Expect-Instance"); x != "" && x != w.id {
+			rw.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		h.ServeHTTP(rw, r)
+	})
+}
+
+// end ends the life and all that runs.
+func (w *worker) end() {
+	w.mu.Lock()
+	w.over = true
+	for t, r := range w.runs {
+		w.books.ended(t, r.number, "gone")
+	}
+	w.runs = map[string]*run{}
+	w.mu.Unlock()
+	w.server.CloseClientConnections()
+	go w.server.Close()
+}
+
+func (w *worker) clock() int64 {
+	return time.Since(w.born).Milliseconds()
+}
+
+// live ends the runs that are over.
+func (w *worker) live() {
+	for t, r := range w.runs {
+		how := "done"
+		switch {
+		case w.until > 0 && w.clock() > w.until:
+			how = "lapsed"
+		case r.lasting || time.Since(r.began) < r.work:
+			continue
+		case r.failing:
+			how = "failed"
+		}
+		w.finish(t, r, how)
+	}
+}
+
+func (w *worker) finish(task string, r *run, how string) {
+	delete(w.runs, task)
+	w.number++
+	w.ended = append(w.ended, []any{w.number, task, r.number, how, ""})
+	w.books.ended(task, r.number, how)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// workOf reads how a task behaves from its job's spec: a duration, "lasts", or
+// "fails" after a duration.
+func workOf(spec string) (d time.Duration, lasts, fails bool) {
+	for _, f := range strings.Fields(spec) {
+		switch f {
+		case "lasts":
+			lasts = true
+		case "fails":
+			fails = true
+		default:
+			if v, err := time.ParseDuration(f); err == nil {
+				d = v
+			}
+		}
+	}
+	return d, lasts, fails
+}
+
+func (w *worker) refuse(rw http.ResponseWriter, reason string) {
+	answer(rw, http.StatusConflict, map[string]any{"clock_ms": w.clock(), "reason": reason})
+}
+
+func (w *worker) serveStart(rw http.ResponseWriter, r *http.Request) {
+	var q struct {
+		Task    string `json:"task"`
+		Run     int64  `json:"run"`
+		Spec    string `json:"spec"`
+		UntilMs int64  `json:"until_ms"`
+		Fence   int64  `json:"fence"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.live()
+	switch o := w.runs[q.Task]; {
+	case w.over:
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	case q.Fence < w.fence:
+		w.refuse(rw, "fence")
+	case o != nil && o.number == q.Run:
+		answer(rw, http.StatusOK, map[string]int64{"clock_ms": w.clock()})
+	case q.Run <= w.highest[q.Task]:
+		w.refuse(rw, "old")
+	case q.UntilMs <= w.clock():
+		w.refuse(rw, "late")
+	default:
+		w.fence = q.Fence
+		w.until = max(w.until, q.UntilMs)
+		w.highest[q.Task] = q.Run
+		d, lasts, fails := workOf(q.Spec)
+		w.runs[q.Task] = &run{number: q.Run, began: time.Now(), work: d, lasting: lasts, failing: fails, pace: 100}
+		w.books.began(q.Task, q.Run, w.id)
+		answer(rw, http.StatusOK, map[string]int64{"clock_ms": w.clock()})
+	}
+}
+
+func (w *worker) serveStop(rw http.ResponseWriter, r *http.Request) {
+	var q struct {
+		Task  string `json:"task"`
+		Run   int64  `json:"run"`
+		Fence int64  `json:"fence"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if q.Fence < w.fence {
+		w.refuse(rw, "fence")
+		return
+	}
+	w.fence = q.Fence
+	w.highest[q.Task] = max(w.highest[q.Task], q.Run)
+	if o := w.runs[q.Task]; o != nil && o.number == q.Run {
+		w.finish(q.Task, o, "stopped")
+	}
+	answer(rw, http.StatusOK, map[string]int64{"clock_ms": w.clock()})
+}
+
+func (w *worker) servePace(rw http.ResponseWriter, _ *http.Request) {
+	answer(rw, http.StatusOK, map[string]int64{"clock_ms": w.clock()})
+}
+
+func (w *worker) serveHold(rw http.ResponseWriter, r *http.Request) {
+	var q struct {
+		UntilMs  int64 `json:"until_ms"`
+		Fence    int64 `json:"fence"`
+		LastSeen int64 `json:"last_seen"`
+		WaitMs   int64 `json:"wait_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	end := time.Now().Add(time.Duration(q.WaitMs) * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if q.Fence < w.fence {
+		w.refuse(rw, "fence")
+		return
+	}
+	w.live()
+	w.fence = q.Fence
+	w.until = max(w.until, q.UntilMs)
+	for len(w.ended) > 0 {
+		if n, _ := w.ended[0][0].(int64); n > q.LastSeen {
+			break
+		}
+		w.ended = w.ended[1:]
+	}
+	for len(w.ended) == 0 && time.Now().Before(end) && !w.over {
+		w.pause()
+		w.live()
+	}
+	running := [][]any{}
+	for t, o := range w.runs {
+		running = append(running, []any{t, o.number, "", o.percent(), 0})
+	}
+	answer(rw, http.StatusOK, map[string]any{"clock_ms": w.clock(), "running": running, "ended": w.ended})
+}
+
+// pause lets others in for a moment.
+func (w *worker) pause() {
+	w.mu.Unlock()
+	time.Sleep(2 * time.Millisecond)
+	w.mu.Lock()
+}
+
+func (r *run) percent() int {
+	if r.lasting {
+		return 100
+	}
+	return int(min(99, 100*time.Since(r.began)/max(1, r.work)))
+}
+
+func (w *worker) address() string {
+	return strings.TrimPrefix(w.server.URL, "http://")
+}
+
+// record is what the worker writes to the store of itself.
+func (w *worker) record(draining bool) map[string]any {
+	state := "ready"
+	if draining {
+		state = "draining"
+	}
+	return map[string]any{
+		"service": w.pool, "addr": w.address(), "zone": w.machine.Zone, "state": state, "machine": w.machine.Name,
+		"slots": 8, "seq": 1, "capacity": w.machine.Capacity, "labels": w.machine.Labels, "version": fmt.Sprint("v", 1),
+	}
+}
--- a/internal/local/deployment.go
+++ b/internal/local/deployment.go
@@ -287,11 +287,16 @@
 }
 
 func (d *Deployment) spawn(name, program string, args []string) (*Process, error) {
-	f, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	return spawn(d.dir, filepath.Join(d.bin, program), name, args)
+}
+
+// spawn starts a program that logs to a file of its name in dir.
+func spawn(dir, program, name string, args []string) (*Process, error) {
+	f, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
 		return nil, err
 	}
-	c := exec.Command(filepath.Join(d.bin, program), args...)
+	c := exec.Command(program, args...)
 	c.Stdout = f
 	c.Stderr = f
 	if err := c.Start(); err != nil {
--- /dev/null
+++ b/internal/local/jobs.go
@@ -0,0 +1,221 @@
+package local
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"amberway/internal/fleet"
+)
+
+// JobsOptions say how large a deployment for jobs is.
+type JobsOptions struct {
+	Entries int
+	// Workers are the machines of each pool.
+	Workers map[string]int
+	// Spare is how many machines are switched off.
+	Spare int
+	// DownFor is how long a move or upkeep takes; 300 milliseconds if zero.
+	DownFor time.Duration
+}
+
+// JobsEntry is one entry host that serves jobs.
+type JobsEntry struct {
+	*Process
+	Callers netip.AddrPort
+	ready   netip.AddrPort
+	peers   netip.AddrPort
+	file    string
+}
+
+// Jobs is a deployment that serves jobs: the platform's stand-ins in this
+// process, and entry hosts as processes of their own.
+type Jobs struct {
+	JobsOptions
+	Fleet   *fleet.Fleet
+	Entries []*JobsEntry
+	dir     string
+	bin     string
+	version int64
+}
+
+// SparePool is the pool of machines that are switched off.
+const SparePool = "spare"
+
+// QueuePrefix begins the path of each queue, and its host is JobsHost.
+const (
+	QueuePrefix = "/queues/"
+	JobsHost    = "jobs.example"
+)
+
+// StartJobs starts a deployment and waits until each entry host is ready. The
+// caller has to Stop it, also after an error.
+func StartJobs(bin, dir string, o JobsOptions) (*Jobs, error) {
+	if o.DownFor == 0 {
+		o.DownFor = 300 * time.Millisecond
+	}
+	j := &Jobs{JobsOptions: o, Fleet: fleet.New(SparePool, o.DownFor), dir: dir, bin: bin}
+	size := fleet.Capacity{CPU: 8000, MemMB: 16000}
+	for pool, n := range o.Workers {
+		if err := j.Fleet.Add(pool, n, size); err != nil {
+			return j, err
+		}
+	}
+	if err := j.Fleet.Add(SparePool, o.Spare, size); err != nil {
+		return j, err
+	}
+	if err := j.Configure(); err != nil {
+		return j, err
+	}
+	for i := range o.Entries {
+		if err := j.newEntry(fmt.Sprintf("entry-%d", i)); err != nil {
+			return j, err
+		}
+	}
+	return j, waitFor(20*time.Second, j.allReady)
+}
+
+// Configure writes the next configuration: one queue for each pool, and those
+// named besides, which run on the first pool.
+func (j *Jobs) Configure(more ...string) error {
+	j.version += 3
+	type row = map[string]any
+	routes := []row{}
+	services := []row{{"name": SparePool, "headroom": true, "rejects_overload": true}}
+	route := func(queue, pool string) {
+		routes = append(routes, row{
+			"name": "r-" + queue, "host": JobsHost, "prefix": QueuePrefix + queue + "/", "service": pool,
+			"timeout_ms": 3000, "goal_ms": 1000, "stretch": 2, "retries": 3,
+		})
+	}
+	first := ""
+	for p := range j.Workers {
+		services = append(services, row{"name": p, "rejects_overload": true})
+		route(p, p)
+		if first == "" || p < first {
+			first = p
+		}
+	}
+	for _, q := range more {
+		route(q, first)
+	}
+	return j.Fleet.Store.Put("op/config", row{
+		"version": j.version, "routes": routes, "services": services,
+		"limits": row{"max_header_bytes": 16384, "max_body_bytes": 65536},
+	})
+}
+
+func (j *Jobs) newEntry(name string) error {
+	e := &JobsEntry{Process: &Process{Name: name}, file: filepath.Join(j.dir, name+".yaml")}
+	for _, a := range []*netip.AddrPort{&e.Callers, &e.ready, &e.peers} {
+		p, err := freePort()
+		if err != nil {
+			return err
+		}
+		*a = p
+	}
+	text := fmt.Sprintf("name: %s\ndata-centre: dc-0\ncallers: %s\nready: %s\npeers: %s\nstore: %s\nmachines: %s\nlog-format: json\nstop-delay: 300ms\nstop-within: 4s\n",
+		name, e.Callers, e.ready, e.peers, j.Fleet.StoreAddress(), j.Fleet.MachinesAddress())
+	if err := os.WriteFile(e.file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	j.Entries = append(j.Entries, e)
+	return j.Launch(e)
+}
+
+// Launch starts an entry host that is not running.
+func (j *Jobs) Launch(e *JobsEntry) error {
+	p, err := spawn(j.dir, filepath.Join(j.bin, "amberwayd"), e.Name, []string{"--settings", e.file})
+	e.Process = p
+	return err
+}
+
+func (j *Jobs) allReady() error {
+	for _, e := range j.Entries {
+		if !e.Ready() {
+			return fmt.Errorf("%s is not ready", e.Name)
+		}
+	}
+	return nil
+}
+
+// Ready reports whether the entry host calls itself ready.
+func (e *JobsEntry) Ready() bool {
+	res, err := http.Get("http://" + e.ready.String() + "/ready")
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// Stop ends everything.
+func (j *Jobs) Stop() {
+	for _, e := range j.Entries {
+		e.Kill()
+	}
+	j.Fleet.Close()
+}
+
+// Owner returns the entry host that owns the jobs, or nil.
+func (j *Jobs) Owner() *JobsEntry {
+	b, ok := j.Fleet.Store.Value("owner/lease")
+	var o struct {
+		Name string `json:"name"`
+	}
+	if !ok || json.Unmarshal(b, &o) != nil {
+		return nil
+	}
+	for _, e := range j.Entries {
+		if e.Name == o.Name {
+			return e
+		}
+	}
+	return nil
+}
+
+// Call makes one caller's request and returns the status and the body.
+func (e *JobsEntry) Call(method, queue, id string, body any) (int, string, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return 0, "", err
+	}
+	req, err := http.NewRequest(method, "http://"+e.Callers.String()+QueuePrefix+queue+"/"+id, bytes.NewReader(b))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = JobsHost
+	c := http.Client{Timeout: 4 * time.Second}
+	res, err := c.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	out, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(out), err
+}
+
+// Step is a step of a job as callers write it.
+type Step struct {
+	Count    int   `json:"count"`
+	CPU      int   `json:"cpu"`
+	MemMB    int   `json:"mem_mb"`
+	After    []int `json:"after,omitempty"`
+	Estimate int   `json:"estimate_ms,omitempty"`
+	Daemon   bool  `json:"daemon,omitempty"`
+	MayMiss  int   `json:"may_miss,omitempty"`
+	Apart    int   `json:"anti_affinity,omitempty"`
+}
+
+// Job is a job as callers write it. What a task does is read from the spec: a
+// time, "lasts" or "fails".
+type Job struct {
+	Spec  string `json:"spec"`
+	Steps []Step `json:"steps"`
+}
--- /dev/null
+++ b/tests/jobs_test.go
@@ -0,0 +1,248 @@
+package tests
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/internal/fleet"
+	"amberway/internal/local"
+)
+
+// startJobs runs three entry hosts and two pools.
+func startJobs(t *testing.T) *local.Jobs {
+	t.Helper()
+	j, err := local.StartJobs(binaries, t.TempDir(), local.JobsOptions{
+		Entries: 3, Workers: map[string]int{"blue": 4, "green": 3}, Spare: 2,
+	})
+	t.Cleanup(j.Stop)
+	require.NoError(t, err)
+	t.Cleanup(func() { require.Empty(t, j.Fleet.Books.Broken()) })
+	return j
+}
+
+func shortJob(spec string) local.Job {
+	return local.Job{Spec: spec, Steps: []local.Step{
+		{Count: 3, CPU: 1000, MemMB: 100, Estimate: 200},
+		{Count: 2, CPU: 1000, MemMB: 100, Estimate: 200, After: []int{0}},
+	}}
+}
+
+func jobID(n int) string {
+	return fmt.Sprintf("%016x", n+0xabc000)
+}
+
+func state(t *testing.T, e *local.JobsEntry, queue, id string) string {
+	t.Helper()
+	code, body, err := e.Call(http.MethodGet, queue, id, nil)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprint(code, " ", body)
+}
+
+const succeeded = `200 {"state":"succeeded"}`
+
+// jobsTime is how long tests wait for jobs: a change of owner takes two
+// seconds, and a silent worker's lease four.
+const jobsTime = 25 * time.Second
+
+func TestJobRunsAndEveryEntryHostTellsOfIt(t *testing.T) {
+	j := startJobs(t)
+	code, body, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), shortJob("100ms"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, code, body)
+	for _, e := range j.Entries {
+		require.Eventually(t, func() bool { return state(t, e, "blue", jobID(1)) == succeeded }, jobsTime, tick)
+	}
+	code, _, err = j.Entries[1].Call(http.MethodPost, "blue", jobID(1), shortJob("100ms"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, code, "a copy of an id is the same job")
+	require.Equal(t, succeeded, state(t, j.Entries[2], "blue", jobID(1)))
+	require.Equal(t, 5, j.Fleet.Books.Starts())
+}
+
+func TestAnswersThatAreNotSuccess(t *testing.T) {
+	j := startJobs(t)
+	e := j.Entries[0]
+	for name, c := range map[string]struct {
+		method, queue, id string
+		body              any
+		code              int
+	}{
+		"no such queue":  {http.MethodPost, "violet", jobID(1), shortJob("1ms"), http.StatusNotFound},
+		"no such job":    {http.MethodGet, "blue", jobID(2), nil, http.StatusGone},
+		"nothing to end": {http.MethodDelete, "blue", jobID(2), nil, http.StatusGone},
+		"no id":          {http.MethodPost, "blue", "xyz", shortJob("1ms"), http.StatusNotFound},
+		"no steps":       {http.MethodPost, "blue", jobID(3), local.Job{Spec: "1ms"}, http.StatusBadRequest},
+		"no job":         {http.MethodPost, "blue", jobID(3), "text", http.StatusBadRequest},
+		"too large":      {http.MethodPost, "blue", jobID(3), shortJob(fmt.Sprintf("%70000d", 1)), http.StatusRequestEntityTooLarge},
+		"long spec":      {http.MethodPost, "blue", jobID(3), shortJob(fmt.Sprintf("%4001d", 1)), http.StatusBadRequest},
+		"other method":   {http.MethodPut, "blue", jobID(3), nil, http.StatusMethodNotAllowed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			code, body, err := e.Call(c.method, c.queue, c.id, c.body)
+			require.NoError(t, err)
+			require.Equal(t, c.code, code, body)
+		})
+	}
+}
+
+func TestKilledOwnerLosesNoJobAndDoublesNone(t *testing.T) {
+	j := startJobs(t)
+	hand := func(from, to int) {
+		for n := from; n < to; n++ {
+			e := j.Entries[n%3]
+			if e == nil || e.Cmd.ProcessState != nil {
+				e = j.Entries[(n+1)%3]
+			}
+			code, body, err := e.Call(http.MethodPost, "blue", jobID(n), shortJob("300ms"))
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, code, body)
+		}
+	}
+	hand(0, 10)
+	time.Sleep(200 * time.Millisecond)
+	o := j.Owner()
+	require.NotNil(t, o)
+	o.Kill()
+	require.NoError(t, j.Launch(o))
+	require.Eventually(t, o.Ready, jobsTime, tick)
+	hand(10, 15)
+	for n := range 15 {
+		require.Eventually(t, func() bool { return state(t, j.Entries[n%3], "blue", jobID(n)) == succeeded }, jobsTime, tick, "job %d", n)
+	}
+}
+
+func TestFrozenOwnerThatWakesDoublesNothing(t *testing.T) {
+	j := startJobs(t)
+	for n := range 6 {
+		_, _, err := j.Entries[n%3].Call(http.MethodPost, "blue", jobID(n), shortJob("400ms"))
+		require.NoError(t, err)
+	}
+	o := j.Owner()
+	require.NotNil(t, o)
+	require.NoError(t, o.Signal(syscall.SIGSTOP))
+	time.Sleep(4 * time.Second)
+	require.NoError(t, o.Signal(syscall.SIGCONT))
+	for n := range 6 {
+		require.Eventually(t, func() bool { return state(t, j.Entries[n%3], "blue", jobID(n)) == succeeded }, jobsTime, tick, "job %d", n)
+	}
+}
+
+func TestStoppedEntryHostHandsOnAtOnce(t *testing.T) {
+	j := startJobs(t)
+	o := j.Owner()
+	require.NotNil(t, o)
+	require.NoError(t, o.Signal(syscall.SIGTERM))
+	require.Eventually(t, func() bool { n := j.Owner(); return n != nil && n != o }, time.Second, tick)
+	require.False(t, o.Ready())
+	code, err := o.Wait(6 * time.Second)
+	require.NoError(t, err)
+	require.Zero(t, code)
+}
+
+func TestStoreThatRefusesIsToldAtOnce(t *testing.T) {
+	j := startJobs(t)
+	j.Fleet.Store.SetFault(fleet.Fault{Refuse: true})
+	begun := time.Now()
+	code, body, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), shortJob("1ms"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, code, body)
+	require.Less(t, time.Since(begun), time.Second)
+	j.Fleet.Store.SetFault(fleet.Fault{})
+	time.Sleep(2 * time.Second)
+	require.Zero(t, j.Fleet.Books.Starts(), "a refused job has run")
+	require.Equal(t, `410 `, state(t, j.Entries[0], "blue", jobID(1))[:4])
+}
+
+func TestJobWhoseWriteWasNotAnsweredRunsOnce(t *testing.T) {
+	j := startJobs(t)
+	j.Fleet.Store.SetFault(fleet.Fault{Lose: true})
+	code, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), shortJob("1ms"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusGatewayTimeout, code, "whether it was taken cannot be known")
+	j.Fleet.Store.SetFault(fleet.Fault{})
+	code, _, err = j.Entries[1].Call(http.MethodPost, "blue", jobID(1), shortJob("1ms"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, code)
+	require.Eventually(t, func() bool { return state(t, j.Entries[1], "blue", jobID(1)) == succeeded }, jobsTime, tick)
+	require.Equal(t, 5, j.Fleet.Books.Starts())
+}
+
+func TestForgottenHistoryLosesNoJob(t *testing.T) {
+	j := startJobs(t)
+	for n := range 10 {
+		if n%3 == 0 {
+			j.Fleet.Store.Forget()
+		}
+		code, _, err := j.Entries[n%3].Call(http.MethodPost, "green", jobID(n), shortJob("20ms"))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, code)
+	}
+	for n := range 10 {
+		require.Eventually(t, func() bool { return state(t, j.Entries[n%3], "green", jobID(n)) == succeeded }, jobsTime, tick)
+	}
+}
+
+func TestSilentWorkerRunsOnAndNothingIsDoubled(t *testing.T) {
+	j := startJobs(t)
+	for n := range 4 {
+		_, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(n), shortJob("1s"))
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return j.Fleet.Books.Running() > 0 }, jobsTime, tick)
+	require.NotEmpty(t, j.Fleet.Silence(6*time.Second))
+	for n := range 4 {
+		require.Eventually(t, func() bool { return state(t, j.Entries[0], "blue", jobID(n)) == succeeded }, jobsTime, tick)
+	}
+}
+
+func TestCancelledJobStops(t *testing.T) {
+	j := startJobs(t)
+	long := local.Job{Spec: "lasts", Steps: []local.Step{{Count: 3, CPU: 500, MemMB: 10, Daemon: true}}}
+	_, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), long)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return j.Fleet.Books.Running() == 3 }, jobsTime, tick)
+	code, _, err := j.Entries[1].Call(http.MethodDelete, "blue", jobID(1), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, code)
+	require.Eventually(t, func() bool { return j.Fleet.Books.Running() == 0 }, 3*time.Second, tick)
+	require.Equal(t, `200 {"state":"cancelled"}`, state(t, j.Entries[2], "blue", jobID(1)))
+}
+
+func TestConfigurationIsInForceInTime(t *testing.T) {
+	j := startJobs(t)
+	require.NoError(t, j.Configure("violet"))
+	for _, e := range j.Entries {
+		require.Eventually(t, func() bool { return state(t, e, "violet", "")[:3] == "200" }, 2*time.Second, tick)
+	}
+	require.NoError(t, j.Configure())
+	for _, e := range j.Entries {
+		require.Eventually(t, func() bool { return state(t, e, "violet", "")[:3] == "404" }, 2*time.Second, tick)
+	}
+}
+
+func TestWaveMaintainsAllWithinItsCap(t *testing.T) {
+	j := startJobs(t)
+	names := j.Fleet.Names("")
+	require.NoError(t, j.Fleet.Store.Put("op/wave/7", map[string]any{"wave": 7, "machines": names, "within_s": 20, "cap": 2}))
+	require.Eventually(t, func() bool {
+		b, ok := j.Fleet.Store.Value("status/wave/7")
+		return ok && string(b) == `{"state":"succeeded"}`
+	}, jobsTime, tick)
+	require.LessOrEqual(t, j.Fleet.MostDown(7), 2)
+}
+
+func TestCrashedWorkersTasksRunElsewhere(t *testing.T) {
+	j := startJobs(t)
+	_, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), shortJob("1s"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return j.Fleet.Books.Running() > 0 }, jobsTime, tick)
+	require.NotEmpty(t, j.Fleet.Crash(time.Second))
+	require.Eventually(t, func() bool { return state(t, j.Entries[0], "blue", jobID(1)) == succeeded }, jobsTime, tick)
+}
