Let a replaced owner see its end before any job that came after it

The next owner takes for granted that nobody else has seen jobs that came after its own fence, and started them; the old one did too, on workers that the new one had not reached yet. Ruled out: late orders, both were answered at once. The owner's key lies beside the jobs now, so the watch of jobs tells of the end first; after a list of jobs the key is read again.

The new test fails without the change.

--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -31,8 +31,8 @@
 	history  []item
 	// forgotten is the revision up to which the history is gone.
 	forgotten int64
-	changed  chan struct{}
-	calls    int64
+	changed   chan struct{}
+	calls     int64
 }
 
 type item struct {
--- a/internal/local/jobs.go
+++ b/internal/local/jobs.go
@@ -165,7 +165,7 @@
 
 // Owner returns the entry host that owns the jobs, or nil.
 func (j *Jobs) Owner() *JobsEntry {
-	b, ok := j.Fleet.Store.Value("owner/lease")
+	b, ok := j.Fleet.Store.Value("jobs/owner")
 	var o struct {
 		Name string `json:"name"`
 	}
--- a/job/elect.go
+++ b/job/elect.go
@@ -77,7 +77,7 @@
 
 // follow keeps current until the context ends.
 func (e *election) follow(ctx context.Context) {
-	f := &follower{kv: e.kv, prefix: ownerPrefix, log: e.log}
+	f := &follower{kv: e.kv, prefix: ownerKey, log: e.log}
 	f.listed = func(l []platform.Entry) {
 		if len(l) == 0 {
 			e.set(Owner{})
--- a/job/fuzz_test.go
+++ b/job/fuzz_test.go
@@ -123,7 +123,9 @@
 		w := newWorld(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": func(*rapid.T) { w.submit() },
-			"pass":   func(t *rapid.T) { w.pass(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond) },
+			"pass": func(t *rapid.T) {
+				w.pass(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
+			},
 			"lossy":  func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
 			"cancel": func(t *rapid.T) { w.cancelSome() },
 			"cut":    func(t *rapid.T) { v := w.some(); v.cut = !v.cut },
--- a/job/keeper.go
+++ b/job/keeper.go
@@ -12,10 +12,10 @@
 
 // Keys of an owner.
 const (
-	// ownerPrefix begins them.
-	ownerPrefix = "owner/lease"
-	// ownerKey holds who owns, under the owner's lease.
-	ownerKey = "owner/lease"
+	// ownerKey holds who owns, under the owner's lease. It lies beside the jobs,
+	// so that an owner which follows them learns that it has been replaced
+	// before it learns of any job that came after that.
+	ownerKey = jobsPrefix + "owner"
 	// writeKey is written with each write of an owner, so that a write which is
 	// carried out late meets its condition.
 	writeKey = "owner/write"
--- a/job/load.go
+++ b/job/load.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"amberway/common"
 	"amberway/platform"
 )
 
@@ -37,9 +38,23 @@
 	if err == nil {
 		err = o.loadWaves(ctx, &e)
 	}
+	if err == nil {
+		err = o.stillOwns(ctx)
+	}
 	return e, from, err
 }
 
+// stillOwns reports an error unless the owner's key is its own. What was listed
+// before is then of the owner's time: of later jobs the next owner takes for
+// granted that nobody else has seen them.
+func (o *owner) stillOwns(ctx context.Context) error {
+	v, err := o.KV.Get(ctx, ownerKey)
+	if errors.Is(err, platform.ErrNotFound) || (err == nil && v.Revision != platform.Revision(o.tenure.fence)) {
+		return errDeposed
+	}
+	return err
+}
+
 // loadWrite finds the revision of the last write of earlier owners.
 func (o *owner) loadWrite(ctx context.Context) error {
 	w, err := o.KV.Get(ctx, writeKey)
@@ -56,6 +71,9 @@
 		return 0, err
 	}
 	for _, v := range l {
+		if v.Key == ownerKey {
+			continue
+		}
 		switch ev := o.jobEvent(v).(type) {
 		case Accepted:
 			e.Jobs = append(e.Jobs, ev)
@@ -166,20 +184,34 @@
 	return w, err == nil
 }
 
-// followJobs tells the core of new and cancelled jobs.
+// followJobs tells the core of new and cancelled jobs, and ends the ownership
+// when another owner shows among them.
 func (o *owner) followJobs(ctx context.Context, from platform.Revision) {
-	take := func(l []platform.Entry) {
+	f := &follower{kv: o.KV, prefix: jobsPrefix, gather: watchGather, log: o.log}
+	f.listed = func(l []platform.Entry) {
+		err := o.stillOwns(ctx)
+		for err != nil && !errors.Is(err, errDeposed) && ctx.Err() == nil {
+			common.Sleep(ctx, followRetry)
+			err = o.stillOwns(ctx)
+		}
+		if err != nil {
+			o.resign(err.Error())
+			return
+		}
 		for _, v := range l {
-			if e := o.jobEvent(v); e != nil {
-				o.send(ctx, e)
+			if v.Key != ownerKey {
+				o.sendJob(ctx, v)
 			}
 		}
 	}
-	f := &follower{kv: o.KV, prefix: jobsPrefix, gather: watchGather, log: o.log, listed: take}
 	f.changed = func(l []platform.Event) {
 		for _, v := range l {
-			if !v.Deleted {
-				take([]platform.Entry{v.Entry})
+			switch {
+			case v.Key == ownerKey && v.Revision != platform.Revision(o.tenure.fence):
+				o.resign(errDeposed.Error())
+				return
+			case v.Key != ownerKey && !v.Deleted:
+				o.sendJob(ctx, v.Entry)
 			}
 		}
 	}
@@ -187,6 +219,12 @@
 	f.run(ctx)
 }
 
+func (o *owner) sendJob(ctx context.Context, v platform.Entry) {
+	if e := o.jobEvent(v); e != nil {
+		o.send(ctx, e)
+	}
+}
+
 // followWorkers tells the core of workers that come, change and go.
 func (o *owner) followWorkers(ctx context.Context, from platform.Revision) {
 	f := &follower{kv: o.KV, prefix: platform.WorkerPrefix, gather: watchGather, log: o.log}
--- /dev/null
+++ b/job/owner_test.go
@@ -0,0 +1,131 @@
+package job
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/internal/fleet"
+	"amberway/platform"
+)
+
+// storeFixture is a store over HTTP with its client.
+type storeFixture struct {
+	*fleet.Store
+	kv *platform.KV
+}
+
+func newStoreFixture(t *testing.T) storeFixture {
+	s := fleet.NewStore()
+	h := httptest.NewServer(s.Handler())
+	t.Cleanup(h.Close)
+	at := netip.MustParseAddrPort(strings.TrimPrefix(h.URL, "http://"))
+	return storeFixture{Store: s, kv: platform.NewKV(at, &platform.Calls{})}
+}
+
+// claim makes an owner of the name.
+func (s storeFixture) claim(t *testing.T, name string) *owner {
+	e := newElection(s.kv, Owner{Name: name}, nil, time.Now)
+	n, err := e.claim(t.Context())
+	require.NoError(t, err)
+	return newOwner(Clients{KV: s.kv}, nil, time.Now, name, n)
+}
+
+func (s storeFixture) putJob(t *testing.T, id ID) {
+	r := NewRecord(testConfig().Queues[0], platform.Submission{Spec: "s", Steps: []platform.Step{oneTask()}}, time.Now())
+	require.NoError(t, s.Put(newKey(id), r))
+}
+
+// accepted returns the jobs among the events that wait.
+func (o *owner) accepted() []ID {
+	var l []ID
+	for len(o.events) > 0 {
+		if e, ok := (<-o.events).(Accepted); ok {
+			l = append(l, e.ID)
+		}
+	}
+	return l
+}
+
+func TestReplacedOwnerSeesNoJobThatCameAfterItsSuccessor(t *testing.T) {
+	s := newStoreFixture(t)
+	old := s.claim(t, "old")
+	s.putJob(t, idA)
+	s.Remove(ownerKey)
+	s.claim(t, "new")
+	s.putJob(t, idB)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	ctx, old.end = context.WithCancel(ctx)
+	old.followJobs(ctx, platform.Revision(old.tenure.fence))
+	require.Equal(t, errDeposed.Error(), old.why)
+	require.Equal(t, []ID{idA}, old.accepted())
+}
+
+func TestReplacedOwnerThatListsAnewSeesNoJob(t *testing.T) {
+	s := newStoreFixture(t)
+	old := s.claim(t, "old")
+	s.Remove(ownerKey)
+	s.claim(t, "new")
+	s.putJob(t, idB)
+	s.Forget()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	ctx, old.end = context.WithCancel(ctx)
+	old.followJobs(ctx, platform.Revision(old.tenure.fence))
+	require.Empty(t, old.accepted())
+}
+
+func TestWriteOfAReplacedOwnerIsRefused(t *testing.T) {
+	s := newStoreFixture(t)
+	old := s.claim(t, "old")
+	s.Remove(ownerKey)
+	s.claim(t, "new")
+	err := old.keeper.keep(t.Context(), Keep{Number: 1, Puts: []platform.Put{{Key: "progress/x", Value: []byte("1")}}}, func() {})
+	require.ErrorIs(t, err, errDeposed)
+	_, there := s.Value("progress/x")
+	require.False(t, there)
+}
+
+func TestWriteWhoseAnswerWasLostIsRecognised(t *testing.T) {
+	s := newStoreFixture(t)
+	o := s.claim(t, "owner")
+	s.SetFault(fleet.Fault{Lose: true})
+	slow := 0
+	err := o.keeper.keep(t.Context(), Keep{Number: 1, Puts: []platform.Put{{Key: "progress/x", Value: []byte("1")}}}, func() {
+		slow++
+		s.SetFault(fleet.Fault{})
+	})
+	require.NoError(t, err)
+	require.Equal(t, 1, slow)
+	require.NoError(t, o.keeper.keep(t.Context(), Keep{Number: 2}, func() {}), "the next write follows the one that was done")
+}
+
+func TestLateWriteOfAnOwnerMeetsItsCondition(t *testing.T) {
+	s := newStoreFixture(t)
+	o := s.claim(t, "owner")
+	late := o.keeper
+	require.NoError(t, o.keeper.keep(t.Context(), Keep{Number: 1, Puts: []platform.Put{{Key: "progress/x", Value: []byte("new")}}}, func() {}))
+	err := late.keep(t.Context(), Keep{Number: 0, Puts: []platform.Put{{Key: "progress/x", Value: []byte("old")}}}, func() {})
+	require.Error(t, err)
+	v, _ := s.Value("progress/x")
+	require.Equal(t, `new`, string(v))
+}
+
+func TestStoppingHostClaimsNothing(t *testing.T) {
+	s := newStoreFixture(t)
+	e := newElection(s.kv, Owner{Name: "stopping"}, nil, time.Now)
+	e.retire()
+	e.set(Owner{})
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, ok := e.wait(ctx)
+	require.False(t, ok)
+	_, there := s.Value(ownerKey)
+	require.False(t, there)
+}
--- a/tests/jobs_test.go
+++ b/tests/jobs_test.go
@@ -246,3 +246,26 @@
 	require.NotEmpty(t, j.Fleet.Crash(time.Second))
 	require.Eventually(t, func() bool { return state(t, j.Entries[0], "blue", jobID(1)) == succeeded }, jobsTime, tick)
 }
+
+// TestOwnerWhoseKeyIsTakenAwayStartsNoJobThatCameLater takes the owner's key
+// away while its lease, its watches and its way to the workers are good, as the
+// platform does now and then.
+func TestOwnerWhoseKeyIsTakenAwayStartsNoJobThatCameLater(t *testing.T) {
+	j := startJobs(t)
+	n := 0
+	for range 8 {
+		j.Fleet.Store.Remove("jobs/owner")
+		for range 12 {
+			code, body, err := j.Entries[n%3].Call(http.MethodPost, "green", jobID(n), local.Job{
+				Spec: "300ms", Steps: []local.Step{{Count: 1, CPU: 100, MemMB: 10}},
+			})
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, code, body)
+			n++
+		}
+	}
+	for i := range n {
+		require.Eventually(t, func() bool { return state(t, j.Entries[i%3], "green", jobID(i)) == succeeded }, jobsTime, tick)
+	}
+	require.Empty(t, j.Fleet.Books.Broken())
+}
