--- a/job/core_test.go
+++ b/job/core_test.go
@@ -72,9 +72,9 @@
 	}
 }
 
-func testWorker(id, service string) platform.Worker {
+func testWorker(id string) platform.Worker {
 	return platform.Worker{
-		ID: platform.WorkerID(id), Service: service, Host: "host-of-" + id,
+		ID: platform.WorkerID(id), Service: "blue", Host: "host-of-" + id,
 		Address:  netip.MustParseAddrPort("10.0.0.1:80"),
 		Capacity: platform.Resources{MilliCores: 4000, MemoryMB: 8000}, Labels: []string{"a", "r1-1"},
 	}
@@ -83,7 +83,7 @@
 // join adds workers that have answered a look.
 func (f *fixture) join(ids ...string) {
 	for _, id := range ids {
-		f.step(WorkerListed{Worker: testWorker(id, "blue")})
+		f.step(WorkerListed{Worker: testWorker(id)})
 		f.answer(id, platform.Look{})
 	}
 }
@@ -138,10 +138,10 @@
 	f.step(Accepted{ID: ID(id), Record: r, Created: platform.Revision(1000 + len(f.core.jobs))})
 }
 
-// state returns a job's state once what is due has been written.
-func (f *fixture) state(id string) platform.State {
+// state returns the state of the job idA once what is due has been written.
+func (f *fixture) state() platform.State {
 	f.pass(tickEvery)
-	s, ok := f.core.StateOf(ID(id))
+	s, ok := f.core.StateOf(idA)
 	require.True(f.t, ok)
 	return s
 }
@@ -164,11 +164,11 @@
 	f := newFixture(t)
 	f.join("w1")
 	f.submit(idA, "quick", oneTask(), platform.Step{Count: 2, Resources: platform.Resources{MilliCores: 500}, After: []int{0}})
-	require.Equal(t, platform.StateQueued, f.state(idA))
+	require.Equal(t, platform.StateQueued, f.state())
 	l := f.starts()
 	require.Len(t, l, 1, "the second step waits for the first")
 	f.took(l[0])
-	require.Equal(t, platform.StateRunning, f.state(idA))
+	require.Equal(t, platform.StateRunning, f.state())
 	f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndDone)}})
 	next := f.starts()
 	require.Len(t, next, 2)
@@ -177,9 +177,9 @@
 	f.pass(200 * time.Millisecond)
 	f.holdWrites = true
 	f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(2, next[0], platform.EndDone), ended(3, next[1], platform.EndDone)}})
-	require.Equal(t, platform.StateRunning, f.state(idA), "the store does not have the end yet")
+	require.Equal(t, platform.StateRunning, f.state(), "the store does not have the end yet")
 	f.step(Kept{Number: f.core.number})
-	require.Equal(t, platform.StateSucceeded, f.state(idA))
+	require.Equal(t, platform.StateSucceeded, f.state())
 }
 
 func TestEndIsForgottenOnlyAfterItIsKept(t *testing.T) {
@@ -270,17 +270,17 @@
 
 	next := newOwnerFixture(t, 200)
 	next.step(Inherited{
-		Config: testConfig(), Workers: []platform.Worker{testWorker("w1", "blue")},
+		Config: testConfig(), Workers: []platform.Worker{testWorker("w1")},
 		Jobs: []Accepted{{ID: idA, Record: rec, Created: 50}}, Progress: map[ID]Progress{idA: p},
 	})
 	next.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndFailed)}})
-	require.Equal(t, platform.StateRunning, next.state(idA), "one failed run was counted twice")
+	require.Equal(t, platform.StateRunning, next.state(), "one failed run was counted twice")
 	again := next.starts()
 	require.Len(t, again, 1)
 	next.took(again[0])
 	next.pass(100 * time.Millisecond)
 	next.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(2, again[0], platform.EndFailed)}})
-	require.Equal(t, platform.StateFailed, next.state(idA))
+	require.Equal(t, platform.StateFailed, next.state())
 }
 
 func TestCancelMarkThatIsSeenBeforeItsJobCancelsIt(t *testing.T) {
@@ -288,7 +288,7 @@
 	f.join("w1")
 	f.step(CancelAsked{ID: idA})
 	f.submit(idA, "quick", oneTask())
-	require.Equal(t, platform.StateCancelled, f.state(idA))
+	require.Equal(t, platform.StateCancelled, f.state())
 	require.Empty(t, f.starts())
 }
 
@@ -297,7 +297,7 @@
 	rec := NewRecord(f.core.queues["quick"], platform.Submission{Spec: "s", Steps: []platform.Step{oneTask()}}, f.now)
 	gone := RosterEntry{ID: "w2", Service: "blue", Host: "host-of-w2", Address: netip.MustParseAddrPort("10.0.0.2:80")}
 	f.step(Inherited{
-		Config: testConfig(), Workers: []platform.Worker{testWorker("w1", "blue")},
+		Config: testConfig(), Workers: []platform.Worker{testWorker("w1")},
 		Jobs:   []Accepted{{ID: idA, Record: rec, Created: 50}},
 		Roster: Roster{Workers: []RosterEntry{gone}},
 	})
@@ -313,13 +313,13 @@
 	f := newFixture(t)
 	rec := NewRecord(f.core.queues["quick"], platform.Submission{Spec: "s", Steps: []platform.Step{oneTask()}}, f.now)
 	f.step(Inherited{
-		Config: testConfig(), Workers: []platform.Worker{testWorker("w1", "blue")},
+		Config: testConfig(), Workers: []platform.Worker{testWorker("w1")},
 		Jobs: []Accepted{{ID: idA, Record: rec, Created: 50}},
 	})
 	task := taskKey{id: idA}.String()
 	f.answer("w1", platform.Look{Running: []platform.RunningRow{{Task: task, Run: 7, Percent: 30}, {Task: taskKey{id: idB}.String(), Run: 8}}})
 	require.Empty(t, f.starts())
-	require.Equal(t, platform.StateRunning, f.state(idA))
+	require.Equal(t, platform.StateRunning, f.state())
 	s := f.stops()
 	require.Len(t, s, 1, "a run of no job is stopped")
 	require.EqualValues(t, 8, s[0].Run)
@@ -331,7 +331,7 @@
 	f.submit(idA, "quick", oneTask())
 	l := f.starts()
 	f.took(l[0])
-	stale := testWorker("older", "blue")
+	stale := testWorker("older")
 	stale.Host = l[0].Worker.Host
 	f.step(WorkerListed{Worker: stale})
 	require.Empty(t, f.starts())
@@ -361,7 +361,7 @@
 		f.took(s)
 	}
 	f.answer(string(l[0].Worker.ID), platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndDone)}})
-	require.Equal(t, platform.StateSucceeded, f.state(idA))
+	require.Equal(t, platform.StateSucceeded, f.state())
 }
 
 func TestTimesStartWhenTheyAreDue(t *testing.T) {
@@ -443,8 +443,8 @@
 	f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndDone)}})
 	f.pass(tickEvery)
 	f.step(Kept{Number: f.core.number, Err: errors.New("store is away")})
-	require.Equal(t, platform.StateRunning, f.state(idA))
+	require.Equal(t, platform.StateRunning, f.state())
 	f.holdWrites = false
 	f.pass(2 * keepRetry)
-	require.Equal(t, platform.StateSucceeded, f.state(idA))
+	require.Equal(t, platform.StateSucceeded, f.state())
 }
--- a/job/front.go
+++ b/job/front.go
@@ -110,7 +110,7 @@
 
 func answer(w http.ResponseWriter, b []byte) {
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(b)
+	_, _ = w.Write(b) //nolint:gosec // JSON of a fixed form, with its content type
 }
 
 // submit takes in a job.
--- a/job/fuzz_test.go
+++ b/job/fuzz_test.go
@@ -25,9 +25,7 @@
 		}
 	}
 	w.checkOrder(k, rec)
-	for _, e := range w.doneRuns[o.Task] {
-		w.restarted[o.Task] = append(w.restarted[o.Task], e)
-	}
+	w.restarted[o.Task] = append(w.restarted[o.Task], w.doneRuns[o.Task]...)
 	used := s.MilliCores
 	for _, r := range v.runs {
 		used += r.step.MilliCores
@@ -127,8 +125,8 @@
 				w.pass(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
 			},
 			"lossy":  func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
-			"cancel": func(t *rapid.T) { w.cancelSome() },
-			"cut":    func(t *rapid.T) { v := w.some(); v.cut = !v.cut },
+			"cancel": func(*rapid.T) { w.cancelSome() },
+			"cut":    func(*rapid.T) { v := w.some(); v.cut = !v.cut },
 			"crash":  func(*rapid.T) { w.crash() },
 			"unlist": func(*rapid.T) { w.unlist() },
 			"kill":   func(*rapid.T) { w.succeed(func(o *worldOwner) { o.dead = true }) },
--- a/job/keep.go
+++ b/job/keep.go
@@ -22,7 +22,7 @@
 
 // keeping is what the owner has yet to write.
 type keeping struct {
-	dirty   []*job
+	changed []*job
 	urgent  bool
 	dueAt   time.Time
 	wakeAt  time.Time
@@ -58,7 +58,7 @@
 	}
 	if !j.dirty {
 		j.dirty = true
-		c.keeping.dirty = append(c.keeping.dirty, j)
+		c.changed = append(c.changed, j)
 	}
 }
 
@@ -91,14 +91,14 @@
 		return
 	}
 	k := &kept{states: map[*job]platform.State{}, seen: map[*worker]int64{}}
-	n := min(len(c.keeping.dirty), keepJobs)
-	for _, j := range c.keeping.dirty[:n] {
+	n := min(len(c.changed), keepJobs)
+	for _, j := range c.changed[:n] {
 		j.dirty = false
 		c.keepJob(k, j)
 	}
-	c.keeping.dirty = c.keeping.dirty[n:]
+	c.changed = c.changed[n:]
 	c.keepExtra(k)
-	if len(c.keeping.dirty) == 0 {
+	if len(c.changed) == 0 {
 		c.urgent = false
 		c.dueAt = time.Time{}
 		// Only a write after which nothing is left to write covers all ends.
@@ -182,7 +182,7 @@
 		w.kept = max(w.kept, n)
 		c.tend(w)
 	}
-	if len(c.extraPuts)+len(c.extraDeletes)+len(c.keeping.dirty) > 0 && c.dueAt.IsZero() {
+	if len(c.extraPuts)+len(c.extraDeletes)+len(c.changed) > 0 && c.dueAt.IsZero() {
 		c.dueAt = c.now
 	}
 }
--- a/job/learn.go
+++ b/job/learn.go
@@ -60,23 +60,24 @@
 
 // judge counts an end for or against the worker. A job that has failed on
 // another worker speaks against the job, not the worker.
-func (c *Core) judge(w *worker, t *task, r *run, how platform.End) {
-	j := t.of.of.job
-	switch how {
-	case platform.EndDone:
+func (c *Core) judge(w *worker, t *task, how platform.End) {
+	if how == platform.EndDone {
 		w.blame = 0
-	case platform.EndFailed:
-		t.avoid = w.ID
-		if j.failedOn == nil {
-			j.failedOn = map[platform.WorkerID]bool{}
-		}
-		if len(j.failedOn) == 0 || (len(j.failedOn) == 1 && j.failedOn[w.ID]) {
-			w.blame++
-		}
-		j.failedOn[w.ID] = true
-		if w.blame >= blameLimit {
-			c.setAside(w)
-		}
+	}
+	if how != platform.EndFailed {
+		return
+	}
+	t.avoid = w.ID
+	j := t.of.of.job
+	if j.failedOn == nil {
+		j.failedOn = map[platform.WorkerID]bool{}
+	}
+	if len(j.failedOn) == 0 || (len(j.failedOn) == 1 && j.failedOn[w.ID]) {
+		w.blame++
+	}
+	j.failedOn[w.ID] = true
+	if w.blame >= blameLimit {
+		c.setAside(w)
 	}
 }
 
--- a/job/looks.go
+++ b/job/looks.go
@@ -154,16 +154,16 @@
 		t.snapshot = e.Snapshot
 	}
 	c.do(Note{What: "end", Job: k.id, Task: e.Task, Run: e.Run, Worker: w.ID, Why: string(e.How), Inputs: []any{"number", e.Number}})
-	c.judge(w, t, r, e.How)
+	c.judge(w, t, e.How)
 	if t.of.Lasting {
 		c.lastingEnded(t, r, e.How)
 		return false
 	}
-	switch e.How {
-	case platform.EndDone:
+	if e.How == platform.EndDone {
 		c.taskDone(t, r)
 		return true
-	case platform.EndFailed:
+	}
+	if e.How == platform.EndFailed {
 		c.taskFailed(t, e.Run)
 		return true
 	}
--- a/job/machines.go
+++ b/job/machines.go
@@ -38,8 +38,6 @@
 	platform.Machine
 	// order is the order under way, if any.
 	order *machineOrder
-	// wave is the wave that is to maintain it, if any.
-	wave *wave
 	// retryAt holds back the next order.
 	retryAt time.Time
 	// emptyingSince says since when it has been kept free of new runs.
--- a/job/machines_test.go
+++ b/job/machines_test.go
@@ -68,7 +68,7 @@
 
 func TestUpkeepWaitsForAWorkerThatHasNotAnswered(t *testing.T) {
 	f := newFixture(t)
-	f.step(WorkerListed{Worker: testWorker("w1", "blue")})
+	f.step(WorkerListed{Worker: testWorker("w1")})
 	f.machinesAre(machineOf("w1", "blue"))
 	f.step(WaveAsked{Wave: platform.Wave{Number: 4, Machines: []string{"host-of-w1"}, Within: 20 * time.Second, Cap: 1}})
 	f.pass(handOver + time.Second)
--- a/job/peer.go
+++ b/job/peer.go
@@ -120,7 +120,7 @@
 	case !known:
 		w.WriteHeader(http.StatusNotFound)
 	default:
-		_, _ = io.WriteString(w, string(s))
+		_, _ = io.WriteString(w, string(s)) //nolint:gosec // one of the fixed states, between entry hosts
 	}
 }
 
--- a/job/state.go
+++ b/job/state.go
@@ -176,10 +176,10 @@
 	return n
 }
 
-// finish notes that a task is done. It reports whether that is news.
-func (n *instance) finish(t *task) bool {
+// finish notes that a task is done.
+func (n *instance) finish(t *task) {
 	if t.done {
-		return false
+		return
 	}
 	if t.idle() {
 		t.of.idle--
@@ -187,7 +187,6 @@
 	t.done = true
 	t.of.left--
 	n.left--
-	return true
 }
 
 // untouched reports whether no task has ended.
--- a/job/worker.go
+++ b/job/worker.go
@@ -75,8 +75,8 @@
 	leaving bool
 	// idleSince is when the last run on it ended.
 	idleSince time.Time
-	workingMs float64
-	paceAt    time.Time
+	// paceAt is when pace may change again.
+	paceAt time.Time
 }
 
 // stray is a run that is not to be there.
