Leave workers of moved machines out of what a next owner waits for

Now a worker that runs nothing leaves the roster when its machine gets an order, and a silent worker is given up when the list of machines names another life, or none, on its machine. Ruled out: the time to notice the death, 1.5 s of it.

Tests fail without the change.

--- a/job/keep.go
+++ b/job/keep.go
@@ -172,7 +172,7 @@
 	}
 	c.failing = false
 	for _, w := range k.rostered {
-		w.rostered = true
+		w.rostered = !w.retired
 		c.rescan = true
 	}
 	for j, s := range k.states {
--- a/job/machines.go
+++ b/job/machines.go
@@ -156,8 +156,8 @@
 			continue
 		}
 		w.stale = m.Worker != w.ID
-		if w.stale && w.silent > 0 && m.Worker != "" && m.State == platform.MachineUp {
-			c.lose(w, "its machine runs another life, by the list of machines")
+		if w.stale && w.silent > 0 && m.State != platform.MachineDown {
+			c.lose(w, "its machine runs another life or none, by the list of machines")
 		}
 	}
 }
@@ -215,8 +215,28 @@
 
 // release lets a machine's worker take starts again.
 func (c *Core) release(m *machine) {
-	if w := c.workerOf(m); w != nil {
-		w.leaving = false
+	w := c.workerOf(m)
+	if w == nil {
+		return
+	}
+	w.leaving = false
+	if w.retired {
+		w.retired, w.rostered = false, false
+		c.keepRoster()
+	}
+}
+
+// retire takes the worker of a machine that gets an order out of the roster if
+// nothing runs there, so that a next owner does not wait for its answer.
+func (c *Core) retire(m *machine) {
+	w := c.workerOf(m)
+	if w == nil {
+		return
+	}
+	w.leaving = true
+	if len(w.runs)+len(w.strays) == 0 && !w.retired {
+		w.retired = true
+		c.keepRoster()
 	}
 }
 
@@ -268,6 +288,7 @@
 // send gives the order of the machine.
 func (c *Core) send(m *machine) {
 	o := m.order
+	c.retire(m)
 	if o.wave != nil {
 		c.do(MaintainMachine{Holder: c.orderHolder(), Machine: m.Name, Wave: o.wave.Number})
 		return
--- a/job/machines_test.go
+++ b/job/machines_test.go
@@ -165,3 +165,35 @@
 	require.Equal(t, 100, nextPace(90, 0.2))
 	require.Equal(t, 50, nextPace(50, 0.7), "between the marks nothing changes")
 }
+
+func TestWorkerOfAMovedMachineDoesNotHoldUpTheNextOwner(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1", "w2")
+	f.machinesAre(machineOf("w1", "blue"), machineOf("w2", "blue"))
+	f.pass(handOver + idleFor + time.Second)
+	require.NotEmpty(t, f.moves())
+	p, _, err := f.core.rosterPut()
+	require.NoError(t, err)
+	r, err := decodeRoster(platform.Entry{Value: p.Value})
+	require.NoError(t, err)
+	for _, e := range r.Workers {
+		require.NotEqual(t, f.moves()[0].Machine, e.Host)
+	}
+}
+
+func TestInheritedWorkerWhoseMachineRunsAnotherLifeIsGivenUp(t *testing.T) {
+	f := newFixture(t)
+	rec := NewRecord(f.core.queues["quick"], platform.Submission{Spec: "s", Steps: []platform.Step{oneTask()}}, f.now)
+	gone := RosterEntry{ID: "older", Service: "blue", Host: "host-of-w1"}
+	f.step(Inherited{
+		Config: testConfig(), Workers: []platform.Worker{testWorker("w2")},
+		Jobs:   []Accepted{{ID: idA, Record: rec, Created: 50}},
+		Roster: Roster{Workers: []RosterEntry{gone}},
+	})
+	f.answer("w2", platform.Look{})
+	f.fail("older", platform.ErrNotSent)
+	require.Empty(t, f.starts())
+	f.machinesAre(machineOf("w1", "spare"), machineOf("w2", "blue"))
+	f.pass(tickEvery)
+	require.Len(t, f.starts(), 1)
+}
--- a/job/pools.go
+++ b/job/pools.go
@@ -397,9 +397,6 @@
 
 func (c *Core) move(m *machine, pool string, d *demand) {
 	m.order = &machineOrder{pool: pool, sentAt: c.now}
-	if w := c.byHost[m.Name]; w != nil {
-		w.leaving = true
-	}
 	c.do(Note{What: "move", Inputs: []any{"machine", m.Name, "from", m.Pool, "to", pool, "want", d.want, "have", d.have, "waits", d.waits}})
 	c.send(m)
 }
--- a/job/succession.go
+++ b/job/succession.go
@@ -140,6 +140,9 @@
 	var r Roster
 	var l []*worker
 	for id, w := range c.workers {
+		if w.retired {
+			continue
+		}
 		r.Workers = append(r.Workers, RosterEntry{ID: id, Service: w.Service, Address: w.Address, Host: w.Host})
 		l = append(l, w)
 	}
--- a/job/worker.go
+++ b/job/worker.go
@@ -43,6 +43,9 @@
 	// inherited says that an earlier owner may have started runs on it;
 	// rostered, that the store says so of this owner.
 	inherited, rostered bool
+	// retired says that the roster leaves it out again: nothing runs there, and
+	// its machine has an order.
+	retired bool
 	// met says that it has answered a look with the owner's fence.
 	met bool
 	// clock is its clock at an answer that came at clockAt.
