--- /dev/null
+++ b/common/instant.go
@@ -0,0 +1,25 @@
+package common
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Instant is a point in time that several goroutines share. It keeps the
+// monotonic clock's reading, so that steps of the time of day do not matter.
+type Instant struct {
+	p atomic.Pointer[time.Time]
+}
+
+// Set notes the time.
+func (i *Instant) Set(t time.Time) {
+	i.p.Store(&t)
+}
+
+// Get returns the time that was set last, or the zero time.
+func (i *Instant) Get() time.Time {
+	if t := i.p.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
--- a/job/core.go
+++ b/job/core.go
@@ -30,7 +30,8 @@
 	succession
 	keeping
 	machines
-	rescan bool
+	rescan   bool
+	forgetAt time.Time
 	// cutOffSince is when most workers fell silent.
 	cutOffSince time.Time
 	out         []Action
@@ -90,6 +91,7 @@
 		c.tend(w)
 	}
 	c.checkReach()
+	c.forget()
 	c.tendMachines()
 	c.rescan = true
 }
--- a/job/core_test.go
+++ b/job/core_test.go
@@ -448,3 +448,62 @@
 	f.pass(2 * keepRetry)
 	require.Equal(t, platform.StateSucceeded, f.state())
 }
+
+func TestRunThatStandsStillIsMovedElsewhere(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1", "w2", "w3", "w4")
+	f.submit(idA, "quick", oneTask())
+	l := f.starts()
+	f.took(l[0])
+	id := string(l[0].Worker.ID)
+	for range 20 {
+		f.pass(200 * time.Millisecond)
+		if _, ok := f.looks[l[0].Worker.ID]; ok {
+			f.answer(id, platform.Look{Running: []platform.RunningRow{runningRow(l[0], 10)}})
+		}
+	}
+	s := f.stops()
+	require.Len(t, s, 1)
+	f.step(Stopped{Worker: s[0].Worker.ID, Run: s[0].Run, Task: s[0].Task, Clock: f.clock})
+	f.answer(id, platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndStopped)}})
+	next := f.starts()
+	require.Len(t, next, 1)
+	require.NotEqual(t, l[0].Worker.ID, next[0].Worker.ID)
+}
+
+func TestSlowRunMovesOnceAndOnlyIfThatIsSooner(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1", "w2")
+	f.submit(idA, "quick", oneTask(), oneTask())
+	l := f.starts()
+	f.took(l[0])
+	f.took(l[1])
+	f.pass(time.Second)
+	id := string(l[0].Worker.ID)
+	rows := []platform.RunningRow{runningRow(l[0], 10)}
+	if l[1].Worker.ID == l[0].Worker.ID {
+		rows = append(rows, runningRow(l[1], 60))
+	}
+	f.answer(id, platform.Look{Running: rows})
+	s := f.stops()
+	require.Len(t, s, 1, "at a tenth after a second it needs nine more")
+	require.Equal(t, l[0].Order.Run, s[0].Run)
+}
+
+func TestFinalJobsAreForgottenAfterTheirTime(t *testing.T) {
+	f := newFixture(t)
+	f.submit(idA, "quick", oneTask())
+	f.step(CancelAsked{ID: idA})
+	require.Equal(t, platform.StateCancelled, f.state())
+	f.pass(2 * time.Minute)
+	require.Contains(t, f.core.jobs, ID(idA))
+	f.pass(90 * time.Second)
+	require.NotContains(t, f.core.jobs, ID(idA))
+	var removed []string
+	for _, a := range f.out {
+		if k, ok := a.(Keep); ok {
+			removed = append(removed, k.Deletes...)
+		}
+	}
+	require.Contains(t, removed, progressKey(idA))
+}
--- a/job/fuzz_test.go
+++ b/job/fuzz_test.go
@@ -38,7 +38,7 @@
 		w.failures[o.Task]--
 		how = platform.EndFailed
 	}
-	v.runs[o.Task] = &worldRun{task: o.Task, number: o.Run, endsAt: w.now.Add(s.Estimate), how: how, step: s}
+	v.runs[o.Task] = &worldRun{task: o.Task, number: o.Run, began: w.now, endsAt: w.now.Add(s.Estimate), how: how, step: s}
 }
 
 // checkOrder checks that the steps before the task's are done.
--- a/job/looks.go
+++ b/job/looks.go
@@ -279,6 +279,7 @@
 		r.movedAt = c.now
 	}
 	r.level = v.Level
+	c.checkRun(r)
 	t := r.task
 	if v.Snapshot != "" && t.of.Checkpoints {
 		t.snapshot = v.Snapshot
@@ -304,7 +305,7 @@
 		}
 		return nil
 	}
-	r := &run{number: v.Run, task: t, at: w, phase: running, sentAt: c.now, knownAt: c.now, movedAt: c.now, pace: 100}
+	r := &run{number: v.Run, task: t, at: w, phase: running, sentAt: c.now, knownAt: c.now, movedAt: c.now, pace: 100, percent: v.Percent, adoptedAt: v.Percent}
 	r.attach()
 	c.do(Note{What: "run taken over", Job: k.id, Task: v.Task, Run: v.Run, Worker: w.ID})
 	return r
--- a/job/node.go
+++ b/job/node.go
@@ -36,9 +36,8 @@
 	intake   *intake
 	peers    *peers
 	leaving  atomic.Bool
-	// heardAt is when the store last answered, in nanoseconds since 1970;
-	// failing says that its last answer was an error.
-	heardAt atomic.Int64
+	// heardAt is when the store last answered.
+	heardAt common.Instant
 	mu      sync.Mutex
 	owner   *owner
 	resign  context.CancelFunc
@@ -76,7 +75,7 @@
 	if n.leaving.Load() || n.routes.Load() == nil {
 		return false
 	}
-	return n.now().Sub(time.Unix(0, n.heardAt.Load())) < readyWithout
+	return n.now().Sub(n.heardAt.Get()) < readyWithout
 }
 
 // Leave hands ownership on and has callers sent elsewhere.
@@ -103,7 +102,7 @@
 	f := &follower{kv: n.KV, prefix: platform.OperatorPrefix, log: n.log}
 	f.heard = func(err error) {
 		if err == nil || errors.Is(err, platform.ErrCompacted) {
-			n.heardAt.Store(n.now().UnixNano())
+			n.heardAt.Set(n.now())
 		}
 	}
 	f.listed = func(l []platform.Entry) {
--- a/job/owner.go
+++ b/job/owner.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"amberway/common"
 	"amberway/platform"
 )
 
@@ -43,9 +43,8 @@
 	// mu guards core, which callers' questions read.
 	mu   sync.Mutex
 	core *Core
-	// renewedAt is when the last renewal was sent that the store has answered,
-	// in nanoseconds since 1970.
-	renewedAt atomic.Int64
+	// renewedAt is when the last renewal was sent that the store has answered.
+	renewedAt common.Instant
 	end       context.CancelFunc
 	endOnce   sync.Once
 	why       string
@@ -68,7 +67,7 @@
 		keeper:  keeper{kv: p.KV, fence: t.fence},
 		core:    New(t.fence, name, now()),
 	}
-	o.renewedAt.Store(t.since.UnixNano())
+	o.renewedAt.Set(t.since)
 	return o
 }
 
@@ -165,7 +164,7 @@
 			o.resign("its lease is over")
 			return
 		case err == nil:
-			o.renewedAt.Store(sent.UnixNano())
+			o.renewedAt.Set(sent)
 		case o.sinceRenewal() > ownerAuthority:
 			o.resign("the store has been away for too long: " + err.Error())
 			return
@@ -176,5 +175,5 @@
 // sinceRenewal is how long ago the last renewal was sent that the store has
 // answered.
 func (o *owner) sinceRenewal() time.Duration {
-	return o.now().Sub(time.Unix(0, o.renewedAt.Load()))
+	return o.now().Sub(o.renewedAt.Get())
 }
--- /dev/null
+++ b/job/stall.go
@@ -0,0 +1,113 @@
+package job
+
+import "time"
+
+// Figures of runs that do not get on.
+const (
+	// stallAfter is how long a run may show no progress: looks come each second
+	// and tell whole percents of tasks of one or two seconds.
+	stallAfter = 1500 * time.Millisecond
+	// stallShare is the share of its expected time in which a longer task may
+	// show none.
+	stallShare = 10
+	// warmUp is how long a lasting task may take to be at work: the slowest
+	// take a second and a half.
+	warmUp = 3 * time.Second
+	// mostStalls is how often a task is moved for standing still: some tasks may
+	// show no progress anywhere.
+	mostStalls = 3
+	// slowAfter is how long a run goes on before its pace is judged.
+	slowAfter = 800 * time.Millisecond
+	// slowBy is how many times its expected time a run may still need before it
+	// is better begun anew elsewhere.
+	slowBy = 2
+	// stallAside is how long a worker gets no starts after a run stood still
+	// there.
+	stallAside = 3 * time.Second
+)
+
+// checkRun moves a run elsewhere that stands still or is much too slow.
+func (c *Core) checkRun(r *run) {
+	if r.phase != running {
+		return
+	}
+	switch {
+	case c.standsStill(r):
+		r.task.stalls++
+		c.leaveWorker(r, "it stands still")
+	case c.crawls(r):
+		c.leaveWorker(r, "it would be done sooner elsewhere")
+	}
+}
+
+// standsStill reports whether the run has shown no progress for too long.
+func (c *Core) standsStill(r *run) bool {
+	t := r.task
+	still := c.now.Sub(r.movedAt)
+	if t.of.Lasting {
+		return r.percent < 100 && still > warmUp
+	}
+	if t.stalls >= mostStalls {
+		return false
+	}
+	return still > max(stallAfter, c.expect(t.of.of.job, t.of.Step)/stallShare)
+}
+
+// crawls reports whether the run needs much longer for the rest than the whole
+// task is expected to take elsewhere. A task moves for that once.
+func (c *Core) crawls(r *run) bool {
+	t := r.task
+	went := c.now.Sub(r.sentAt)
+	if t.of.Lasting || t.of.Fills || t.moved || t.of.Gang || r.percent <= 0 || r.percent <= r.adoptedAt || went < slowAfter {
+		return false
+	}
+	rest := time.Duration(float64(went) * float64(100-r.percent) / float64(r.percent-r.adoptedAt))
+	return rest > slowBy*c.expect(t.of.of.job, t.of.Step)+slowAfter && c.roomElsewhere(r.at, t)
+}
+
+func (c *Core) leaveWorker(r *run, why string) {
+	t := r.task
+	w := r.at
+	t.moved = true
+	t.avoid = w.ID
+	if len(c.pools[w.Service]) > setAsideShare {
+		w.setAside = c.now.Add(stallAside)
+	}
+	c.do(Note{What: "worker set aside", Worker: w.ID, Job: t.of.of.job.id, Run: r.number, Why: why, Inputs: []any{
+		"percent", r.percent, "went_ms", c.now.Sub(r.sentAt).Milliseconds(), "expected_ms", c.expect(t.of.of.job, t.of.Step).Milliseconds(),
+	}})
+	c.stop(r, why)
+}
+
+// Times of forgetting final jobs.
+const (
+	// forgetAfter is how long callers may ask for a final job's state: the pages
+	// say two minutes.
+	forgetAfter = 3 * time.Minute
+	// forgetEvery is how often final jobs are looked through, and forgetMost how
+	// many are forgotten at a time.
+	forgetEvery = 5 * time.Second
+	forgetMost  = 20
+)
+
+// forget removes final jobs that nobody asks for any more.
+func (c *Core) forget() {
+	if c.now.Before(c.forgetAt) {
+		return
+	}
+	c.forgetAt = c.now.Add(forgetEvery)
+	var l []string
+	for id, j := range c.jobs {
+		if len(l) >= forgetMost {
+			break
+		}
+		if !j.state.Final() || j.kept != j.state || c.now.Sub(j.finalAt) < forgetAfter {
+			continue
+		}
+		delete(c.jobs, id)
+		l = append(l, progressKey(id))
+	}
+	if len(l) > 0 {
+		c.write(nil, l)
+	}
+}
--- a/job/state.go
+++ b/job/state.go
@@ -74,6 +74,10 @@
 	awaySince time.Time
 	// atWork says that a lasting task is at work.
 	atWork bool
+	// moved says that a run was given up for being slow.
+	moved bool
+	// stalls counts the runs that were given up for standing still.
+	stalls int
 }
 
 // phase says what is known of a run.
@@ -102,7 +106,9 @@
 	// once the worker has said that the run can never start.
 	stopSent, stopped bool
 	percent           int
-	level             float64
+	// adoptedAt is the percent at which the owner came to know the run.
+	adoptedAt int
+	level     float64
 	// movedAt is when percent last rose, from movedFrom at the run's start.
 	movedAt time.Time
 	pace    int
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -58,6 +58,7 @@
 type worldRun struct {
 	task   string
 	number int64
+	began  time.Time
 	endsAt time.Time
 	how    platform.End
 	step   platform.Step
@@ -84,6 +85,10 @@
 	dead   bool
 }
 
+func (r *worldRun) percent(now time.Time) int {
+	return int(min(99, 100*now.Sub(r.began)/max(1, r.endsAt.Sub(r.began))))
+}
+
 func newWorld(t *rapid.T) *world {
 	w := &world{
 		t: t, now: time.Unix(1e9, 0), workers: map[platform.WorkerID]*worldWorker{}, jobs: map[ID]Record{},
@@ -319,7 +324,7 @@
 		return true
 	})
 	for _, r := range v.runs {
-		out.Look.Running = append(out.Look.Running, platform.RunningRow{Task: r.task, Run: r.number, Percent: 100})
+		out.Look.Running = append(out.Look.Running, platform.RunningRow{Task: r.task, Run: r.number, Percent: r.percent(w.now)})
 	}
 	for _, e := range v.ended {
 		out.Look.Ended = append(out.Look.Ended, e.row)
