Resign only when more workers are silent than answer, and end a lease until it is ended

Cause: a new owner counted only workers with runs or without answers when it judged its reach, so one data centre that was cut off looked like most of the fleet; it resigned a second after it had taken over.

--- a/job/core_test.go
+++ b/job/core_test.go
@@ -507,3 +507,33 @@
 	}
 	require.Contains(t, removed, progressKey(idA))
 }
+
+func TestOwnerStepsDownOnlyIfMostWorkersAreSilent(t *testing.T) {
+	f := newFixture(t)
+	ids := []string{"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8", "w9"}
+	f.join(ids...)
+	stepsDown := func() bool {
+		for _, a := range f.out {
+			if _, ok := a.(StepDown); ok {
+				return true
+			}
+		}
+		return false
+	}
+	silence := func(n int) {
+		for range 8 {
+			for _, id := range ids[:n] {
+				w := f.core.workers[platform.WorkerID(id)]
+				w.silent = max(1, w.silent)
+				if _, ok := f.looks[w.ID]; ok {
+					f.fail(id, platform.ErrUnknown)
+				}
+			}
+			f.pass(200 * time.Millisecond)
+		}
+	}
+	silence(4)
+	require.False(t, stepsDown(), "five of nine have just answered")
+	silence(5)
+	require.True(t, stepsDown())
+}
--- a/job/elect.go
+++ b/job/elect.go
@@ -21,6 +21,9 @@
 	// abstainFor is how long a host that could not reach the workers leaves
 	// ownership to others. Cuts last about six seconds.
 	abstainFor = 5 * time.Second
+	// endLeaseFor is how long the end of a lease is tried: the store is away for
+	// five seconds at a time.
+	endLeaseFor = 6 * time.Second
 	// claimRetry is the pause after a claim that failed.
 	claimRetry = 200 * time.Millisecond
 )
@@ -146,7 +149,7 @@
 		for e.owner().Name == "" && ctx.Err() == nil && !e.isRetired() {
 			t, err := e.claim(ctx)
 			if err == nil && e.isRetired() {
-				e.endLease(ctx, t.lease)
+				go e.endLease(ctx, t.lease)
 				return tenure{}, false
 			}
 			if err == nil {
@@ -178,7 +181,7 @@
 	})
 	if err != nil {
 		e.log.Write(Note{What: "claim failed", Why: err.Error()})
-		e.endLease(ctx, lease)
+		go e.endLease(ctx, lease)
 		return tenure{}, err
 	}
 	self := e.self
@@ -187,10 +190,20 @@
 	return tenure{fence: platform.Fence(at), lease: lease, since: since}, nil
 }
 
-// endLease gives up a lease, with the owner's key if it has one. Should the
-// store not answer, the lease runs out by itself.
+// endLease gives up a lease, with the owner's key if it has one. It tries for
+// as long as the lease may last: leases wait while the store is away.
 func (e *election) endLease(ctx context.Context, l platform.LeaseID) {
-	if err := e.kv.Revoke(ctx, l); err != nil {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endLeaseFor)
+	defer cancel()
+	for {
+		err := e.kv.Revoke(ctx, l)
+		if err == nil || errors.Is(err, platform.ErrNotFound) {
+			return
+		}
 		e.log.Write(Note{What: "lease not ended", Why: err.Error()})
+		common.Sleep(ctx, claimRetry)
+		if ctx.Err() != nil {
+			return
+		}
 	}
 }
--- a/job/node.go
+++ b/job/node.go
@@ -185,9 +185,7 @@
 	if why == whyCutOff {
 		n.election.abstain()
 	}
-	end, done := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
-	defer done()
-	n.election.endLease(end, t.lease)
+	go n.election.endLease(ctx, t.lease)
 }
 
 func (n *Node) ownState(id ID) (platform.State, bool, bool) {
--- a/job/query.go
+++ b/job/query.go
@@ -32,29 +32,29 @@
 
 // Figures of an owner's own reach.
 const (
-	// cutOffShare is the share of the workers, as its inverse, that have to be
-	// silent before an owner takes itself to be cut off.
-	cutOffShare = 2
-	// cutOffFor is how long they have to be.
+	// cutOffFor is how long more workers have to be silent than answer before
+	// an owner takes itself to be cut off.
 	cutOffFor = 900 * time.Millisecond
-	// cutOffLeast is the fewest workers that say anything about it.
+	// cutOffLeast is the fewest silent workers that say anything about it.
 	cutOffLeast = 4
+	// heardLately is how long an answer speaks for the way to a worker.
+	heardLately = 3 * time.Second
 )
 
 // checkReach gives ownership up when most workers cannot be reached while the
 // store can: another host may reach them.
 func (c *Core) checkReach() {
-	silent, tried := 0, 0
+	silent, reached := 0, 0
 	for _, w := range c.workers {
-		if !w.listed || w.stale || w.leaving || (w.met && len(w.runs) == 0 && w.silent == 0) {
-			continue
-		}
-		tried++
-		if w.silent > 0 {
+		switch {
+		case !w.listed || w.stale || w.leaving:
+		case w.silent > 0:
 			silent++
+		case c.now.Sub(w.heardAt) < heardLately:
+			reached++
 		}
 	}
-	if tried < cutOffLeast || silent*cutOffShare <= tried {
+	if silent < cutOffLeast || silent <= reached {
 		c.cutOffSince = time.Time{}
 		return
 	}
@@ -62,6 +62,7 @@
 		c.cutOffSince = c.now
 	}
 	if c.now.Sub(c.cutOffSince) > cutOffFor {
+		c.do(Note{What: "cut off", Why: "more workers are silent than answer", Inputs: []any{"silent", silent, "reached", reached}})
 		c.do(StepDown{Why: whyCutOff})
 	}
 }
--- a/job/worker.go
+++ b/job/worker.go
@@ -65,6 +65,8 @@
 	looking           bool
 	lookAt            time.Time
 	lookSentAt        time.Time
+	// heardAt is when it last answered.
+	heardAt time.Time
 	// silent counts the looks in a row without an answer.
 	silent int
 	// full holds back starts after a rejection for lack of room, or while it
@@ -101,6 +103,9 @@
 
 // hearClock notes a time of the worker's clock from an answer that came now.
 func (w *worker) hearClock(c platform.WorkerClock, now time.Time) {
+	if c > 0 {
+		w.heardAt = now
+	}
 	if c <= 0 || (c < w.clock && !w.clockAt.IsZero()) {
 		return
 	}
