Record orders to machines before they are sent; renew the lease without waiting

Causes: a new owner gave no order to any machine for 3.2 s, while tasks waited for hosts; only machines that the owner before ordered need that.

--- a/common/instant.go
+++ b/common/instant.go
@@ -16,6 +16,19 @@
 	i.p.Store(&t)
 }
 
+// Advance notes the time unless a later one was set.
+func (i *Instant) Advance(t time.Time) {
+	for {
+		o := i.p.Load()
+		if o != nil && !t.After(*o) {
+			return
+		}
+		if i.p.CompareAndSwap(o, &t) {
+			return
+		}
+	}
+}
+
 // Get returns the time that was set last, or the zero time.
 func (i *Instant) Get() time.Time {
 	if t := i.p.Load(); t != nil {
--- a/job/keep.go
+++ b/job/keep.go
@@ -40,8 +40,10 @@
 	seen    map[*worker]int64
 	puts    []platform.Put
 	deletes []string
-	// rostered are the workers that the roster in this write names.
+	// rostered are the workers that the roster in this write names, ordered the
+	// machines.
 	rostered []*worker
+	ordered  []string
 }
 
 func newKeeping() keeping {
@@ -157,6 +159,7 @@
 	}
 	k.puts = append(k.puts, p)
 	k.rostered = l
+	k.ordered = c.lately()
 }
 
 // apply notes that a write is done, or has it done again.
@@ -175,6 +178,7 @@
 		w.rostered = !w.retired
 		c.rescan = true
 	}
+	c.recorded(k.ordered)
 	for j, s := range k.states {
 		j.kept = s
 	}
@@ -202,7 +206,7 @@
 		own[progressKey(j.id)], own[newKey(j.id)], own[cancelKey(j.id)] = true, true, true
 		c.mark(j)
 	}
-	if k.rostered != nil {
+	if k.rostered != nil || k.ordered != nil {
 		c.rosterDirty = true
 		own[rosterKey] = true
 	}
--- a/job/machines.go
+++ b/job/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"amberway/platform"
@@ -9,9 +10,12 @@
 
 // Times of orders to machines.
 const (
-	// handOver is how long no order goes to a machine after a change of owner:
-	// the pages forbid two holders in turn within lease_ms, three seconds.
+	// handOver is how long no order goes to a machine to which the owner before
+	// gave one: two holders may not take turns within three seconds.
 	handOver = 3200 * time.Millisecond
+	// getToKnow is how long an owner waits for its workers' first answers
+	// before it gives orders to machines.
+	getToKnow = 300 * time.Millisecond
 	// listEvery is how often the list of machines is read while orders are
 	// under way, listIdle otherwise.
 	listEvery = 600 * time.Millisecond
@@ -24,13 +28,16 @@
 
 // machines is what the owner knows of machines, and the orders it gives.
 type machines struct {
-	holder   string
-	ordersAt time.Time
-	byName   map[string]*machine
-	listing  bool
-	listAt   time.Time
-	waves    map[int64]*wave
-	balance  pooling
+	holder string
+	// ordersAt is when the owner knows enough to give orders; heldUntil holds
+	// back those to machines that the owner before gave orders to.
+	ordersAt  time.Time
+	heldUntil map[string]time.Time
+	byName    map[string]*machine
+	listing   bool
+	listAt    time.Time
+	waves     map[int64]*wave
+	balance   pooling
 }
 
 // machine is one machine of the fleet.
@@ -40,6 +47,8 @@
 	order *machineOrder
 	// retryAt holds back the next order.
 	retryAt time.Time
+	// orderedAt is when it last got an order.
+	orderedAt time.Time
 	// emptyingSince says since when it has been kept free of new runs.
 	emptyingSince time.Time
 	// lend is the pool that the machine is to be lent to once it is empty.
@@ -51,6 +60,8 @@
 	pool   string
 	wave   *wave
 	sentAt time.Time
+	// recorded says that the roster in the store names the machine.
+	recorded bool
 	// takenAt is when the platform answered with success.
 	takenAt time.Time
 }
@@ -92,11 +103,12 @@
 
 func newMachines(holder string, now time.Time) machines {
 	return machines{
-		holder:   holder,
-		ordersAt: now.Add(handOver),
-		byName:   map[string]*machine{},
-		waves:    map[int64]*wave{},
-		balance:  newPooling(),
+		holder:    holder,
+		ordersAt:  now.Add(getToKnow),
+		heldUntil: map[string]time.Time{},
+		byName:    map[string]*machine{},
+		waves:     map[int64]*wave{},
+		balance:   newPooling(),
 	}
 }
 
@@ -234,10 +246,7 @@
 		return
 	}
 	w.leaving = true
-	if len(w.runs)+len(w.strays) == 0 && !w.retired {
-		w.retired = true
-		c.keepRoster()
-	}
+	w.retired = len(w.runs)+len(w.strays) == 0
 }
 
 func errorText(err error) string {
@@ -285,10 +294,48 @@
 	c.send(m)
 }
 
+// free reports whether the machine may get an order now.
+func (c *Core) free(m *machine) bool {
+	return m.order == nil && m.lend == "" && m.State == platform.MachineUp &&
+		!c.now.Before(m.retryAt) && !c.now.Before(c.heldUntil[m.Name])
+}
+
+// lately returns the machines that have orders or had them within handOver.
+func (c *Core) lately() []string {
+	var l []string
+	for n, m := range c.byName {
+		if m.order != nil || c.now.Sub(m.orderedAt) < handOver {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
+// recorded sends the orders that the store now names to a next owner.
+func (c *Core) recorded(ordered []string) {
+	for _, n := range ordered {
+		m := c.byName[n]
+		if m != nil && m.order != nil && !m.order.recorded {
+			m.order.recorded = true
+			c.send(m)
+		}
+	}
+}
+
+// order records that a machine is to get an order, which is sent after that.
+func (c *Core) order(m *machine, o *machineOrder) {
+	o.sentAt = c.now
+	m.order = o
+	c.retire(m)
+	c.keepRoster()
+}
+
 // send gives the order of the machine.
 func (c *Core) send(m *machine) {
 	o := m.order
-	c.retire(m)
+	m.orderedAt = c.now
+	o.sentAt = c.now
 	if o.wave != nil {
 		c.do(MaintainMachine{Holder: c.orderHolder(), Machine: m.Name, Wave: o.wave.Number})
 		return
--- a/job/owner.go
+++ b/job/owner.go
@@ -17,6 +17,9 @@
 	// renewEvery is how often the owner's lease is renewed: four times in its
 	// time to live.
 	renewEvery = ownerTTL / 4
+	// renewTimeout bounds one renewal: the store answers within a quarter of a
+	// second while it is slow.
+	renewTimeout = 600 * time.Millisecond
 	// maxBatch is the most events that are taken in before tasks are placed.
 	maxBatch = 64
 )
@@ -154,21 +157,25 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			// An answer that is lost must not hold up the next renewal.
+			go o.renewOnce(ctx)
 		}
-		sent := o.now()
-		err := o.KV.Renew(ctx, o.tenure.lease)
-		switch {
-		case ctx.Err() != nil:
-			return
-		case errors.Is(err, platform.ErrNotFound):
-			o.resign("its lease is over")
-			return
-		case err == nil:
-			o.renewedAt.Set(sent)
-		case o.sinceRenewal() > ownerAuthority:
-			o.resign("the store has been away for too long: " + err.Error())
-			return
-		}
+	}
+}
+
+func (o *owner) renewOnce(ctx context.Context) {
+	sent := o.now()
+	call, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	err := o.KV.Renew(call, o.tenure.lease)
+	switch {
+	case ctx.Err() != nil:
+	case errors.Is(err, platform.ErrNotFound):
+		o.resign("its lease is over")
+	case err == nil:
+		o.renewedAt.Advance(sent)
+	case o.sinceRenewal() > ownerAuthority:
+		o.resign("the store has been away for too long: " + err.Error())
 	}
 }
 
--- a/job/pools.go
+++ b/job/pools.go
@@ -313,8 +313,7 @@
 func (c *Core) movable(pool string) []*machine {
 	var l []*machine
 	for _, m := range c.byName {
-		if m.Pool == pool && m.order == nil && m.lend == "" && m.State == platform.MachineUp &&
-			!c.now.Before(m.retryAt) && m.emptyingSince.IsZero() {
+		if m.Pool == pool && c.free(m) && m.emptyingSince.IsZero() {
 			l = append(l, m)
 		}
 	}
@@ -396,9 +395,8 @@
 }
 
 func (c *Core) move(m *machine, pool string, d *demand) {
-	m.order = &machineOrder{pool: pool, sentAt: c.now}
 	c.do(Note{What: "move", Inputs: []any{"machine", m.Name, "from", m.Pool, "to", pool, "want", d.want, "have", d.have, "waits", d.waits}})
-	c.send(m)
+	c.order(m, &machineOrder{pool: pool})
 }
 
 // giveBack sends hosts that a pool has not wanted for a while to the spare
--- a/job/succession.go
+++ b/job/succession.go
@@ -15,6 +15,9 @@
 // that the next owner knows whose answers to wait for.
 type Roster struct {
 	Workers []RosterEntry `json:"w"`
+	// Ordered are the machines that the owner has given orders to of late, or
+	// is about to: the next owner leaves them alone for a while.
+	Ordered []string `json:"o,omitempty"`
 }
 
 // RosterEntry is one worker of a Roster.
@@ -69,6 +72,9 @@
 		WorkerListed{Worker: w}.apply(c)
 	}
 	c.inherit(e.Roster)
+	for _, m := range e.Roster.Ordered {
+		c.heldUntil[m] = c.now.Add(handOver)
+	}
 	for id, p := range e.Progress {
 		if p.State.Final() {
 			c.jobs[id] = &job{id: id, state: p.State, kept: p.State, finalAt: p.FinalAt, began: true}
@@ -137,7 +143,7 @@
 
 // rosterPut returns the roster as it is now, with the workers in it.
 func (c *Core) rosterPut() (platform.Put, []*worker, error) {
-	var r Roster
+	r := Roster{Ordered: c.lately()}
 	var l []*worker
 	for id, w := range c.workers {
 		if w.retired {
--- a/job/waves.go
+++ b/job/waves.go
@@ -138,9 +138,8 @@
 			return
 		}
 		if c.empty(m, wavePatience) && c.waveDown(v) < max(1, v.Cap) {
-			m.order = &machineOrder{wave: v, sentAt: c.now}
 			v.down[m.Name] = true
-			c.send(m)
+			c.order(m, &machineOrder{wave: v})
 		}
 	}
 }
@@ -165,7 +164,7 @@
 	cost := map[*machine]int{}
 	for n := range v.todo {
 		m := c.byName[n]
-		if m == nil || m.order != nil || m.lend != "" || m.State != platform.MachineUp || c.now.Before(m.retryAt) {
+		if m == nil || !c.free(m) {
 			continue
 		}
 		w := c.workerOf(m)
