Hand ownership on from a host that has become slow

Cause: a host that ran five times slower went on owning: orders and answers queued and a third of the hosts' room stayed unused. Ruled out: too few hosts.

--- a/job/node.go
+++ b/job/node.go
@@ -34,6 +34,7 @@
 	routes   atomic.Pointer[routes]
 	election *election
 	intake   *intake
+	speed    *speedometer
 	peers    *peers
 	leaving  atomic.Bool
 	// heardAt is when the store last answered.
@@ -48,6 +49,7 @@
 	n := &Node{Clients: p, settings: s, log: log, now: now, peers: newPeers()}
 	n.election = newElection(p.KV, Owner{Name: s.Name, Peer: s.Peer}, log, now)
 	n.intake = newIntake(p.KV, log, now)
+	n.speed = newSpeedometer(now)
 	return n
 }
 
@@ -101,6 +103,7 @@
 	}
 	f := &follower{kv: n.KV, prefix: platform.OperatorPrefix, log: n.log}
 	f.heard = func(err error) {
+		n.speed.sample()
 		if err == nil || errors.Is(err, platform.ErrCompacted) {
 			n.heardAt.Set(n.now())
 		}
@@ -169,7 +172,7 @@
 func (n *Node) serveTenure(ctx context.Context, t tenure) {
 	own, cancel := context.WithCancel(ctx)
 	defer cancel()
-	o := newOwner(n.Clients, n.log, n.now, n.settings.Name, t)
+	o := newOwner(n.Clients, n.log, n.now, n.settings.Name, t, n.speed)
 	n.mu.Lock()
 	n.owner, n.resign = o, cancel
 	n.mu.Unlock()
@@ -182,7 +185,7 @@
 	n.owner, n.resign = nil, nil
 	n.mu.Unlock()
 	n.log.Write(Note{What: "ownership ended", Why: why, Inputs: []any{"fence", int64(t.fence)}})
-	if why == whyCutOff {
+	if why == whyCutOff || why == whySlow {
 		n.election.abstain()
 	}
 	go n.election.endLease(ctx, t.lease)
--- a/job/owner.go
+++ b/job/owner.go
@@ -43,6 +43,7 @@
 	events chan Event
 	tenure tenure
 	keeper keeper
+	speed  *speedometer
 	// mu guards core, which callers' questions read.
 	mu   sync.Mutex
 	core *Core
@@ -60,7 +61,7 @@
 	since time.Time
 }
 
-func newOwner(p Clients, log *Journal, now func() time.Time, name string, t tenure) *owner {
+func newOwner(p Clients, log *Journal, now func() time.Time, name string, t tenure, speed *speedometer) *owner {
 	o := &owner{
 		Clients: p,
 		log:     log,
@@ -68,6 +69,7 @@
 		events:  make(chan Event, eventBuffer),
 		tenure:  t,
 		keeper:  keeper{kv: p.KV, fence: t.fence},
+		speed:   speed,
 		core:    New(t.fence, name, now()),
 	}
 	o.renewedAt.Set(t.since)
@@ -159,6 +161,10 @@
 		case <-t.C:
 			// An answer that is lost must not hold up the next renewal.
 			go o.renewOnce(ctx)
+			o.speed.sample()
+			if o.speed.slow() {
+				o.resign(whySlow)
+			}
 		}
 	}
 }
--- a/job/owner_test.go
+++ b/job/owner_test.go
@@ -33,7 +33,7 @@
 	e := newElection(s.kv, Owner{Name: name}, nil, time.Now)
 	n, err := e.claim(t.Context())
 	require.NoError(t, err)
-	return newOwner(Clients{KV: s.kv}, nil, time.Now, name, n)
+	return newOwner(Clients{KV: s.kv}, nil, time.Now, name, n, newSpeedometer(time.Now))
 }
 
 func (s storeFixture) putJob(t *testing.T, id ID) {
