--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -61,12 +62,22 @@
 	defer close(done)
 	d := &jobsDaemon{settings: s, checked: c, args: args, logger: newLogger(s, c, out)}
 	d.log = job.NewJournal(d.logger, time.Now, done)
-	d.node = job.NewNode(job.Settings{Name: s.Name, Peer: c.peers}, job.Clients{
+	exposed, meter, err := newMeter()
+	if err != nil {
+		fmt.Fprintf(out, "amberwayd: %v\n", err)
+		return ExitFailed
+	}
+	deps := common.NewDeps(d.logger, meter)
+	d.node, err = job.NewNode(job.Settings{Name: s.Name, Peer: c.peers}, job.Clients{
 		KV:       platform.NewKV(c.store, &d.calls),
 		Workers:  platform.NewWorkers(),
 		Machines: platform.NewMachines(c.machines, &d.calls),
 		Advice:   platform.NewAdvice(c.advice),
-	}, d.log, time.Now)
+	}, d.log, deps, exposed)
+	if err != nil {
+		fmt.Fprintf(out, "amberwayd: %v\n", err)
+		return ExitFailed
+	}
 	if err := d.run(ctx); err != nil {
 		d.logger.WithField("why", err.Error()).Error("ended")
 		return ExitFailed
--- a/commands/tool.go
+++ b/commands/tool.go
@@ -19,16 +19,18 @@
 
 // toolArgs are the arguments of amberwayctl.
 type toolArgs struct {
-	Admin  string      `arg:"--admin,env:AMBERWAY_ADMIN_URL" default:"http://127.0.0.1:8081" help:"URL of an entry host's operators' listener" placeholder:"URL"`
-	Token  string      `arg:"--token,env:AMBERWAY_ADMIN_TOKEN" help:"operator's token; better set by the variable" placeholder:"TOKEN"`
-	JSON   bool        `arg:"--json" help:"print JSON instead of a table"`
-	Config *configArgs `arg:"subcommand:config" help:"validate, apply or show the configuration"`
-	Pool   *poolArgs   `arg:"subcommand:pool" help:"list pools with their budgets"`
-	Host   *hostArgs   `arg:"subcommand:host" help:"list, drain or release hosts"`
-	Job    *struct{}   `arg:"subcommand:job" help:"list jobs and the hosts that hold them"`
-	Wave   *waveArgs   `arg:"subcommand:wave" help:"list waves, start, pause, resume or abort one"`
-	Status *struct{}   `arg:"subcommand:status" help:"show the entry host and what it knows of the others"`
-	Dump   *struct{}   `arg:"subcommand:dump" help:"print the whole state of the entry host"`
+	Admin   string       `arg:"--admin,env:AMBERWAY_ADMIN_URL" default:"http://127.0.0.1:8081" help:"URL of an entry host's operators' listener" placeholder:"URL"`
+	Token   string       `arg:"--token,env:AMBERWAY_ADMIN_TOKEN" help:"operator's token; better set by the variable" placeholder:"TOKEN"`
+	JSON    bool         `arg:"--json" help:"print JSON instead of a table"`
+	Config  *configArgs  `arg:"subcommand:config" help:"validate, apply or show the configuration"`
+	Pool    *poolArgs    `arg:"subcommand:pool" help:"list pools with their budgets"`
+	Host    *hostArgs    `arg:"subcommand:host" help:"list, drain or release hosts"`
+	Job     *struct{}    `arg:"subcommand:job" help:"list jobs and the hosts that hold them"`
+	Wave    *waveArgs    `arg:"subcommand:wave" help:"list waves, start, pause, resume or abort one"`
+	Queues  *queuesArgs  `arg:"subcommand:queues" help:"show queues, pools and waves of a deployment that serves jobs"`
+	Explain *explainArgs `arg:"subcommand:explain" help:"show what is known of one job"`
+	Status  *struct{}    `arg:"subcommand:status" help:"show the entry host and what it knows of the others"`
+	Dump    *struct{}    `arg:"subcommand:dump" help:"print the whole state of the entry host"`
 }
 
 // Version is what --version prints.
@@ -127,6 +129,10 @@
 
 func (t *tool) run(ctx context.Context) error {
 	switch a := t.args; {
+	case a.Queues != nil:
+		return t.queues(ctx, a.Queues)
+	case a.Explain != nil:
+		return t.explain(ctx, a.Explain)
 	case a.Config != nil:
 		return t.config(ctx, a.Config)
 	case a.Pool != nil:
--- a/commands/wiring.go
+++ b/commands/wiring.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 	"google.golang.org/grpc"
 
@@ -23,14 +25,12 @@
 
 // newDaemon makes the parts and joins them.
 func newDaemon(s Settings, c checked, l *logrus.Logger) (*Daemon, error) {
-	r := prometheus.NewRegistry()
-	e, err := otelprom.New(otelprom.WithRegisterer(r))
+	h, m, err := newMeter()
 	if err != nil {
-		return nil, merry.Prepend(err, "daemon: metrics")
+		return nil, err
 	}
-	m := sdk.NewMeterProvider(sdk.WithReader(e)).Meter("amberway")
 	d := &Daemon{settings: s, checked: c, deps: common.NewDeps(l, m)}
-	d.metrics = promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+	d.metrics = h
 	d.log = d.deps.Log("daemon")
 	d.started = d.deps.Now()
 	d.shares = request.NewShares(d.started, s.Name)
@@ -43,6 +43,17 @@
 	return d, d.observe(m)
 }
 
+// newMeter returns the maker of instruments and the handler that shows them.
+func newMeter() (http.Handler, metric.Meter, error) {
+	r := prometheus.NewRegistry()
+	e, err := otelprom.New(otelprom.WithRegisterer(r))
+	if err != nil {
+		return nil, nil, merry.Prepend(err, "daemon: metrics")
+	}
+	m := sdk.NewMeterProvider(sdk.WithReader(e)).Meter("amberway")
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{}), m, nil
+}
+
 // joinMembers makes configuration and membership, which feed each other.
 func (d *Daemon) joinMembers() {
 	d.follower = config.NewFollower(d.deps, d.store, func(*config.Snapshot) { d.refresh() })
--- a/internal/local/jobs.go
+++ b/internal/local/jobs.go
@@ -29,8 +29,8 @@
 type JobsEntry struct {
 	*Process
 	Callers netip.AddrPort
+	Peers   netip.AddrPort
 	ready   netip.AddrPort
-	peers   netip.AddrPort
 	file    string
 }
 
@@ -113,7 +113,7 @@
 
 func (j *Jobs) newEntry(name string) error {
 	e := &JobsEntry{Process: &Process{Name: name}, file: filepath.Join(j.dir, name+".yaml")}
-	for _, a := range []*netip.AddrPort{&e.Callers, &e.ready, &e.peers} {
+	for _, a := range []*netip.AddrPort{&e.Callers, &e.ready, &e.Peers} {
 		p, err := freePort()
 		if err != nil {
 			return err
@@ -121,7 +121,7 @@
 		*a = p
 	}
 	text := fmt.Sprintf("name: %s\ndata-centre: dc-0\ncallers: %s\nready: %s\npeers: %s\nstore: %s\nmachines: %s\nlog-format: json\nstop-delay: 300ms\nstop-within: 4s\n",
-		name, e.Callers, e.ready, e.peers, j.Fleet.StoreAddress(), j.Fleet.MachinesAddress())
+		name, e.Callers, e.ready, e.Peers, j.Fleet.StoreAddress(), j.Fleet.MachinesAddress())
 	if err := os.WriteFile(e.file, []byte(text), 0o600); err != nil {
 		return err
 	}
--- /dev/null
+++ b/job/explain.go
@@ -0,0 +1,205 @@
+package job
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"amberway/platform"
+)
+
+// Overview is what an owner knows, at a glance.
+type Overview struct {
+	Name    string          `json:"name"`
+	Owner   Owner           `json:"owner"`
+	Fence   platform.Fence  `json:"fence,omitempty"`
+	Version int64           `json:"configuration"`
+	Queues  []QueueOverview `json:"queues,omitempty"`
+	Pools   []PoolOverview  `json:"pools,omitempty"`
+	Waves   []WaveOverview  `json:"waves,omitempty"`
+	Dropped int64           `json:"log_lines_left_out"`
+	Reads   int64           `json:"platform_reads"`
+	Writes  int64           `json:"platform_writes"`
+	Watches int64           `json:"platform_watches"`
+}
+
+// QueueOverview is one queue at a glance.
+type QueueOverview struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Waiting int    `json:"waiting"`
+	Running int    `json:"running"`
+}
+
+// PoolOverview is one pool at a glance.
+type PoolOverview struct {
+	Service  string             `json:"service"`
+	Workers  int                `json:"workers"`
+	Silent   int                `json:"silent"`
+	Runs     int                `json:"runs"`
+	Used     platform.Resources `json:"used"`
+	Capacity platform.Resources `json:"capacity"`
+}
+
+// WaveOverview is one wave at a glance.
+type WaveOverview struct {
+	Number int64     `json:"number"`
+	Left   int       `json:"left"`
+	Down   int       `json:"down"`
+	EndsAt time.Time `json:"ends_at"`
+	Done   bool      `json:"done"`
+}
+
+// Explanation is what an owner knows of one job.
+type Explanation struct {
+	ID      ID              `json:"id"`
+	State   platform.State  `json:"state"`
+	Kept    platform.State  `json:"kept"`
+	Queue   string          `json:"queue"`
+	Service string          `json:"service"`
+	CameAt  time.Time       `json:"came_at"`
+	DueAt   time.Time       `json:"due_at"`
+	Blocked string          `json:"blocked,omitempty"`
+	Steps   []StepExplained `json:"steps"`
+}
+
+// StepExplained is one step of a job's time.
+type StepExplained struct {
+	Time  int           `json:"time"`
+	Step  int           `json:"step"`
+	Tasks int           `json:"tasks"`
+	Done  int           `json:"done"`
+	Waits string        `json:"waits,omitempty"`
+	Runs  []RunOverview `json:"runs,omitempty"`
+}
+
+// RunOverview is one run of a task.
+type RunOverview struct {
+	Task    string            `json:"task"`
+	Run     int64             `json:"run"`
+	Worker  platform.WorkerID `json:"worker"`
+	Percent int               `json:"percent"`
+	SentAt  time.Time         `json:"sent_at"`
+}
+
+// Overview returns what the core knows at a glance.
+func (c *Core) Overview() Overview {
+	o := Overview{Fence: c.fence, Version: c.config.Version}
+	for _, q := range c.config.Queues {
+		v := QueueOverview{Name: q.Name, Service: q.Service}
+		for _, j := range c.live {
+			switch {
+			case j.Queue != q.Name:
+			case j.began:
+				v.Running++
+			default:
+				v.Waiting++
+			}
+		}
+		o.Queues = append(o.Queues, v)
+	}
+	for s, l := range c.pools {
+		p := PoolOverview{Service: s, Workers: len(l)}
+		for _, w := range l {
+			p.add(w)
+		}
+		o.Pools = append(o.Pools, p)
+	}
+	slices.SortFunc(o.Pools, func(a, b PoolOverview) int { return strings.Compare(a.Service, b.Service) })
+	for _, w := range c.waves {
+		o.Waves = append(o.Waves, WaveOverview{Number: w.Number, Left: len(w.todo), Down: len(w.down), EndsAt: w.endsAt, Done: w.reported})
+	}
+	return o
+}
+
+func (p *PoolOverview) add(w *worker) {
+	p.Runs += len(w.runs)
+	if w.silent > 0 {
+		p.Silent++
+	}
+	p.Used.MilliCores += w.used.MilliCores
+	p.Used.MemoryMB += w.used.MemoryMB
+	p.Capacity.MilliCores += w.Capacity.MilliCores
+	p.Capacity.MemoryMB += w.Capacity.MemoryMB
+}
+
+// Explain returns what the core knows of a job.
+func (c *Core) Explain(id ID) (Explanation, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return Explanation{}, false
+	}
+	e := Explanation{ID: id, State: j.state, Kept: j.kept, Queue: j.Queue, Service: j.queue.Service, CameAt: j.CameAt}
+	if j.state.Final() {
+		return e, true
+	}
+	if !c.settled(j) {
+		e.Blocked = "workers that an earlier owner used have not answered yet"
+	}
+	for _, n := range j.instances {
+		e.DueAt = c.dueBy(j, n)
+		for _, s := range n.steps {
+			e.Steps = append(e.Steps, explainStep(n, s))
+		}
+	}
+	return e, true
+}
+
+func explainStep(n *instance, s *step) StepExplained {
+	v := StepExplained{Time: n.k, Step: s.index, Tasks: len(s.tasks), Done: len(s.tasks) - s.left}
+	switch {
+	case !s.open():
+		v.Waits = "for the steps before it"
+	case s.idle > 0:
+		v.Waits = "for room on a worker"
+	}
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			v.Runs = append(v.Runs, RunOverview{Task: t.key().String(), Run: r.number, Worker: r.at.ID, Percent: r.percent, SentAt: r.sentAt})
+		}
+	}
+	return v
+}
+
+// overview returns what this host knows at a glance.
+func (n *Node) overview() Overview {
+	var o Overview
+	if w := n.owned(); w != nil {
+		w.mu.Lock()
+		o = w.core.Overview()
+		w.mu.Unlock()
+	} else if r := n.routes.Load(); r != nil {
+		o.Version = r.config.Version
+	}
+	o.Name, o.Owner, o.Dropped = n.settings.Name, n.election.owner(), n.log.Dropped()
+	c := n.KV.Calls()
+	o.Reads, o.Writes, o.Watches = c.Reads.Load(), c.Writes.Load(), c.Watches.Load()
+	return o
+}
+
+func (n *Node) serveOverview(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, n.overview())
+}
+
+func (n *Node) serveExplain(w http.ResponseWriter, r *http.Request) {
+	o := n.owned()
+	if o == nil {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	o.mu.Lock()
+	e, known := o.core.Explain(ID(r.PathValue("id")))
+	o.mu.Unlock()
+	if !known {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(w, e)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/job/metrics.go
@@ -0,0 +1,89 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"amberway/platform"
+)
+
+// metrics counts what a node does. The sets of labels are fixed, so that their
+// number is bounded.
+type metrics struct {
+	intake  metric.Int64Counter
+	orders  metric.Int64Counter
+	ends    metric.Int64Counter
+	started metric.Float64Histogram
+	moves   metric.Int64Counter
+	took    metric.Int64Counter
+}
+
+// instrument is one entry of the table of metrics.
+type instrument struct {
+	name, unit, help string
+	counter          *metric.Int64Counter
+}
+
+func newMetrics(m metric.Meter) (*metrics, error) {
+	s := &metrics{}
+	var err error
+	for _, i := range []instrument{
+		{"amberway.jobs.intake", "{job}", "jobs handed in here, by verdict", &s.intake},
+		{"amberway.jobs.orders", "{order}", "orders to workers, by kind and outcome", &s.orders},
+		{"amberway.jobs.ends", "{run}", "ends of runs, by how", &s.ends},
+		{"amberway.machines.orders", "{order}", "orders to machines, by outcome", &s.moves},
+		{"amberway.owner.tenures", "{tenure}", "times that this host took ownership over", &s.took},
+	} {
+		if *i.counter, err = m.Int64Counter(i.name, metric.WithUnit(i.unit), metric.WithDescription(i.help)); err != nil {
+			return nil, fmt.Errorf("job: metric %s: %w", i.name, err)
+		}
+	}
+	s.started, err = m.Float64Histogram("amberway.jobs.wait", metric.WithUnit("s"),
+		metric.WithDescription("time from a job's arrival, or its due time, to a start of one of its tasks"),
+		metric.WithExplicitBucketBoundaries(0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30))
+	if err != nil {
+		return nil, fmt.Errorf("job: metric amberway.jobs.wait: %w", err)
+	}
+	return s, nil
+}
+
+// outcome names what became of an order, in a fixed set of words.
+func outcome(rejection string, err error) string {
+	switch {
+	case err == nil && rejection == "":
+		return "taken"
+	case err == nil:
+		return rejection
+	case errors.Is(err, platform.ErrOtherLife):
+		return "other-life"
+	case errors.Is(err, platform.ErrNotSent):
+		return "not-reached"
+	case errors.Is(err, platform.ErrUnknown):
+		return "not-answered"
+	}
+	return "refused"
+}
+
+func label(k, v string) metric.MeasurementOption {
+	return metric.WithAttributes(attribute.String(k, v))
+}
+
+func (s *metrics) order(kind, out string) {
+	s.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("outcome", out)))
+}
+
+// note counts what the owner's decisions say of ends and starts.
+func (s *metrics) note(n Note) {
+	switch n.What {
+	case "end":
+		s.ends.Add(context.Background(), 1, label("how", n.Why))
+	case "start":
+		if ms, ok := n.Inputs[1].(int64); ok {
+			s.started.Record(context.Background(), float64(ms)/1000)
+		}
+	}
+}
--- a/job/node.go
+++ b/job/node.go
@@ -35,6 +35,8 @@
 	election *election
 	intake   *intake
 	speed    *speedometer
+	metrics  *metrics
+	exposed  http.Handler
 	peers    *peers
 	leaving  atomic.Bool
 	// heardAt is when the store last answered.
@@ -44,13 +46,18 @@
 	resign  context.CancelFunc
 }
 
-// NewNode returns a node that has not started yet.
-func NewNode(s Settings, p Clients, log *Journal, now func() time.Time) *Node {
+// NewNode returns a node that has not started yet. It serves its metrics by the
+// handler.
+func NewNode(s Settings, p Clients, log *Journal, d common.Deps, exposed http.Handler) (*Node, error) {
+	now := d.Now
 	n := &Node{Clients: p, settings: s, log: log, now: now, peers: newPeers()}
 	n.election = newElection(p.KV, Owner{Name: s.Name, Peer: s.Peer}, log, now)
 	n.intake = newIntake(p.KV, log, now)
 	n.speed = newSpeedometer(now)
-	return n
+	n.exposed = exposed
+	var err error
+	n.metrics, err = newMetrics(d.Meter)
+	return n, err
 }
 
 // Run works until the context ends.
@@ -150,10 +157,7 @@
 }
 
 func (n *Node) tellOwner(e Event) {
-	n.mu.Lock()
-	o := n.owner
-	n.mu.Unlock()
-	if o != nil {
+	if o := n.owned(); o != nil {
 		o.post(e)
 	}
 }
@@ -172,10 +176,11 @@
 func (n *Node) serveTenure(ctx context.Context, t tenure) {
 	own, cancel := context.WithCancel(ctx)
 	defer cancel()
-	o := newOwner(n.Clients, n.log, n.now, n.settings.Name, t, n.speed)
+	o := newOwner(n.Clients, n.log, n.now, n.settings.Name, t, n.speed, n.metrics)
 	n.mu.Lock()
 	n.owner, n.resign = o, cancel
 	n.mu.Unlock()
+	n.metrics.took.Add(ctx, 1)
 	var d *platform.Deployed
 	if r := n.routes.Load(); r != nil {
 		d = r.config
@@ -191,10 +196,15 @@
 	go n.election.endLease(ctx, t.lease)
 }
 
-func (n *Node) ownState(id ID) (platform.State, bool, bool) {
+// owned returns the owner that runs here, or nil.
+func (n *Node) owned() *owner {
 	n.mu.Lock()
-	o := n.owner
-	n.mu.Unlock()
+	defer n.mu.Unlock()
+	return n.owner
+}
+
+func (n *Node) ownState(id ID) (platform.State, bool, bool) {
+	o := n.owned()
 	if o == nil {
 		return "", false, false
 	}
@@ -205,9 +215,7 @@
 }
 
 func (n *Node) ownWaiting(queue string) (int, bool) {
-	n.mu.Lock()
-	o := n.owner
-	n.mu.Unlock()
+	o := n.owned()
 	if o == nil {
 		return 0, false
 	}
@@ -265,6 +273,7 @@
 func (n *Node) accept(ctx context.Context, id ID, r Record) common.Verdict {
 	deadline, _ := ctx.Deadline()
 	v, err := n.intake.accept(ctx, id, r, deadline)
+	n.metrics.intake.Add(ctx, 1, label("verdict", v.String()))
 	if err != nil {
 		n.log.Write(Note{What: "job not taken", Job: id, Why: err.Error()})
 	}
--- a/job/owner.go
+++ b/job/owner.go
@@ -38,12 +38,13 @@
 // owner runs a Core: it feeds it events and does what it says.
 type owner struct {
 	Clients
-	log    *Journal
-	now    func() time.Time
-	events chan Event
-	tenure tenure
-	keeper keeper
-	speed  *speedometer
+	log     *Journal
+	now     func() time.Time
+	events  chan Event
+	tenure  tenure
+	keeper  keeper
+	speed   *speedometer
+	metrics *metrics
 	// mu guards core, which callers' questions read.
 	mu   sync.Mutex
 	core *Core
@@ -61,7 +62,7 @@
 	since time.Time
 }
 
-func newOwner(p Clients, log *Journal, now func() time.Time, name string, t tenure, speed *speedometer) *owner {
+func newOwner(p Clients, log *Journal, now func() time.Time, name string, t tenure, speed *speedometer, m *metrics) *owner {
 	o := &owner{
 		Clients: p,
 		log:     log,
@@ -70,6 +71,7 @@
 		tenure:  t,
 		keeper:  keeper{kv: p.KV, fence: t.fence},
 		speed:   speed,
+		metrics: m,
 		core:    New(t.fence, name, now()),
 	}
 	o.renewedAt.Set(t.since)
--- a/job/owner_test.go
+++ b/job/owner_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"amberway/common"
 	"amberway/internal/fleet"
 	"amberway/platform"
 )
@@ -33,7 +34,9 @@
 	e := newElection(s.kv, Owner{Name: name}, nil, time.Now)
 	n, err := e.claim(t.Context())
 	require.NoError(t, err)
-	return newOwner(Clients{KV: s.kv}, nil, time.Now, name, n, newSpeedometer(time.Now))
+	m, err := newMetrics(common.Quiet().Meter)
+	require.NoError(t, err)
+	return newOwner(Clients{KV: s.kv}, nil, time.Now, name, n, newSpeedometer(time.Now), m)
 }
 
 func (s storeFixture) putJob(t *testing.T, id ID) {
--- a/job/perform.go
+++ b/job/perform.go
@@ -24,6 +24,7 @@
 func (o *owner) perform(ctx context.Context, a Action) {
 	switch a := a.(type) {
 	case Note:
+		o.metrics.note(a)
 		o.log.Write(a)
 	case StepDown:
 		o.resign(a.Why)
@@ -58,6 +59,7 @@
 	call, cancel := context.WithTimeout(ctx, a.Order.Wait+lookSlack)
 	defer cancel()
 	l, why, err := o.Workers.Look(call, a.Worker, a.Order)
+	o.metrics.order("look", outcome(string(why), err))
 	o.send(ctx, Looked{Worker: a.Worker.ID, SentAt: sentAt, Acked: a.Order.LastSeen, Look: l, Rejection: why, Err: err})
 }
 
@@ -65,6 +67,7 @@
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	why, clock, err := o.Workers.Start(call, a.Worker, a.Order)
+	o.metrics.order("start", outcome(string(why), err))
 	o.send(ctx, Started{Worker: a.Worker.ID, Run: a.Order.Run, Task: a.Order.Task, Rejection: why, Clock: clock, Err: err})
 }
 
@@ -72,6 +75,7 @@
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	why, clock, err := o.Workers.Stop(call, a.Worker, a.Task, a.Run, a.Fence)
+	o.metrics.order("stop", outcome(string(why), err))
 	o.send(ctx, Stopped{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Rejection: why, Clock: clock, Err: err})
 }
 
@@ -103,6 +107,7 @@
 		return
 	}
 	v, err := order(ctx)
+	o.metrics.moves.Add(ctx, 1, label("outcome", outcome(string(v), err)))
 	o.send(ctx, MachineOrdered{Machine: machine, Verdict: v, Err: err})
 }
 
--- a/tests/jobs_test.go
+++ b/tests/jobs_test.go
@@ -1,7 +1,9 @@
 package tests
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"syscall"
 	"testing"
@@ -9,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"amberway/commands"
 	"amberway/internal/fleet"
 	"amberway/internal/local"
 )
@@ -269,3 +272,31 @@
 	}
 	require.Empty(t, j.Fleet.Books.Broken())
 }
+
+func TestToolShowsQueuesAndExplainsAJob(t *testing.T) {
+	j := startJobs(t)
+	long := local.Job{Spec: "lasts", Steps: []local.Step{{Count: 3, CPU: 500, MemMB: 10, Daemon: true}}}
+	_, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), long)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return j.Fleet.Books.Running() == 3 }, jobsTime, tick)
+	for _, e := range j.Entries {
+		var out, errs bytes.Buffer
+		code := commands.RunTool([]string{"queues", "--entry", e.Peers.String()}, &out, &errs)
+		require.Zero(t, code, errs.String())
+		require.Contains(t, out.String(), "r-blue")
+		out.Reset()
+		code = commands.RunTool([]string{"explain", "--entry", e.Peers.String(), jobID(1)}, &out, &errs)
+		require.Zero(t, code, errs.String())
+		require.Contains(t, out.String(), jobID(1)+".0.0.2")
+		code = commands.RunTool([]string{"explain", "--entry", e.Peers.String(), jobID(2)}, &out, &errs)
+		require.Equal(t, commands.ExitFailed, code)
+	}
+	res, err := http.Get("http://" + j.Owner().Peers.String() + "/metrics")
+	require.NoError(t, err)
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	for _, m := range []string{"amberway_jobs_orders_total", "amberway_jobs_wait_seconds", "amberway_owner_tenures_total"} {
+		require.Contains(t, string(b), m)
+	}
+}
