--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -50,9 +50,25 @@
 	mux.HandleFunc("POST /hold", w.serveHold)
 	mux.HandleFunc("POST /pace", w.servePace)
 	w.server = httptest.NewServer(w.guard(mux))
+	go w.work()
 	return w
 }
 
+// work ends runs in time, also while nobody asks.
+func (w *worker) work() {
+	for range time.Tick(5 * time.Millisecond) {
+		w.mu.Lock()
+		over := w.over
+		if !over {
+			w.live()
+		}
+		w.mu.Unlock()
+		if over {
+			return
+		}
+	}
+}
+
 // guard answers only calls that mean this life, and none while it is silent.
 func (w *worker) guard(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
--- a/internal/local/jobs.go
+++ b/internal/local/jobs.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"amberway/internal/fleet"
@@ -219,3 +220,20 @@
 	Spec  string `json:"spec"`
 	Steps []Step `json:"steps"`
 }
+
+// Logs returns the lines of all entry hosts' logs that hold the text.
+func (j *Jobs) Logs(text string) []string {
+	var l []string
+	for _, e := range j.Entries {
+		b, err := os.ReadFile(filepath.Join(j.dir, e.Name+".log"))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(b)) {
+			if strings.Contains(line, text) {
+				l = append(l, line)
+			}
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/tests/operations_test.go
@@ -0,0 +1,88 @@
+package tests
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/internal/fleet"
+	"amberway/internal/local"
+)
+
+// TestOperationsPageNamesEveryLogLine compares the page with the code.
+func TestOperationsPageNamesEveryLogLine(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	var files []string
+	for _, g := range []string{"../job/*.go", "../commands/*.go"} {
+		l, err := filepath.Glob(g)
+		require.NoError(t, err)
+		files = append(files, l...)
+	}
+	found := 0
+	for _, f := range files {
+		if strings.HasSuffix(f, "_test.go") {
+			continue
+		}
+		b, err := os.ReadFile(f)
+		require.NoError(t, err)
+		for _, m := range regexp.MustCompile(`What: +"([^"]*[^" ])"`).FindAllSubmatch(b, -1) {
+			found++
+			require.Contains(t, string(page), "| `"+string(m[1])+"` |", "%s logs a line that the page does not name", f)
+		}
+		for _, m := range regexp.MustCompile(`"amberway\.(jobs|machines|owner)\.([a-z]+)"`).FindAllSubmatch(b, -1) {
+			require.Contains(t, string(page), "`amberway_"+string(m[1])+"_"+string(m[2]), "%s has a metric that the page does not name", f)
+		}
+	}
+	require.Greater(t, found, 40)
+}
+
+// The three tests below follow the page's way from a job's id to the cause.
+
+func TestCauseOfARefusedJobIsFoundFromItsID(t *testing.T) {
+	j := startJobs(t)
+	j.Fleet.Store.SetFault(fleet.Fault{Refuse: true})
+	code, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), shortJob("1ms"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, code)
+	require.Eventually(t, func() bool {
+		l := strings.Join(j.Logs(`"job":"`+jobID(1)+`"`), "\n")
+		return strings.Contains(l, `"msg":"intake"`) && strings.Contains(l, `"verdict":"not-run"`) && strings.Contains(l, "status 503")
+	}, 2*time.Second, tick)
+}
+
+func TestCauseOfALateJobIsFoundFromItsID(t *testing.T) {
+	j := startJobs(t)
+	_, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), local.Job{
+		Spec: "1s", Steps: []local.Step{{Count: 1, CPU: 1000, MemMB: 10, Estimate: 1000}},
+	})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return j.Fleet.Books.Running() == 1 }, jobsTime, tick)
+	worker := j.Fleet.Silence(8 * time.Second)
+	require.NotEmpty(t, worker)
+	require.Eventually(t, func() bool { return state(t, j.Entries[0], "blue", jobID(1)) == succeeded }, jobsTime, tick)
+	story := strings.Join(j.Logs(`"job":"`+jobID(1)+`"`), "\n")
+	require.Equal(t, 2, strings.Count(story, `"msg":"start"`), story)
+	require.Contains(t, story, `"msg":"run gone"`)
+	require.Contains(t, story, worker)
+	require.Contains(t, strings.Join(j.Logs(`"worker":"`+worker+`"`), "\n"), `"msg":"worker silent"`)
+}
+
+func TestCauseOfAFailedJobIsFoundFromItsID(t *testing.T) {
+	j := startJobs(t)
+	_, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), local.Job{
+		Spec: "20ms fails", Steps: []local.Step{{Count: 1, CPU: 1000, MemMB: 10, Estimate: 20}},
+	})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return state(t, j.Entries[1], "blue", jobID(1)) == `200 {"state":"failed"}` }, jobsTime, tick)
+	story := strings.Join(j.Logs(`"job":"`+jobID(1)+`"`), "\n")
+	require.Contains(t, story, `"msg":"job failed"`)
+	require.Contains(t, story, jobID(1)+".0.0.0 has failed as often as its queue allows")
+	require.Equal(t, 3, strings.Count(story, `"why":"failed"`), story)
+}
