Tell the members of a gang on one worker apart

Cause: runs were kept by number on their worker, and the members of a gang share their number. A test fails without the change.

--- a/job/core_test.go
+++ b/job/core_test.go
@@ -537,3 +537,27 @@
 	silence(5)
 	require.True(t, stepsDown())
 }
+
+func TestMembersOfAGangOnOneWorkerAreToldApart(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	g := platform.Step{Count: 3, Resources: platform.Resources{MilliCores: 1000}, Gang: true, Estimate: time.Second}
+	f.submit(idA, "quick", g)
+	l := f.starts()
+	require.Len(t, l, 3)
+	var rows []platform.RunningRow
+	for _, s := range l {
+		f.took(s)
+		rows = append(rows, runningRow(s, 20))
+	}
+	f.pass(100 * time.Millisecond)
+	f.answer("w1", platform.Look{Running: rows})
+	require.Empty(t, f.stops())
+	require.EqualValues(t, 3000, f.core.workers["w1"].used.MilliCores)
+	var ends []platform.EndedRow
+	for i, s := range l {
+		ends = append(ends, ended(int64(i+1), s, platform.EndBroken))
+	}
+	f.answer("w1", platform.Look{Ended: ends})
+	require.Len(t, f.starts(), 3, "a broken gang starts again as a whole")
+}
--- a/job/looks.go
+++ b/job/looks.go
@@ -136,7 +136,7 @@
 // takeEnd takes in one end. It reports whether the end has to be kept before
 // the worker may forget it.
 func (c *Core) takeEnd(w *worker, e platform.EndedRow) bool {
-	delete(w.strays, e.Run)
+	delete(w.strays, strayID{task: e.Task, number: e.Run})
 	k, ok := parseTaskKey(e.Task)
 	if !ok {
 		return false
@@ -237,9 +237,9 @@
 // takeRunning compares what runs with what is known to. Runs that started
 // after the look was sent may be missing from it.
 func (c *Core) takeRunning(w *worker, sentAt time.Time, rows []platform.RunningRow) {
-	there := make(map[int64]bool, len(rows))
+	there := make(map[strayID]bool, len(rows))
 	for _, v := range rows {
-		there[v.Run] = true
+		there[strayID{task: v.Task, number: v.Run}] = true
 		k, ok := parseTaskKey(v.Task)
 		if !ok {
 			continue
@@ -253,7 +253,7 @@
 		}
 	}
 	for _, r := range w.runs {
-		if there[r.number] || !r.sentAt.Before(sentAt) {
+		if there[strayID{task: r.task.key().String(), number: r.number}] || !r.sentAt.Before(sentAt) {
 			continue
 		}
 		c.missing(r, sentAt)
@@ -299,8 +299,9 @@
 	t := c.task(k)
 	wanted := t != nil && !t.done && (len(t.runs) == 0 || t.of.Copies)
 	if !wanted {
-		if w.strays[v.Run] == nil {
-			w.strays[v.Run] = &stray{task: v.Task}
+		id := strayID{task: v.Task, number: v.Run}
+		if w.strays[id] == nil {
+			w.strays[id] = &stray{}
 			c.do(Note{What: "run not wanted", Job: k.id, Task: v.Task, Run: v.Run, Worker: w.ID, Why: "its job or task is over, or it runs elsewhere"})
 		}
 		return nil
--- a/job/orders.go
+++ b/job/orders.go
@@ -77,10 +77,10 @@
 			c.sendStop(r)
 		}
 	}
-	for n, s := range w.strays {
+	for id, s := range w.strays {
 		if !s.sent {
 			s.sent = true
-			c.do(StopRun{Worker: w.Worker, Task: s.task, Run: n, Fence: c.fence})
+			c.do(StopRun{Worker: w.Worker, Task: id.task, Run: id.number, Fence: c.fence})
 		}
 	}
 }
@@ -92,11 +92,8 @@
 		return
 	}
 	w.hearClock(e.Clock, c.now)
-	r := w.runs[e.Run]
-	k, ok := parseTaskKey(e.Task)
-	if ok {
-		r = w.find(k, e.Run)
-	}
+	k, _ := parseTaskKey(e.Task)
+	r := w.find(k, e.Run)
 	switch {
 	case errors.Is(e.Err, platform.ErrOtherLife):
 		c.lose(w, "another life answers at its address")
@@ -172,7 +169,7 @@
 		c.do(StepDown{Why: "a worker has seen a higher fence"})
 		return
 	}
-	if s := w.strays[e.Run]; s != nil && e.Err != nil {
+	if s := w.strays[strayID{task: e.Task, number: e.Run}]; s != nil && e.Err != nil {
 		s.sent = false
 	}
 	k, _ := parseTaskKey(e.Task)
--- a/job/worker.go
+++ b/job/worker.go
@@ -56,9 +56,9 @@
 	// lapsesAt is when all must have ended on a worker that never answered.
 	lapsesAt time.Time
 	used     platform.Resources
-	runs     map[int64]*run
-	// strays are runs of jobs that are not to run, by number.
-	strays map[int64]*stray
+	runs     map[runID]*run
+	// strays are runs of jobs that are not to run.
+	strays map[strayID]*stray
 	// seen is the last end that was received, kept the last that the store
 	// holds, acked the last that the worker has forgotten.
 	seen, kept, acked int64
@@ -84,9 +84,21 @@
 	paceAt time.Time
 }
 
+// runID names a run. The members of a gang share their run's number.
+type runID struct {
+	task   taskKey
+	number int64
+}
+
+// strayID names a run by the words of its worker.
+type strayID struct {
+	task   string
+	number int64
+}
+
 // stray is a run that is not to be there.
 type stray struct {
-	task string
+	// sent says that an order to stop it is under way.
 	sent bool
 }
 
@@ -94,8 +106,8 @@
 	return &worker{
 		Worker:    w,
 		rack:      w.Rack(),
-		runs:      map[int64]*run{},
-		strays:    map[int64]*stray{},
+		runs:      map[runID]*run{},
+		strays:    map[strayID]*stray{},
 		lapsesAt:  now.Add(inheritedLease),
 		idleSince: now,
 	}
@@ -155,12 +167,12 @@
 }
 
 func (w *worker) attach(r *run) {
-	w.runs[r.number] = r
+	w.runs[r.id()] = r
 	w.charge(r.task.of.Step, 1)
 }
 
 func (w *worker) detach(r *run) {
-	delete(w.runs, r.number)
+	delete(w.runs, r.id())
 	w.charge(r.task.of.Step, -1)
 }
 
@@ -172,16 +184,11 @@
 	w.used.GPUs += sign * s.GPUs
 }
 
-// find returns the run of a task with the number.
+// find returns the run of a task with the number, or nil.
 func (w *worker) find(task taskKey, number int64) *run {
-	r := w.runs[number]
-	if r != nil && r.task.key() == task {
-		return r
-	}
-	for _, r := range w.runs {
-		if r.number == number && r.task.key() == task {
-			return r
-		}
-	}
-	return nil
+	return w.runs[runID{task: task, number: number}]
+}
+
+func (r *run) id() runID {
+	return runID{task: r.task.key(), number: r.number}
 }
