--- a/job/lasting.go
+++ b/job/lasting.go
@@ -70,6 +70,9 @@
 // evacuate ends the lasting runs on a worker that is to be emptied, as far as
 // their steps bear it now. It reports whether none is left.
 func (c *Core) evacuate(w *worker) bool {
+	if c.now.Before(c.evacuateAt) {
+		return !w.lasting()
+	}
 	empty := true
 	for _, r := range w.runs {
 		if !r.task.of.Lasting {
--- a/job/machines.go
+++ b/job/machines.go
@@ -16,6 +16,10 @@
 	// getToKnow is how long an owner waits for its workers' first answers
 	// before it gives orders to machines.
 	getToKnow = 300 * time.Millisecond
+	// stopsShow is how long an owner leaves lasting tasks where they are: a run
+	// that the owner before has stopped is listed as running for as long as the
+	// stop takes, four tenths of a second, and until the next look.
+	stopsShow = 1500 * time.Millisecond
 	// listEvery is how often the list of machines is read while orders are
 	// under way, listIdle otherwise.
 	listEvery = 600 * time.Millisecond
@@ -33,11 +37,13 @@
 	// back those to machines that the owner before gave orders to.
 	ordersAt  time.Time
 	heldUntil map[string]time.Time
-	byName    map[string]*machine
-	listing   bool
-	listAt    time.Time
-	waves     map[int64]*wave
-	balance   pooling
+	// evacuateAt is when the owner knows which lasting tasks are at work.
+	evacuateAt time.Time
+	byName     map[string]*machine
+	listing    bool
+	listAt     time.Time
+	waves      map[int64]*wave
+	balance    pooling
 }
 
 // machine is one machine of the fleet.
@@ -103,12 +109,13 @@
 
 func newMachines(holder string, now time.Time) machines {
 	return machines{
-		holder:    holder,
-		ordersAt:  now.Add(getToKnow),
-		heldUntil: map[string]time.Time{},
-		byName:    map[string]*machine{},
-		waves:     map[int64]*wave{},
-		balance:   newPooling(),
+		holder:     holder,
+		ordersAt:   now.Add(getToKnow),
+		heldUntil:  map[string]time.Time{},
+		evacuateAt: now.Add(stopsShow),
+		byName:     map[string]*machine{},
+		waves:      map[int64]*wave{},
+		balance:    newPooling(),
 	}
 }
 
--- a/job/machines_test.go
+++ b/job/machines_test.go
@@ -113,7 +113,6 @@
 func TestLastingTasksAreEvacuatedOneByOneWithinTheirBound(t *testing.T) {
 	f := newFixture(t)
 	f.join("w1", "w2", "w3")
-	f.machinesAre(machineOf("w1", "blue"), machineOf("w2", "blue"), machineOf("w3", "blue"))
 	s := oneTask()
 	s.Count, s.MaxPerWorker, s.Lasting, s.MayMiss = 2, 1, true, 1
 	f.submit(idA, "quick", s)
@@ -126,6 +125,9 @@
 	w := f.core.workers[l[0].Worker.ID]
 	other := f.core.workers[l[1].Worker.ID]
 	f.core.evacuate(w)
+	require.Empty(t, f.stops(), "the owner before may have stopped one of them just now")
+	f.pass(stopsShow)
+	f.core.evacuate(w)
 	f.core.evacuate(other)
 	f.step(Tick{})
 	require.Len(t, f.stops(), 1, "the second would leave none of two at work")
--- a/job/node.go
+++ b/job/node.go
@@ -205,7 +205,7 @@
 
 func (n *Node) ownState(id ID) (platform.State, bool, bool) {
 	o := n.owned()
-	if o == nil {
+	if o == nil || !o.loaded.Load() {
 		return "", false, false
 	}
 	o.mu.Lock()
@@ -216,7 +216,8 @@
 
 func (n *Node) ownWaiting(queue string) (int, bool) {
 	o := n.owned()
-	if o == nil {
+	if o == nil || !o.loaded.Load() {
+		// An owner that is still reading would count too few.
 		return 0, false
 	}
 	o.mu.Lock()
--- /dev/null
+++ b/job/node_test.go
@@ -0,0 +1,51 @@
+package job
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/common"
+)
+
+func newTestNode(t *testing.T, s storeFixture) *Node {
+	n, err := NewNode(Settings{Name: "entry"}, Clients{KV: s.kv}, nil, common.Quiet(), http.NotFoundHandler())
+	require.NoError(t, err)
+	return n
+}
+
+func TestOwnerThatIsStillReadingTellsNoCount(t *testing.T) {
+	s := newStoreFixture(t)
+	n := newTestNode(t, s)
+	n.owner = s.claim(t, "entry")
+	_, owns := n.ownWaiting("quick")
+	require.False(t, owns)
+	_, _, owns = n.ownState(idA)
+	require.False(t, owns)
+	n.owner.core.Step(time.Now(), Batch{Inherited{Config: testConfig()}, loadedAll{n.owner}})
+	_, owns = n.ownWaiting("quick")
+	require.True(t, owns)
+}
+
+func TestRequestsWithoutConfigurationAreRefusedWithATime(t *testing.T) {
+	n := newTestNode(t, newStoreFixture(t))
+	w := httptest.NewRecorder()
+	n.Callers().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://h/q/"+idA, nil))
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Equal(t, "1", w.Header().Get("Retry-After"))
+	require.Equal(t, "not-run", w.Header().Get(common.HeaderVerdict))
+	require.False(t, n.Ready())
+}
+
+func TestCallerWithTooLittleTimeIsRefusedAtOnce(t *testing.T) {
+	n := newTestNode(t, newStoreFixture(t))
+	n.routes.Store(newRoutes(testConfig()))
+	r := httptest.NewRequest(http.MethodPost, "http://h/q/"+idA, nil)
+	r.Header.Set("Amberway-Deadline", "10")
+	w := httptest.NewRecorder()
+	n.Callers().ServeHTTP(w, r)
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+}
--- a/job/owner.go
+++ b/job/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"amberway/common"
@@ -48,6 +49,8 @@
 	// mu guards core, which callers' questions read.
 	mu   sync.Mutex
 	core *Core
+	// loaded says that core holds what the owner took over.
+	loaded atomic.Bool
 	// renewedAt is when the last renewal was sent that the store has answered.
 	renewedAt common.Instant
 	end       context.CancelFunc
@@ -92,6 +95,7 @@
 		"took_ms", o.now().Sub(o.tenure.since).Milliseconds(),
 	}})
 	o.post(inherited)
+	o.post(loadedAll{o})
 	go o.followJobs(ctx, from.jobs)
 	go o.followWorkers(ctx, from.workers)
 	o.loop(ctx)
@@ -101,6 +105,15 @@
 	return o.why
 }
 
+// loadedAll follows what an owner takes over, and opens it to questions.
+type loadedAll struct {
+	o *owner
+}
+
+func (e loadedAll) apply(*Core) {
+	e.o.loaded.Store(true)
+}
+
 // resign ends the ownership.
 func (o *owner) resign(why string) {
 	o.endOnce.Do(func() {
