--- /dev/null
+++ b/internal/fleet/store_http.go
@@ -0,0 +1,207 @@
+package fleet
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Handler serves the store's interface.
+func (s *Store) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /kv-key", s.serveKey)
+	m.HandleFunc("GET /kv-range", s.serveRange)
+	m.HandleFunc("GET /kv-watch", s.serveWatch)
+	m.HandleFunc("POST /kv-txn", s.serveTxn)
+	m.HandleFunc("POST /kv-lease", s.serveLease)
+	m.HandleFunc("POST /kv-keep/{id}", s.serveKeep)
+	m.HandleFunc("DELETE /kv-lease-end/{id}", s.serveLeaseEnd)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		s.expire()
+		f := s.fault
+		s.mu.Unlock()
+		time.Sleep(f.Delay)
+		switch {
+		case f.Refuse:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case f.Lose && r.Method != http.MethodGet:
+			m.ServeHTTP(&nowhere{}, r)
+			panic(http.ErrAbortHandler)
+		default:
+			m.ServeHTTP(w, r)
+		}
+	})
+}
+
+// nowhere takes an answer that is lost.
+type nowhere struct{ h http.Header }
+
+// Header is part of http.ResponseWriter.
+func (n *nowhere) Header() http.Header {
+	if n.h == nil {
+		n.h = http.Header{}
+	}
+	return n.h
+}
+
+// Write is part of http.ResponseWriter.
+func (*nowhere) Write(b []byte) (int, error) { return len(b), nil }
+
+// WriteHeader is part of http.ResponseWriter.
+func (*nowhere) WriteHeader(int) {}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *Store) serveKey(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[r.URL.Query().Get("key")]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	i.At = s.revision
+	answer(w, http.StatusOK, i)
+}
+
+// pageItems is how many items a page holds: fewer than the platform's 500, so
+// that pages are met in tests.
+const pageItems = 100
+
+func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := r.URL.Query()
+	l := []item{}
+	for k, i := range s.items {
+		if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("after") {
+			l = append(l, i)
+		}
+	}
+	slices.SortFunc(l, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	more := len(l) > pageItems
+	answer(w, http.StatusOK, map[string]any{"items": l[:min(len(l), pageItems)], "more": more, "at": s.revision})
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		l, gone := s.since(q.Get("prefix"), after)
+		at, changed := s.revision, s.changed
+		s.mu.Unlock()
+		switch {
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(l) > 0:
+			answer(w, http.StatusOK, map[string]any{"events": l, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-end:
+			answer(w, http.StatusOK, map[string]any{"events": []item{}, "at": at})
+			return
+		}
+	}
+}
+
+func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		IfRev []struct {
+			Key string `json:"key"`
+			Rev int64  `json:"rev"`
+		} `json:"if_rev"`
+		Put    []item   `json:"put"`
+		Remove []string `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	there := []item{}
+	failed := false
+	for _, g := range t.IfRev {
+		i, ok := s.items[g.Key]
+		failed = failed || i.Rev != g.Rev
+		if ok {
+			there = append(there, i)
+		}
+	}
+	if failed {
+		answer(w, http.StatusPreconditionFailed, map[string]any{"items": there})
+		return
+	}
+	for _, p := range t.Put {
+		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	s.revision++
+	for _, k := range t.Remove {
+		s.remove(k)
+	}
+	for _, p := range t.Put {
+		s.put(p.Key, p.Value, p.Lease)
+	}
+	answer(w, http.StatusOK, map[string]int64{"rev": s.revision})
+}
+
+func (s *Store) serveLease(w http.ResponseWriter, r *http.Request) {
+	var q struct {
+		TTLMs int64 `json:"ttl_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease++
+	ttl := time.Duration(q.TTLMs) * time.Millisecond
+	s.leases[s.lease] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	answer(w, http.StatusOK, map[string]int64{"lease": s.lease, "ttl_ms": q.TTLMs})
+}
+
+func (s *Store) serveKeep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	l.expires = time.Now().Add(l.ttl)
+	s.leases[id] = l
+	answer(w, http.StatusOK, map[string]int64{"ttl_ms": l.ttl.Milliseconds()})
+}
+
+func (s *Store) serveLeaseEnd(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.leases[id]; !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.endLease(id)
+}
--- a/internal/local/deployment.go
+++ b/internal/local/deployment.go
@@ -4,22 +4,14 @@
 package local
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"os"
-	"os/exec"
 	"os/signal"
 	"path/filepath"
-	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,14 +42,6 @@
 	Reboot time.Duration
 }
 
-// Process is one running process.
-type Process struct {
-	Name string
-	Cmd  *exec.Cmd
-	log  *os.File
-	done chan struct{}
-}
-
 // Entry is one entry host.
 type Entry struct {
 	*Process
@@ -95,40 +79,6 @@
 	Targets   []*Target
 }
 
-// Build builds the programs into a directory below dir.
-func Build(ctx context.Context, dir string) (string, error) {
-	root, err := moduleRoot()
-	if err != nil {
-		return "", err
-	}
-	bin := filepath.Join(dir, "bin")
-	if err := os.MkdirAll(bin, 0o755); err != nil {
-		return "", err
-	}
-	c := exec.CommandContext(ctx, "go", "build", "-o", bin+"/", "./cmd/...", "./internal/standin/cmd/...")
-	c.Dir = root
-	if out, err := c.CombinedOutput(); err != nil {
-		return "", fmt.Errorf("build: %w\n%s", err, out)
-	}
-	return bin, nil
-}
-
-func moduleRoot() (string, error) {
-	d, err := os.Getwd()
-	if err != nil {
-		return "", err
-	}
-	for {
-		if _, err := os.Stat(filepath.Join(d, "go.mod")); err == nil {
-			return d, nil
-		}
-		if d == filepath.Dir(d) {
-			return "", errors.New("no go.mod above the working directory")
-		}
-		d = filepath.Dir(d)
-	}
-}
-
 // Run builds the programs, starts a deployment, calls f with it and stops it,
 // all in a directory of its own. A signal ends the context of f, and an output
 // that nobody reads is an error, so that no process stays behind.
@@ -290,51 +240,6 @@
 	return spawn(d.dir, filepath.Join(d.bin, program), name, args)
 }
 
-// spawn starts a program that logs to a file of its name in dir.
-func spawn(dir, program, name string, args []string) (*Process, error) {
-	f, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
-	if err != nil {
-		return nil, err
-	}
-	c := exec.Command(program, args...)
-	c.Stdout = f
-	c.Stderr = f
-	if err := c.Start(); err != nil {
-		return nil, err
-	}
-	p := &Process{Name: name, Cmd: c, log: f, done: make(chan struct{})}
-	go func() {
-		_ = c.Wait()
-		close(p.done)
-	}()
-	return p, nil
-}
-
-// Signal sends a signal to the process.
-func (p *Process) Signal(s syscall.Signal) error {
-	return p.Cmd.Process.Signal(s)
-}
-
-// Kill ends the process at once and waits for its end.
-func (p *Process) Kill() {
-	if p == nil || p.Cmd == nil || p.Cmd.Process == nil {
-		return
-	}
-	_ = p.Cmd.Process.Kill()
-	<-p.done
-	_ = p.log.Close()
-}
-
-// Wait waits for the end of the process and returns its exit code.
-func (p *Process) Wait(d time.Duration) (int, error) {
-	select {
-	case <-p.done:
-		return p.Cmd.ProcessState.ExitCode(), nil
-	case <-time.After(d):
-		return 0, fmt.Errorf("%s still runs after %s", p.Name, d)
-	}
-}
-
 // Stop ends every process.
 func (d *Deployment) Stop() {
 	for _, e := range d.Entries {
@@ -377,69 +282,3 @@
 func (t *Target) Fault(f standin.Fault) error {
 	return call(http.MethodPost, "http://"+t.Host.Address.String()+"/standin/faults", f, nil)
 }
-
-func call(method, u string, body, v any) error {
-	b, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequest(method, u, bytes.NewReader(b))
-	if err != nil {
-		return err
-	}
-	c := http.Client{Timeout: 5 * time.Second}
-	res, err := c.Do(req)
-	if err != nil {
-		return err
-	}
-	defer res.Body.Close()
-	out, err := io.ReadAll(res.Body)
-	if err != nil {
-		return err
-	}
-	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: status %d: %s", u, res.StatusCode, strings.TrimSpace(string(out)))
-	}
-	if v == nil {
-		return nil
-	}
-	return json.Unmarshal(out, v)
-}
-
-func waitFor(d time.Duration, f func() error) error {
-	end := time.Now().Add(d)
-	for {
-		err := f()
-		if err == nil {
-			return nil
-		}
-		if time.Now().After(end) {
-			return err
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-}
-
-// Ports are taken from below those that the kernel gives to outgoing
-// connections, so that none is lost between its choice and its use.
-const (
-	firstPort = 20000
-	portRange = 12000
-)
-
-var nextPort atomic.Int64
-
-// freePort returns a loopback address that nothing listened on a moment ago
-// and that this process has not returned before.
-func freePort() (netip.AddrPort, error) {
-	for range portRange {
-		n := firstPort + (int64(os.Getpid())*101+nextPort.Add(1))%portRange
-		a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n))
-		l, err := net.Listen("tcp", a.String())
-		if err != nil {
-			continue
-		}
-		return a, l.Close()
-	}
-	return netip.AddrPort{}, errors.New("no port is free")
-}
--- /dev/null
+++ b/job/demand.go
@@ -0,0 +1,195 @@
+package job
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"amberway/platform"
+)
+
+// arrivals averages the work that comes in, in core-milliseconds a millisecond,
+// over the arrivalWindow.
+type arrivals struct {
+	rate float64
+	at   time.Time
+}
+
+func (a *arrivals) add(work float64, now time.Time) {
+	a.decay(now)
+	a.rate += work / float64(arrivalWindow.Milliseconds())
+}
+
+func (a *arrivals) decay(now time.Time) float64 {
+	if d := now.Sub(a.at); d > 0 && !a.at.IsZero() {
+		a.rate *= math.Exp(-float64(d) / float64(arrivalWindow))
+	}
+	a.at = now
+	return a.rate
+}
+
+// noteArrival counts the work of a new job.
+func (c *Core) noteArrival(j *job) {
+	work := 0.0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		if !s.Lasting && !s.Fills {
+			work += float64(s.Count) * float64(s.MilliCores) / 1000 * float64(c.expect(j, s).Milliseconds())
+		}
+	}
+	a := c.balance.arrivals[j.queue.Service]
+	if a == nil {
+		a = &arrivals{}
+		c.balance.arrivals[j.queue.Service] = a
+	}
+	a.add(work, c.now)
+}
+
+// noteDemand notes what waits without room after placement.
+func (c *Core) noteDemand(service string, l []candidate) {
+	var r platform.Resources
+	for _, s := range l {
+		if !s.Fills {
+			r.MilliCores += int64(s.idle) * s.MilliCores
+		}
+		r.MemoryMB += int64(s.idle) * s.MemoryMB
+	}
+	c.balance.waiting[service] = r
+}
+
+// demand is how many hosts a pool wants and has.
+type demand struct {
+	service string
+	want    int
+	// have counts the hosts that take tasks or are on their way.
+	have int
+	// waits says that tasks wait without room.
+	waits bool
+}
+
+// notePools logs now and then what each pool wants and has.
+func (c *Core) notePools(plan []demand) {
+	if c.now.Before(c.balance.noteAt) {
+		return
+	}
+	c.balance.noteAt = c.now.Add(noteEvery)
+	for _, d := range plan {
+		var used, room platform.Resources
+		for _, w := range c.pools[d.service] {
+			used.MilliCores += w.used.MilliCores
+			used.MemoryMB += w.used.MemoryMB
+			room.MilliCores += w.Capacity.MilliCores
+			room.MemoryMB += w.Capacity.MemoryMB
+		}
+		wait := c.balance.waiting[d.service]
+		c.do(Note{What: "pool", Inputs: []any{
+			"service", d.service, "want", d.want, "have", d.have,
+			"cores_used", used.MilliCores / 1000, "cores", room.MilliCores / 1000, "cores_waiting", wait.MilliCores / 1000,
+			"mb_used", used.MemoryMB, "mb", room.MemoryMB,
+		}})
+	}
+}
+
+// demands returns what each pool wants and has, the shortest first.
+func (c *Core) demands(spare string) []demand {
+	var l []demand
+	for _, s := range c.config.Services {
+		if s.Name == spare {
+			continue
+		}
+		d := demand{service: s.Name, want: c.wants(s.Name), have: c.coming(s.Name)}
+		for _, w := range c.pools[s.Name] {
+			if !w.Draining && !w.leaving && w.silent < silentAfter && c.byHost[w.Host] == w {
+				d.have++
+			}
+		}
+		d.waits = c.balance.waiting[s.Name].MilliCores > 0
+		l = append(l, d)
+	}
+	slices.SortFunc(l, func(a, b demand) int {
+		return cmp.Or(cmp.Compare(b.want-b.have, a.want-a.have), cmp.Compare(a.service, b.service))
+	})
+	return l
+}
+
+// wants returns how many hosts a pool needs for what runs, waits and comes in.
+func (c *Core) wants(service string) int {
+	need := c.balance.waiting[service]
+	host := platform.Resources{}
+	hosts := 0
+	for _, w := range c.pools[service] {
+		need.MilliCores += w.used.MilliCores
+		need.MemoryMB += w.used.MemoryMB
+		host.MilliCores = max(host.MilliCores, w.Capacity.MilliCores)
+		host.MemoryMB = max(host.MemoryMB, w.Capacity.MemoryMB)
+	}
+	if host.MilliCores == 0 {
+		host = c.anyHost()
+	}
+	if host.MilliCores == 0 || host.MemoryMB == 0 {
+		return 0
+	}
+	cores := float64(need.MilliCores)
+	if a := c.balance.arrivals[service]; a != nil {
+		cores = max(cores, a.decay(c.now)*1000+float64(c.lastingCores(service)))
+	}
+	share := max(cores/float64(host.MilliCores), float64(need.MemoryMB)/float64(host.MemoryMB))
+	if share > 0 {
+		hosts = int(math.Ceil(share*(1+roomToSpare) + 0.25))
+	}
+	return max(hosts, c.spread(service))
+}
+
+// lastingCores is what the lasting tasks of a pool take.
+func (c *Core) lastingCores(service string) int64 {
+	var n int64
+	for _, w := range c.pools[service] {
+		for _, r := range w.runs {
+			if r.task.of.Lasting && !r.task.of.Fills {
+				n += r.task.of.MilliCores
+			}
+		}
+	}
+	return n
+}
+
+// spread returns how many hosts the bounds on tasks of one step on one worker
+// ask for.
+func (c *Core) spread(service string) int {
+	most := 0
+	for _, j := range c.live {
+		if j.queue.Service != service {
+			continue
+		}
+		for _, n := range j.instances {
+			for _, s := range n.steps {
+				if s.MaxPerWorker > 0 && s.left > 0 && s.open() {
+					most = max(most, (s.left+s.MaxPerWorker-1)/s.MaxPerWorker)
+				}
+			}
+		}
+	}
+	return most
+}
+
+// anyHost returns the capacity of some machine, for a pool that has none.
+func (c *Core) anyHost() platform.Resources {
+	for _, m := range c.byName {
+		return m.Capacity
+	}
+	return platform.Resources{}
+}
+
+// coming counts the hosts on their way to the pool.
+func (c *Core) coming(service string) int {
+	n := 0
+	for _, m := range c.byName {
+		if m.order != nil && m.order.pool == service && c.byHost[m.Name] == nil {
+			n++
+		} else if m.order == nil && m.lend == service {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/job/ends.go
@@ -0,0 +1,125 @@
+package job
+
+import (
+	"slices"
+
+	"amberway/platform"
+)
+
+// takeEnds takes in the ends that are news.
+func (c *Core) takeEnds(w *worker, ends []platform.EndedRow) {
+	owed := w.seen > w.kept
+	for _, e := range ends {
+		if e.Number <= w.seen {
+			continue
+		}
+		w.seen = e.Number
+		if c.takeEnd(w, e) {
+			owed = true
+		}
+	}
+	if !owed {
+		w.kept = w.seen
+	}
+}
+
+// takeEnd takes in one end. It reports whether the end has to be kept before
+// the worker may forget it.
+func (c *Core) takeEnd(w *worker, e platform.EndedRow) bool {
+	delete(w.strays, strayID{task: e.Task, number: e.Run})
+	k, ok := parseTaskKey(e.Task)
+	if !ok {
+		return false
+	}
+	r := w.find(k, e.Run)
+	t := c.task(k)
+	if r != nil {
+		r.detach()
+		w.idleSince = c.now
+	}
+	if t == nil {
+		return c.jobs[k.id] != nil
+	}
+	if e.Snapshot != "" && t.of.Checkpoints {
+		t.snapshot = e.Snapshot
+	}
+	c.do(Note{What: "end", Job: k.id, Task: e.Task, Run: e.Run, Worker: w.ID, Why: string(e.How), Inputs: []any{"number", e.Number}})
+	c.judge(w, t, e.How)
+	if t.of.Lasting {
+		c.lastingEnded(t, r, e.How)
+		return false
+	}
+	if e.How == platform.EndDone {
+		c.taskDone(t, r)
+		return true
+	}
+	if e.How == platform.EndFailed {
+		c.taskFailed(t, e.Run)
+		return true
+	}
+	if t.of.Gang {
+		c.breakGang(t.of, e.Run)
+	}
+	return false
+}
+
+// task returns the task with the key if its job is live and its time is open.
+func (c *Core) task(k taskKey) *task {
+	j := c.live[k.id]
+	if j == nil {
+		return nil
+	}
+	n := j.instances[k.k]
+	if n == nil || k.step >= len(n.steps) || k.index >= len(n.steps[k.step].tasks) {
+		return nil
+	}
+	return n.steps[k.step].tasks[k.index]
+}
+
+func (c *Core) taskDone(t *task, r *run) {
+	n := t.of.of
+	j := n.job
+	c.begin(j)
+	c.mark(j)
+	if r != nil {
+		c.learnRun(r)
+	}
+	if t.of.Gang {
+		// One end stands for all of the gang.
+		for _, o := range t.of.tasks {
+			n.finish(o)
+		}
+	} else {
+		n.finish(t)
+	}
+	for _, o := range t.runs {
+		c.stop(o, "another copy is done")
+	}
+	if n.left == 0 {
+		c.advance(j)
+	}
+}
+
+func (c *Core) taskFailed(t *task, run int64) {
+	j := t.of.of.job
+	c.begin(j)
+	c.mark(j)
+	if t.of.Gang {
+		// The members of a gang share their runs and so their failures.
+		t = t.of.tasks[0]
+	}
+	if t.done || slices.Contains(t.failed, run) {
+		return
+	}
+	t.failed = append(t.failed, run)
+	if len(t.failed) >= max(1, j.queue.Attempts) {
+		c.finalise(j, platform.StateFailed, "task "+t.key().String()+" has failed as often as its queue allows")
+	}
+}
+
+func (c *Core) begin(j *job) {
+	j.began = true
+	if j.state == platform.StateQueued {
+		j.state = platform.StateRunning
+	}
+}
--- /dev/null
+++ b/job/serve.go
@@ -0,0 +1,137 @@
+package job
+
+import (
+	"context"
+	"errors"
+
+	"amberway/common"
+	"amberway/platform"
+)
+
+func (n *Node) ownState(id ID) (platform.State, bool, bool) {
+	o := n.owned()
+	if o == nil || !o.loaded.Load() {
+		return "", false, false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s, known := o.core.StateOf(id)
+	return s, known, true
+}
+
+func (n *Node) ownWaiting(queue string) (int, bool) {
+	o := n.owned()
+	if o == nil || !o.loaded.Load() {
+		// An owner that is still reading would count too few.
+		return 0, false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.core.Waiting(queue), true
+}
+
+// state returns a job's state from the owner, or from the store.
+func (n *Node) state(ctx context.Context, id ID) (platform.State, bool, error) {
+	if s, known, owns := n.ownState(id); owns && known {
+		return s, true, nil
+	}
+	if o := n.election.owner(); o.Name != "" && o.Name != n.settings.Name {
+		s, known, err := n.peers.state(ctx, o, id)
+		if err == nil && known {
+			return s, true, nil
+		}
+	}
+	return n.storedState(ctx, id)
+}
+
+// storedState returns a job's state as the store has it. The record is read
+// first, since a job that ends loses it as its progress becomes final.
+func (n *Node) storedState(ctx context.Context, id ID) (platform.State, bool, error) {
+	_, err := n.KV.Get(ctx, newKey(id))
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return "", false, err
+	}
+	there := err == nil
+	e, err := n.KV.Get(ctx, progressKey(id))
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.StateQueued, there, nil
+	}
+	if err != nil {
+		return "", false, err
+	}
+	_, p, err := decodeProgress(e)
+	return p.State, true, err
+}
+
+func (n *Node) waiting(ctx context.Context, queue string) (int, error) {
+	if c, owns := n.ownWaiting(queue); owns {
+		return c, nil
+	}
+	o := n.election.owner()
+	if o.Name == "" || o.Name == n.settings.Name {
+		return 0, errNotOwner
+	}
+	return n.peers.waiting(ctx, o, queue)
+}
+
+// accept takes in a job here or, where the store turns this host away, through
+// the owner.
+func (n *Node) accept(ctx context.Context, id ID, r Record) common.Verdict {
+	deadline, _ := ctx.Deadline()
+	v, err := n.intake.accept(ctx, id, r, deadline)
+	n.metrics.intake.Add(ctx, 1, label("verdict", v.String()))
+	if err != nil {
+		n.log.Write(Note{What: "job not taken", Job: id, Why: err.Error()})
+	}
+	if v != common.NotRun {
+		return v
+	}
+	o := n.election.owner()
+	if o.Name == "" || o.Name == n.settings.Name {
+		return v
+	}
+	v, err = n.peers.accept(ctx, o.Peer, id, r)
+	if err != nil {
+		n.log.Write(Note{What: "job not relayed", Job: id, Why: err.Error(), Inputs: []any{"to", o.Name}})
+	}
+	return v
+}
+
+// cancel cancels a job here or through the owner. It reports whether the job
+// is known.
+func (n *Node) cancel(ctx context.Context, id ID) (bool, error) {
+	known, err := n.cancelHere(ctx, id)
+	o := n.election.owner()
+	if err == nil || o.Name == "" || o.Name == n.settings.Name {
+		return known, err
+	}
+	return n.peers.cancel(ctx, o.Peer, id)
+}
+
+// cancelHere marks a job as cancelled, unless it is final or not known.
+func (n *Node) cancelHere(ctx context.Context, id ID) (bool, error) {
+	for {
+		e, err := n.KV.Get(ctx, newKey(id))
+		if errors.Is(err, platform.ErrNotFound) {
+			_, err = n.KV.Get(ctx, progressKey(id))
+			if errors.Is(err, platform.ErrNotFound) {
+				return false, nil
+			}
+			return err == nil, err
+		}
+		if err != nil {
+			return false, err
+		}
+		_, _, err = n.KV.Commit(ctx, platform.Txn{
+			Guards: []platform.Guard{{Key: e.Key, Revision: e.Revision}},
+			Puts:   []platform.Put{{Key: cancelKey(id), Value: []byte("1")}},
+		})
+		if errors.Is(err, platform.ErrConflict) {
+			continue
+		}
+		if err == nil {
+			n.log.Write(Note{What: "cancel", Job: id})
+		}
+		return err == nil, err
+	}
+}
