--- a/internal/local/cmd/jobs/main.go
+++ b/internal/local/cmd/jobs/main.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"amberway/internal/local"
+	"amberway/internal/standin/fleet"
 )
 
 func main() {
@@ -29,6 +30,7 @@
 	jobCount    = 150
 	jobInterval = 100 * time.Millisecond
 	waveNumber  = 1
+	waveCap     = 2
 	// settleTime is how long jobs may take after the last was handed in.
 	settleTime = 20 * time.Second
 )
@@ -71,8 +73,7 @@
 		return
 	}
 	names := j.Fleet.Names("")
-	wave := map[string]any{"wave": waveNumber, "machines": names[:len(names)/2], "within_s": 20, "cap": 2}
-	report("a wave over half of the machines", j.Fleet.Store.Put("op/wave/1", wave))
+	report("a wave over half of the machines", j.Fleet.AskWave(waveNumber, names[:len(names)/2], 20*time.Second, waveCap))
 	if !wait(3 * time.Second) {
 		return
 	}
@@ -120,7 +121,7 @@
 func (t *tally) follow(j *local.Jobs, n int) {
 	queue := []string{"blue", "green"}[n%2]
 	id := fmt.Sprintf("%016x", n+1)
-	job := local.Job{Spec: "400ms", Steps: []local.Step{
+	job := fleet.Job{Spec: "400ms", Steps: []fleet.Step{
 		{Count: 3, CPU: 1000, MemMB: 100, Estimate: 400},
 		{Count: 2, CPU: 1500, MemMB: 100, Estimate: 400, After: []int{0}},
 	}}
@@ -162,11 +163,10 @@
 	for c, n := range t.codes {
 		fmt.Fprintf(w, "answers with status %d (0: none)\t%d\n", c, n)
 	}
-	b, _ := j.Fleet.Store.Value("status/wave/1")
 	fmt.Fprintf(w, "runs begun\t%d of %d needed\n", j.Fleet.Books.Starts(), 5*jobCount)
 	fmt.Fprintf(w, "slowest job\t%s\n", t.slow.Round(time.Millisecond))
 	fmt.Fprintf(w, "moves between pools\t%d\n", j.Fleet.Moves())
-	fmt.Fprintf(w, "wave\t%s, at most %d machines down at once\n", b, j.Fleet.MostDown(waveNumber))
+	fmt.Fprintf(w, "wave\t%s, at most %d machines down at once\n", j.Fleet.WaveState(waveNumber), j.Fleet.MostDown(waveNumber))
 	fmt.Fprintf(w, "calls to the store\t%d\n", j.Fleet.Store.Calls())
 	if err := w.Flush(); err != nil {
 		return err
--- a/internal/local/jobs.go
+++ b/internal/local/jobs.go
@@ -5,14 +5,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
-	"amberway/internal/fleet"
+	"amberway/internal/standin/fleet"
 )
 
 // JobsOptions say how large a deployment for jobs is.
@@ -49,12 +51,6 @@
 // SparePool is the pool of machines that are switched off.
 const SparePool = "spare"
 
-// QueuePrefix begins the path of each queue, and its host is JobsHost.
-const (
-	QueuePrefix = "/queues/"
-	JobsHost    = "jobs.example"
-)
-
 // StartJobs starts a deployment and waits until each entry host is ready. The
 // caller has to Stop it, also after an error.
 func StartJobs(bin, dir string, o JobsOptions) (*Jobs, error) {
@@ -86,30 +82,15 @@
 // named besides, which run on the first pool.
 func (j *Jobs) Configure(more ...string) error {
 	j.version += 3
-	type row = map[string]any
-	routes := []row{}
-	services := []row{{"name": SparePool, "headroom": true, "rejects_overload": true}}
-	route := func(queue, pool string) {
-		routes = append(routes, row{
-			"name": "r-" + queue, "host": JobsHost, "prefix": QueuePrefix + queue + "/", "service": pool,
-			"timeout_ms": 3000, "goal_ms": 1000, "stretch": 2, "retries": 3,
-		})
-	}
-	first := ""
-	for p := range j.Workers {
-		services = append(services, row{"name": p, "rejects_overload": true})
-		route(p, p)
-		if first == "" || p < first {
-			first = p
-		}
+	pools := slices.Sorted(maps.Keys(j.Workers))
+	var queues []fleet.Queue
+	for _, p := range pools {
+		queues = append(queues, fleet.Queue{Name: p, Pool: p})
 	}
 	for _, q := range more {
-		route(q, first)
+		queues = append(queues, fleet.Queue{Name: q, Pool: pools[0]})
 	}
-	return j.Fleet.Store.Put("op/config", row{
-		"version": j.version, "routes": routes, "services": services,
-		"limits": row{"max_header_bytes": 16384, "max_body_bytes": 65536},
-	})
+	return j.Fleet.Configure(j.version, pools, queues)
 }
 
 func (j *Jobs) newEntry(name string) error {
@@ -187,11 +168,11 @@
 	if err != nil {
 		return 0, "", err
 	}
-	req, err := http.NewRequest(method, "http://"+e.Callers.String()+QueuePrefix+queue+"/"+id, bytes.NewReader(b))
+	req, err := http.NewRequest(method, "http://"+e.Callers.String()+fleet.QueuePrefix+queue+"/"+id, bytes.NewReader(b))
 	if err != nil {
 		return 0, "", err
 	}
-	req.Host = JobsHost
+	req.Host = fleet.JobsHost
 	c := http.Client{Timeout: 4 * time.Second}
 	res, err := c.Do(req)
 	if err != nil {
@@ -202,25 +183,6 @@
 	return res.StatusCode, string(out), err
 }
 
-// Step is a step of a job as callers write it.
-type Step struct {
-	Count    int   `json:"count"`
-	CPU      int   `json:"cpu"`
-	MemMB    int   `json:"mem_mb"`
-	After    []int `json:"after,omitempty"`
-	Estimate int   `json:"estimate_ms,omitempty"`
-	Daemon   bool  `json:"daemon,omitempty"`
-	MayMiss  int   `json:"may_miss,omitempty"`
-	Apart    int   `json:"anti_affinity,omitempty"`
-}
-
-// Job is a job as callers write it. What a task does is read from the spec: a
-// time, "lasts" or "fails".
-type Job struct {
-	Spec  string `json:"spec"`
-	Steps []Step `json:"steps"`
-}
-
 // Logs returns the lines of all entry hosts' logs that hold the text.
 func (j *Jobs) Logs(text string) []string {
 	var l []string
--- /dev/null
+++ b/internal/standin/fleet/operator.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+)
+
+// JobsHost is the host of every queue, and QueuePrefix begins its path.
+const (
+	JobsHost    = "jobs.example"
+	QueuePrefix = "/queues/"
+)
+
+// Queue is a queue as the operator declares it.
+type Queue struct {
+	Name string
+	Pool string
+}
+
+// Configure puts a configuration with the pools and queues in force.
+func (f *Fleet) Configure(version int64, pools []string, queues []Queue) error {
+	type row = map[string]any
+	services := []row{{"name": f.Spare, "headroom": true, "rejects_overload": true}}
+	for _, p := range pools {
+		services = append(services, row{"name": p, "rejects_overload": true})
+	}
+	routes := []row{}
+	for _, q := range queues {
+		routes = append(routes, row{
+			"name": "r-" + q.Name, "host": JobsHost, "prefix": QueuePrefix + q.Name + "/", "service": q.Pool,
+			"timeout_ms": 3000, "goal_ms": 1000, "stretch": 2, "retries": 3,
+		})
+	}
+	return f.Store.Put("op/config", row{
+		"version": version, "routes": routes, "services": services,
+		"limits": row{"max_header_bytes": 16384, "max_body_bytes": 65536},
+	})
+}
+
+// AskWave asks for the upkeep of the machines.
+func (f *Fleet) AskWave(number int64, machines []string, within time.Duration, most int) error {
+	return f.Store.Put(fmt.Sprint("op/wave/", number), map[string]any{
+		"wave": number, "machines": machines, "within_s": within.Seconds(), "cap": most,
+	})
+}
+
+// WaveState returns what the system says of a wave.
+func (f *Fleet) WaveState(number int64) string {
+	b, _ := f.Store.Value(fmt.Sprint("status/wave/", number))
+	return string(b)
+}
+
+// Step is a step of a job as callers write it.
+type Step struct {
+	Count    int   `json:"count"`
+	CPU      int   `json:"cpu"`
+	MemMB    int   `json:"mem_mb"`
+	After    []int `json:"after,omitempty"`
+	Estimate int   `json:"estimate_ms,omitempty"`
+	Daemon   bool  `json:"daemon,omitempty"`
+	MayMiss  int   `json:"may_miss,omitempty"`
+	Apart    int   `json:"anti_affinity,omitempty"`
+}
+
+// Job is a job as callers write it. What a task does is read from the spec: a
+// time, "lasts" or "fails".
+type Job struct {
+	Spec  string `json:"spec"`
+	Steps []Step `json:"steps"`
+}
--- a/job/owner_test.go
+++ b/job/owner_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"amberway/common"
-	"amberway/internal/fleet"
+	"amberway/internal/standin/fleet"
 	"amberway/platform"
 )
 
--- a/tests/jobs_test.go
+++ b/tests/jobs_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"amberway/commands"
-	"amberway/internal/fleet"
 	"amberway/internal/local"
+	"amberway/internal/standin/fleet"
 )
 
 // startJobs runs three entry hosts and two pools.
@@ -28,8 +28,8 @@
 	return j
 }
 
-func shortJob(spec string) local.Job {
-	return local.Job{Spec: spec, Steps: []local.Step{
+func shortJob(spec string) fleet.Job {
+	return fleet.Job{Spec: spec, Steps: []fleet.Step{
 		{Count: 3, CPU: 1000, MemMB: 100, Estimate: 200},
 		{Count: 2, CPU: 1000, MemMB: 100, Estimate: 200, After: []int{0}},
 	}}
@@ -81,7 +81,7 @@
 		"no such job":    {http.MethodGet, "blue", jobID(2), nil, http.StatusGone},
 		"nothing to end": {http.MethodDelete, "blue", jobID(2), nil, http.StatusGone},
 		"no id":          {http.MethodPost, "blue", "xyz", shortJob("1ms"), http.StatusNotFound},
-		"no steps":       {http.MethodPost, "blue", jobID(3), local.Job{Spec: "1ms"}, http.StatusBadRequest},
+		"no steps":       {http.MethodPost, "blue", jobID(3), fleet.Job{Spec: "1ms"}, http.StatusBadRequest},
 		"no job":         {http.MethodPost, "blue", jobID(3), "text", http.StatusBadRequest},
 		"too large":      {http.MethodPost, "blue", jobID(3), shortJob(fmt.Sprintf("%70000d", 1)), http.StatusRequestEntityTooLarge},
 		"long spec":      {http.MethodPost, "blue", jobID(3), shortJob(fmt.Sprintf("%4001d", 1)), http.StatusBadRequest},
@@ -207,7 +207,7 @@
 
 func TestCancelledJobStops(t *testing.T) {
 	j := startJobs(t)
-	long := local.Job{Spec: "lasts", Steps: []local.Step{{Count: 3, CPU: 500, MemMB: 10, Daemon: true}}}
+	long := fleet.Job{Spec: "lasts", Steps: []fleet.Step{{Count: 3, CPU: 500, MemMB: 10, Daemon: true}}}
 	_, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), long)
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return j.Fleet.Books.Running() == 3 }, jobsTime, tick)
@@ -233,10 +233,9 @@
 func TestWaveMaintainsAllWithinItsCap(t *testing.T) {
 	j := startJobs(t)
 	names := j.Fleet.Names("")
-	require.NoError(t, j.Fleet.Store.Put("op/wave/7", map[string]any{"wave": 7, "machines": names, "within_s": 20, "cap": 2}))
+	require.NoError(t, j.Fleet.AskWave(7, names, 20*time.Second, 2))
 	require.Eventually(t, func() bool {
-		b, ok := j.Fleet.Store.Value("status/wave/7")
-		return ok && string(b) == `{"state":"succeeded"}`
+		return j.Fleet.WaveState(7) == `{"state":"succeeded"}`
 	}, jobsTime, tick)
 	require.LessOrEqual(t, j.Fleet.MostDown(7), 2)
 }
@@ -259,8 +258,8 @@
 	for range 8 {
 		j.Fleet.Store.Remove("jobs/owner")
 		for range 12 {
-			code, body, err := j.Entries[n%3].Call(http.MethodPost, "green", jobID(n), local.Job{
-				Spec: "300ms", Steps: []local.Step{{Count: 1, CPU: 100, MemMB: 10}},
+			code, body, err := j.Entries[n%3].Call(http.MethodPost, "green", jobID(n), fleet.Job{
+				Spec: "300ms", Steps: []fleet.Step{{Count: 1, CPU: 100, MemMB: 10}},
 			})
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, code, body)
@@ -275,7 +274,7 @@
 
 func TestToolShowsQueuesAndExplainsAJob(t *testing.T) {
 	j := startJobs(t)
-	long := local.Job{Spec: "lasts", Steps: []local.Step{{Count: 3, CPU: 500, MemMB: 10, Daemon: true}}}
+	long := fleet.Job{Spec: "lasts", Steps: []fleet.Step{{Count: 3, CPU: 500, MemMB: 10, Daemon: true}}}
 	_, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), long)
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return j.Fleet.Books.Running() == 3 }, jobsTime, tick)
--- a/tests/operations_test.go
+++ b/tests/operations_test.go
@@ -11,8 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"amberway/internal/fleet"
-	"amberway/internal/local"
+	"amberway/internal/standin/fleet"
 )
 
 // TestOperationsPageNamesEveryLogLine compares the page with the code.
@@ -59,8 +58,8 @@
 
 func TestCauseOfALateJobIsFoundFromItsID(t *testing.T) {
 	j := startJobs(t)
-	_, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), local.Job{
-		Spec: "3s", Steps: []local.Step{{Count: 1, CPU: 1000, MemMB: 10, Estimate: 3000}},
+	_, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), fleet.Job{
+		Spec: "3s", Steps: []fleet.Step{{Count: 1, CPU: 1000, MemMB: 10, Estimate: 3000}},
 	})
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return j.Fleet.Books.Running() == 1 }, jobsTime, tick)
@@ -76,8 +75,8 @@
 
 func TestCauseOfAFailedJobIsFoundFromItsID(t *testing.T) {
 	j := startJobs(t)
-	_, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), local.Job{
-		Spec: "20ms fails", Steps: []local.Step{{Count: 1, CPU: 1000, MemMB: 10, Estimate: 20}},
+	_, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), fleet.Job{
+		Spec: "20ms fails", Steps: []fleet.Step{{Count: 1, CPU: 1000, MemMB: 10, Estimate: 20}},
 	})
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return state(t, j.Entries[1], "blue", jobID(1)) == `200 {"state":"failed"}` }, jobsTime, tick)
