Evacuate lasting tasks only by what workers have said of late

Now only answers of the last 1.5 s count, and none from before the new owner's first 0.6 s. Ruled out: upkeep of a machine with unknown runs, which needs an answer; moves, which need a host without runs. A test fails without the change.

--- a/job/lasting.go
+++ b/job/lasting.go
@@ -14,6 +14,9 @@
 	// which always fails does not take all starts. The pages allow three
 	// seconds.
 	restartLater = 600 * time.Millisecond
+	// soundFor is how long a look speaks for a task's being at work. Looks come
+	// each second; one without an answer is known as that after 1.7 s.
+	soundFor = 1500 * time.Millisecond
 	// shortRun is the longest run that counts as ended soon.
 	shortRun = 2 * time.Second
 )
@@ -40,27 +43,28 @@
 
 // mayTake reports whether a lasting run may be ended by the system without
 // more tasks of its step being away than it bears.
-func (t *task) mayTake() bool {
+func (t *task) mayTake(now time.Time) bool {
 	s := t.of
 	if !s.Lasting || s.MayMiss == 0 || !t.atWork {
 		return true
 	}
 	away := 0
 	for _, o := range s.tasks {
-		if o != t && !o.sound() {
+		if o != t && !o.sound(now) {
 			away++
 		}
 	}
 	return away < s.MayMiss
 }
 
-// sound reports whether a lasting task is at work on a worker that answers.
-func (t *task) sound() bool {
+// sound reports whether a lasting task is at work, by what its worker has said
+// of late.
+func (t *task) sound(now time.Time) bool {
 	if !t.atWork {
 		return false
 	}
 	for _, r := range t.runs {
-		if r.at.silent > 0 {
+		if r.at.silent > 0 || now.Sub(r.at.lookedAt) > soundFor {
 			return false
 		}
 	}
@@ -79,7 +83,7 @@
 			continue
 		}
 		empty = false
-		if r.phase != running || !r.task.mayTake() || !c.roomElsewhere(w, r.task) {
+		if r.phase != running || !r.task.mayTake(c.now) || !c.roomElsewhere(w, r.task) {
 			continue
 		}
 		r.evacuated = true
--- a/job/looks.go
+++ b/job/looks.go
@@ -103,6 +103,7 @@
 		c.supersede(w)
 	}
 	w.lookAt = c.now
+	w.lookedAt = c.now
 	w.hearClock(e.Look.Clock, c.now)
 	w.acked = max(w.acked, e.Acked)
 	c.takeEnds(w, e.Look.Ended)
--- a/job/machines.go
+++ b/job/machines.go
@@ -17,8 +17,9 @@
 	getToKnow = 300 * time.Millisecond
 	// stopsShow is how long an owner leaves lasting tasks where they are: a run
 	// that the owner before has stopped is listed as running for as long as the
-	// stop takes, four tenths of a second, and until the next look.
-	stopsShow = 1500 * time.Millisecond
+	// stop takes, four tenths of a second, and looks from before that must not
+	// speak for it any more.
+	stopsShow = soundFor + 600*time.Millisecond
 	// listEvery is how often the list of machines is read while orders are
 	// under way, listIdle otherwise.
 	listEvery = 600 * time.Millisecond
@@ -176,13 +177,10 @@
 // workerOf returns the worker on the machine, or nil. A worker whose record has
 // gone from the store may live on.
 func (c *Core) workerOf(m *machine) *worker {
-	if w := c.byHost[m.Name]; w != nil {
+	if w := c.workers[m.Worker]; w != nil {
 		return w
 	}
-	if m.Worker == "" {
-		return nil
-	}
-	return c.workers[m.Worker]
+	return c.byHost[m.Name]
 }
 
 // known reports whether what runs on the machine is known: nothing where it has
--- a/job/machines_test.go
+++ b/job/machines_test.go
@@ -128,6 +128,11 @@
 	require.Empty(t, f.stops(), "the owner before may have stopped one of them just now")
 	f.pass(stopsShow)
 	f.core.evacuate(w)
+	require.Empty(t, f.stops(), "the other's worker has not answered of late")
+	for _, r := range l {
+		f.answer(string(r.Worker.ID), platform.Look{Running: []platform.RunningRow{runningRow(r, 100)}})
+	}
+	f.core.evacuate(w)
 	f.core.evacuate(other)
 	f.step(Tick{})
 	require.Len(t, f.stops(), 1, "the second would leave none of two at work")
--- a/job/worker.go
+++ b/job/worker.go
@@ -65,8 +65,8 @@
 	looking           bool
 	lookAt            time.Time
 	lookSentAt        time.Time
-	// heardAt is when it last answered.
-	heardAt time.Time
+	// heardAt is when it last answered, lookedAt when it last answered a look.
+	heardAt, lookedAt time.Time
 	// silent counts the looks in a row without an answer.
 	silent int
 	// full holds back starts after a rejection for lack of room, or while it
