--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,7 +47,6 @@
 	node     *job.Node
 	calls    platform.Calls
 	readAt   time.Time
-	stopping atomic.Bool
 }
 
 // runJobs serves jobs until the process is told to stop. It returns the exit
@@ -142,7 +140,6 @@
 // in flight.
 func (d *jobsDaemon) stop(callers, ready, peers *http.Server) error {
 	d.log.Write(job.Note{What: "stopping"})
-	d.stopping.Store(true)
 	d.node.Leave()
 	within, cancel := context.WithTimeout(context.Background(), d.settings.StopWithin)
 	defer cancel()
--- a/job/demand.go
+++ b/job/demand.go
@@ -136,7 +136,7 @@
 	}
 	share := max(cores/float64(host.MilliCores), float64(need.MemoryMB)/float64(host.MemoryMB))
 	if share > 0 {
-		hosts = int(math.Ceil(share*(1+roomToSpare) + 0.25))
+		hosts = int(math.Ceil(share*(1+roomToSpare) + nearlyFull))
 	}
 	return max(hosts, c.spread(service))
 }
--- a/job/orders.go
+++ b/job/orders.go
@@ -14,6 +14,8 @@
 	fullFor = 400 * time.Millisecond
 	// unwellFor holds back starts after a worker refused to serve.
 	unwellFor = time.Second
+	// refusedPause comes before a refused task is tried at another worker.
+	refusedPause = 20 * time.Millisecond
 	// settleAfter is how long a start without an answer waits to be listed
 	// before it is stopped.
 	settleAfter = 300 * time.Millisecond
@@ -147,7 +149,7 @@
 		w.fullUntil = c.now.Add(fullFor)
 	}
 	t.avoid = w.ID
-	t.notBefore = c.now.Add(20 * time.Millisecond)
+	t.notBefore = c.now.Add(refusedPause)
 	r.detach()
 	if t.of.Gang {
 		c.breakGang(t.of, r.number)
--- a/job/owner.go
+++ b/job/owner.go
@@ -147,7 +147,13 @@
 		case <-t.C:
 			e = Tick{}
 		}
-		for _, a := range o.step(e) {
+		l := o.step(e)
+		if o.sinceRenewal() > ownerAuthority {
+			// Also after a pause of the process: nothing may be sent any more.
+			o.resign(whyAway)
+			return
+		}
+		for _, a := range l {
 			o.perform(ctx, a)
 		}
 	}
@@ -164,6 +170,9 @@
 	return o.core.Step(o.now(), b)
 }
 
+// whyAway is the reason of an owner that the store has not answered in time.
+const whyAway = "the store has been away for too long"
+
 // renew keeps the owner's lease, and ends the ownership when it is over or when
 // the store has been away for too long.
 func (o *owner) renew(ctx context.Context) {
@@ -195,8 +204,8 @@
 		o.resign("its lease is over")
 	case err == nil:
 		o.renewedAt.Advance(sent)
-	case o.sinceRenewal() > ownerAuthority:
-		o.resign("the store has been away for too long: " + err.Error())
+	default:
+		o.log.Write(Note{What: "lease not renewed", Why: err.Error(), Inputs: []any{"age_ms", o.sinceRenewal().Milliseconds()}})
 	}
 }
 
--- a/job/owner_test.go
+++ b/job/owner_test.go
@@ -132,3 +132,18 @@
 	_, there := s.Value(ownerKey)
 	require.False(t, there)
 }
+
+func TestOwnerThatWakesFromALongPauseSendsNothing(t *testing.T) {
+	s := newStoreFixture(t)
+	o := s.claim(t, "owner")
+	now := time.Now()
+	o.now = func() time.Time { return now }
+	o.renewedAt.Set(now.Add(-ownerAuthority - time.Second))
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	ctx, o.end = context.WithCancel(ctx)
+	o.post(WorkerListed{Worker: testWorker("w1")})
+	o.loop(ctx)
+	require.Equal(t, whyAway, o.why)
+	require.Empty(t, o.events, "a look was sent and has failed")
+}
--- a/job/place.go
+++ b/job/place.go
@@ -10,6 +10,14 @@
 
 // Weights of placement.
 const (
+	// coresWeight and memoryWeight make tasks gather where the most is used, in
+	// thousandths and hundredths of the room; blameWeight counts each failed run
+	// since the last good end like a fifth of the cores.
+	coresWeight  = 1000
+	memoryWeight = 100
+	blameWeight  = 200
+	// farPenalty keeps a task near its data wherever there is room.
+	farPenalty = 1 << 38
 	// avoidPenalty outweighs all else that rates a worker.
 	avoidPenalty = 1 << 40
 )
@@ -191,14 +199,14 @@
 // rate says how good a worker is for the task. Tasks gather on workers that are
 // busy already, so that others become free to be moved or maintained.
 func (c *Core) rate(w *worker, t *task) int64 {
-	v := w.used.MilliCores*1000/max(1, w.Capacity.MilliCores) + w.used.MemoryMB*100/max(1, w.Capacity.MemoryMB)
+	v := w.used.MilliCores*coresWeight/max(1, w.Capacity.MilliCores) + w.used.MemoryMB*memoryWeight/max(1, w.Capacity.MemoryMB)
 	if t.avoid == w.ID {
 		v -= avoidPenalty
 	}
 	if t.of.NearRack != "" && t.of.NearRack != w.rack {
-		v -= avoidPenalty / 4
+		v -= farPenalty
 	}
-	v -= int64(w.blame) * 200
+	v -= int64(w.blame) * blameWeight
 	v += c.rateShared(w, t.of)
 	return v
 }
--- a/job/pools.go
+++ b/job/pools.go
@@ -21,6 +21,9 @@
 	// roomToSpare is the share of room that a pool keeps beyond its load, since
 	// tasks do not fill hosts to the last core.
 	roomToSpare = 0.1
+	// nearlyFull is the part of a host that a pool keeps free besides, so that a
+	// pool of one or two hosts gets one more in time.
+	nearlyFull = 0.25
 	// arrivalWindow is the time over which the work that comes in is averaged:
 	// load turns from one queue to another within a second.
 	arrivalWindow = 1200 * time.Millisecond
--- a/job/worker.go
+++ b/job/worker.go
@@ -69,11 +69,11 @@
 	heardAt, lookedAt time.Time
 	// silent counts the looks in a row without an answer.
 	silent int
-	// full holds back starts after a rejection for lack of room, or while it
-	// is unhealthy.
+	// fullUntil holds back starts after a rejection for lack of room, or while
+	// the worker is unhealthy.
 	fullUntil time.Time
-	// blame counts failed runs since the last good end; setAside holds back
-	// starts.
+	// blame counts failed runs since the last good end; setAside is until when
+	// the worker gets no starts for that.
 	blame    int
 	setAside time.Time
 	// leaving says that its machine is to be moved or maintained.
