--- a/internal/standin/fleet/machines.go
+++ b/internal/standin/fleet/machines.go
@@ -69,6 +69,7 @@
 			m.worker.end()
 		}
 	}
+	f.Store.Close()
 	f.kv.CloseClientConnections()
 	f.kv.Close()
 	f.api.CloseClientConnections()
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -29,6 +29,7 @@
 	// forgotten is the revision up to which the history is gone.
 	forgotten int64
 	changed   chan struct{}
+	closed    chan struct{}
 	calls     int64
 }
 
@@ -52,7 +53,12 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, items: map[string]item{}, leases: map[int64]lease{}, changed: make(chan struct{})}
+	return &Store{revision: 1, items: map[string]item{}, leases: map[int64]lease{}, changed: make(chan struct{}), closed: make(chan struct{})}
+}
+
+// Close ends the watches that wait.
+func (s *Store) Close() {
+	close(s.closed)
 }
 
 // SetFault switches what is wrong.
--- a/internal/standin/fleet/store_http.go
+++ b/internal/standin/fleet/store_http.go
@@ -114,6 +114,8 @@
 		case <-changed:
 		case <-r.Context().Done():
 			return
+		case <-s.closed:
+			return
 		case <-end:
 			answer(w, http.StatusOK, map[string]any{"events": []item{}, "at": at})
 			return
