Remove state that nothing uses: refused kinds of machines, evacuated runs

Cause: the table of pools that refuse a kind of machine was read in three places and written in none, a mark on evacuated runs was written and never read, and Machine.Kind served only the first. Behaviour stays as it is.

Checked: unit tests of job and platform, vet, the linter over both, and the whole-run tests of waves, of a job's way and of the operations page.

--- a/job/lasting.go
+++ b/job/lasting.go
@@ -86,7 +86,6 @@
 		if r.phase != running || !r.task.mayTake(c.now) || !c.roomElsewhere(w, r.task) {
 			continue
 		}
-		r.evacuated = true
 		c.stop(r, "its worker is to be emptied")
 	}
 	return empty
--- a/job/machines.go
+++ b/job/machines.go
@@ -210,11 +210,5 @@
 	if !c.evacuate(w) {
 		return false
 	}
-	if len(w.runs) == 0 {
-		return true
-	}
-	if c.now.Before(m.emptyingSince.Add(patience)) {
-		return false
-	}
-	return true
+	return len(w.runs) == 0 || !c.now.Before(m.emptyingSince.Add(patience))
 }
--- a/job/pools.go
+++ b/job/pools.go
@@ -37,18 +37,11 @@
 	// waiting is what tasks without room ask for, by service.
 	waiting map[string]platform.Resources
 	// arrivals is the work that came in lately, by service.
-	arrivals  map[string]*arrivals
-	forbidden map[kindPool]bool
-}
-
-// kindPool is a kind of machine and a pool that does not take it.
-type kindPool struct {
-	kind string
-	pool string
+	arrivals map[string]*arrivals
 }
 
 func newPooling() pooling {
-	return pooling{waiting: map[string]platform.Resources{}, arrivals: map[string]*arrivals{}, forbidden: map[kindPool]bool{}}
+	return pooling{waiting: map[string]platform.Resources{}, arrivals: map[string]*arrivals{}}
 }
 
 // tendPools moves hosts between the pools and the spare pool as the load asks.
@@ -102,9 +95,6 @@
 		if d.have >= d.want {
 			return
 		}
-		if c.balance.forbidden[kindPool{m.Kind(), d.service}] {
-			continue
-		}
 		c.move(m, d.service, d)
 		d.have++
 	}
@@ -122,7 +112,7 @@
 			if d.have >= d.want || from.have <= from.want {
 				break
 			}
-			if !c.idle(m) || c.balance.forbidden[kindPool{m.Kind(), d.service}] {
+			if !c.idle(m) {
 				continue
 			}
 			c.move(m, d.service, d)
@@ -163,9 +153,6 @@
 			if d.have >= d.want || from.have <= from.want {
 				break
 			}
-			if c.balance.forbidden[kindPool{m.Kind(), d.service}] {
-				continue
-			}
 			m.lend = d.service
 			m.emptyingSince = c.now
 			c.byHost[m.Name].leaving = true
--- a/job/state.go
+++ b/job/state.go
@@ -112,8 +112,6 @@
 	// movedAt is when percent last rose, from movedFrom at the run's start.
 	movedAt time.Time
 	pace    int
-	// evacuated says that the system ended a lasting run for its own reasons.
-	evacuated bool
 }
 
 // taskKey names a task across the system.
