--- a/job/demand.go
+++ b/job/demand.go
@@ -44,9 +44,6 @@
 		c.balance.arrivals[j.queue.Service] = a
 	}
 	a.add(work, c.now)
-	if work > 0 {
-		c.balance.noteLoad(c.now)
-	}
 }
 
 // noteDemand notes what waits without room after placement.
--- a/job/machines.go
+++ b/job/machines.go
@@ -115,7 +115,7 @@
 		evacuateAt: now.Add(stopsShow),
 		byName:     map[string]*machine{},
 		waves:      map[int64]*wave{},
-		balance:    newPooling(now),
+		balance:    newPooling(),
 	}
 }
 
--- a/job/pools.go
+++ b/job/pools.go
@@ -27,13 +27,6 @@
 	// arrivalWindow is the time over which the work that comes in is averaged:
 	// load turns from one queue to another within a second.
 	arrivalWindow = 1200 * time.Millisecond
-	// learnLoadFor is how long an owner watches the load before it gives hosts
-	// back: three windows of the averaged arrivals.
-	learnLoadFor = arrivalWindow
-	// holdIdle is how long an owner leaves the pools as they are where no load
-	// comes at all: three times the ten seconds between the start of a
-	// deployment and its first callers.
-	holdIdle = 30 * time.Second
 	// lendPatience is how long a host that is to be lent may take to run empty.
 	lendPatience = 2 * time.Second
 )
@@ -45,22 +38,10 @@
 	waiting map[string]platform.Resources
 	// arrivals is the work that came in lately, by service.
 	arrivals map[string]*arrivals
-	// knownAt is when the owner knows the load well enough to give hosts back.
-	knownAt time.Time
-	// loaded says that work has come since the owner took over.
-	loaded bool
 }
 
-func newPooling(now time.Time) pooling {
-	return pooling{waiting: map[string]platform.Resources{}, arrivals: map[string]*arrivals{}, knownAt: now.Add(holdIdle)}
-}
-
-// noteLoad notes that work has come.
-func (p *pooling) noteLoad(now time.Time) {
-	if !p.loaded {
-		p.loaded = true
-		p.knownAt = earliest(p.knownAt, now.Add(learnLoadFor))
-	}
+func newPooling() pooling {
+	return pooling{waiting: map[string]platform.Resources{}, arrivals: map[string]*arrivals{}}
 }
 
 // tendPools moves hosts between the pools and the spare pool as the load asks.
@@ -80,9 +61,6 @@
 	for i := range plan {
 		c.borrow(&plan[i], plan)
 	}
-	if c.now.Before(c.balance.knownAt) {
-		return
-	}
 	for i := range plan {
 		c.giveBack(&plan[i], spare)
 	}
