--- a/job/arrivals_test.go
+++ b/job/arrivals_test.go
@@ -11,7 +11,7 @@
 // play feeds jobs of the work, in core-milliseconds, that come at random at a
 // rate of jobs a second, and returns the largest forecast at the ends of steps.
 func (a *arrivals) play(r *rand.Rand, from time.Time, d time.Duration, work float64, perSecond func(time.Duration) float64) float64 {
-	const step = 10 * time.Millisecond
+	const step = 2 * time.Millisecond
 	most := 0.0
 	for t := time.Duration(0); t < d; t += step {
 		now := from.Add(t)
