Let an owner's watches wait half a second

Cause: when the store drops its history it first tells watches nothing and then cuts them without a word.

Ruled out: hosts (43 were on their way at 0.9 s), moves (30 ms an order), the list after the loss (one page).

An owner's two watches wait 0.5 s and are given up after another 0.5 s; other watches after 2.5 s. A test with a mute watch failed before.

--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -13,6 +13,9 @@
 	Refuse bool
 	// Lose does what is asked and answers nothing.
 	Lose bool
+	// Mute leaves watches without an answer; those that wait already hear
+	// nothing more either.
+	Mute bool
 	// Delay comes before each answer.
 	Delay time.Duration
 }
--- a/internal/standin/fleet/store_http.go
+++ b/internal/standin/fleet/store_http.go
@@ -101,8 +101,12 @@
 		s.mu.Lock()
 		l, gone := s.since(q.Get("prefix"), after)
 		at, changed := s.revision, s.changed
+		mute := s.fault.Mute
 		s.mu.Unlock()
 		switch {
+		case mute:
+			<-r.Context().Done()
+			return
 		case gone:
 			w.WriteHeader(http.StatusGone)
 			return
--- a/job/follow.go
+++ b/job/follow.go
@@ -14,6 +14,13 @@
 	// watchWait is how long one watch waits. A watch that a cut has silenced is
 	// noticed after it, and a configuration has to be in force in two seconds.
 	watchWait = 2 * time.Second
+	// ownerWatchWait is the same for an owner, whose watches bring jobs and
+	// workers: a watch that was cut without a word may cost half a second, not
+	// two. While jobs come, it answers sooner anyway.
+	ownerWatchWait = 500 * time.Millisecond
+	// watchSlack is how much longer than its wait a watch may take: a slow store
+	// takes a quarter of a second.
+	watchSlack = 500 * time.Millisecond
 	// followRetry is the pause after a list or watch that failed.
 	followRetry = 150 * time.Millisecond
 )
@@ -22,6 +29,8 @@
 type follower struct {
 	kv     *platform.KV
 	prefix string
+	// wait is how long one watch waits.
+	wait time.Duration
 	// gather is the pause after changes, so that one watch brings several.
 	gather time.Duration
 	log    *Journal
@@ -58,7 +67,7 @@
 // watch follows from the revision until the history is gone.
 func (f *follower) watch(ctx context.Context, at platform.Revision) {
 	for ctx.Err() == nil {
-		l, next, err := f.kv.Watch(ctx, f.prefix, at, watchWait)
+		l, next, err := f.watchOnce(ctx, at)
 		f.hear(ctx, err)
 		switch {
 		case errors.Is(err, platform.ErrCompacted):
@@ -76,6 +85,12 @@
 	}
 }
 
+func (f *follower) watchOnce(ctx context.Context, at platform.Revision) ([]platform.Event, platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.wait+watchSlack)
+	defer cancel()
+	return f.kv.Watch(ctx, f.prefix, at, f.wait)
+}
+
 func (f *follower) hear(ctx context.Context, err error) {
 	if f.heard != nil && ctx.Err() == nil {
 		f.heard(err)
--- a/job/node.go
+++ b/job/node.go
@@ -110,7 +110,7 @@
 			n.takeWave(e)
 		}
 	}
-	f := &follower{kv: n.KV, prefix: platform.OperatorPrefix, log: n.log}
+	f := &follower{kv: n.KV, prefix: platform.OperatorPrefix, wait: watchWait, log: n.log}
 	f.heard = func(err error) {
 		n.speed.sample()
 		if err == nil || errors.Is(err, platform.ErrCompacted) {
--- a/job/owner_test.go
+++ b/job/owner_test.go
@@ -70,6 +70,26 @@
 	require.Equal(t, []ID{idA}, old.accepted())
 }
 
+// A watch that the store has cut without a word holds jobs back for a second, not
+// for as long as calls to the store may take.
+func TestOwnerHearsOfJobsSoonAfterAMuteWatch(t *testing.T) {
+	s := newStoreFixture(t)
+	o := s.claim(t, "owner")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s.SetFault(fleet.Fault{Mute: true})
+	go o.followJobs(ctx, platform.Revision(o.tenure.fence))
+	time.Sleep(50 * time.Millisecond)
+	s.SetFault(fleet.Fault{})
+	s.putJob(t, idA)
+	select {
+	case e := <-o.events:
+		require.Equal(t, ID(idA), e.(Accepted).ID)
+	case <-time.After(1500 * time.Millisecond):
+		t.Fatal("the owner still waits for the mute watch")
+	}
+}
+
 func TestReplacedOwnerThatListsAnewSeesNoJob(t *testing.T) {
 	s := newStoreFixture(t)
 	old := s.claim(t, "old")
