Give up a silent worker only by a lease that lapsed while nobody else owned

The owner's data centre was cut off at 33.5 s, the next owner took over at 34.8 s and extended the lease of a worker that the old one could not reach. At 36.97 s the old one, within its six seconds without the store, took that lease for lapsed and began the worker's tasks again on a worker beside it that the next owner had not reached.

Ruled out: the worker's clock, a late order, the next owner (it waited).

A lease counts as lapsed only if it had at the last renewal of the owner's own lease: until then nobody else had owned. A test failed before.

--- a/job/core.go
+++ b/job/core.go
@@ -60,7 +60,7 @@
 		byHost:     map[string]*worker{},
 		lives:      map[string][]*worker{},
 		learn:      map[string]*estimate{},
-		succession: newSuccession(),
+		succession: newSuccession(now),
 		keeping:    newKeeping(),
 		machines:   newMachines(holder, now),
 		waitlists:  newWaitlists(),
--- a/job/core_test.go
+++ b/job/core_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"amberway/common"
 	"amberway/platform"
 )
 
@@ -65,6 +66,14 @@
 
 // pass lets time pass in steps of one tick.
 func (f *fixture) pass(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.step(Renewed{SentAt: f.now.Add(tickEvery)})
+		f.passWithoutStore(tickEvery)
+	}
+}
+
+// passWithoutStore lets time pass in which the owner's lease is not renewed.
+func (f *fixture) passWithoutStore(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(tickEvery)
 		f.clock += platform.WorkerClock(tickEvery.Milliseconds())
@@ -258,6 +267,29 @@
 	require.GreaterOrEqual(t, f.now.Sub(begun), leaseFor)
 }
 
+// An owner that is cut off from the store may have been replaced, and the next
+// one may have extended the lease of a worker that is silent only here.
+func TestSilentWorkerIsNotGivenUpWithoutTheStore(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idA, "quick", oneTask())
+	s := f.starts()[0]
+	f.took(s)
+	f.join("w2")
+	f.passWithoutStore(time.Second)
+	f.fail("w1", common.ErrUnknown)
+	for range 80 {
+		f.passWithoutStore(100 * time.Millisecond)
+		if _, ok := f.looks["w1"]; ok {
+			f.fail("w1", common.ErrUnknown)
+		}
+	}
+	require.Empty(t, f.starts(), "the next owner may have the task running on w1")
+	f.step(Renewed{SentAt: f.now})
+	f.step(Tick{})
+	require.Len(t, f.starts(), 1, "nobody else has owned, so the lease has lapsed")
+}
+
 func TestRepeatedFailedEndCountsOnceAcrossOwners(t *testing.T) {
 	f := newFixture(t)
 	f.join("w1")
--- a/job/events.go
+++ b/job/events.go
@@ -80,6 +80,12 @@
 // KeepSlow says that the store has not answered the write under way.
 type KeepSlow struct{}
 
+// Renewed says that the store has renewed the owner's lease at a call that was
+// sent at the time: until then nobody else has owned.
+type Renewed struct {
+	SentAt time.Time
+}
+
 // Tick says only that time has passed.
 type Tick struct{}
 
--- a/job/fuzz_test.go
+++ b/job/fuzz_test.go
@@ -135,6 +135,7 @@
 				// The old owner goes on giving orders: only the store has let it go.
 				w.succeed(func(o *worldOwner) { w.after(ownerAuthority, func() { o.dead = true }) })
 			},
+			"split": func(*rapid.T) { w.split() },
 		})
 		w.heal()
 		require.Empty(t, w.store.records, "jobs that never end")
@@ -200,6 +201,20 @@
 	w.takeOver()
 }
 
+// split cuts the owner off from the store and from all workers but one, which the
+// next owner does not reach for as long as the cut lasts.
+func (w *world) split() {
+	old := w.owners[len(w.owners)-1]
+	kept := w.some()
+	for _, v := range w.workers {
+		v.hidden[old] = v != kept
+	}
+	w.succeed(func(o *worldOwner) { w.after(ownerAuthority, func() { o.dead = true }) })
+	next := w.owners[len(w.owners)-1]
+	kept.hidden[next] = true
+	w.after(ownerAuthority, func() { delete(kept.hidden, next) })
+}
+
 func (w *world) freeze(o *worldOwner) {
 	o.frozen = true
 	w.after(4*time.Second, func() { o.frozen = false })
--- a/job/lapse.go
+++ b/job/lapse.go
@@ -122,7 +122,7 @@
 	if w.silent == 0 && !w.listed && len(w.runs)+len(w.strays) > 0 {
 		return
 	}
-	if !w.lapsed(c.now) {
+	if !c.lapsed(w) {
 		return
 	}
 	for _, r := range w.runs {
--- a/job/owner.go
+++ b/job/owner.go
@@ -213,6 +213,7 @@
 		o.resign("its lease is over")
 	case err == nil:
 		o.renewedAt.Advance(sent)
+		o.send(ctx, Renewed{SentAt: sent})
 	default:
 		o.log.Write(Note{What: "lease not renewed", Why: err.Error(), Inputs: []any{"age_ms", o.sinceRenewal().Milliseconds()}})
 	}
--- a/job/succession.go
+++ b/job/succession.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"amberway/platform"
 )
@@ -42,10 +43,12 @@
 	// which an earlier owner's runs may go on.
 	unmet       map[string]bool
 	rosterDirty bool
+	// ownedUntil is the last time at which the owner is known to have owned.
+	ownedUntil time.Time
 }
 
-func newSuccession() succession {
-	return succession{unmet: map[string]bool{}}
+func newSuccession(now time.Time) succession {
+	return succession{unmet: map[string]bool{}, ownedUntil: now}
 }
 
 // Inherited is what an owner finds in the store when it takes over.
@@ -111,6 +114,18 @@
 	}
 }
 
+// apply notes until when nobody else has owned.
+func (e Renewed) apply(c *Core) {
+	c.ownedUntil = latest(c.ownedUntil, e.SentAt)
+}
+
+// lapsed reports whether everything that any order started on the worker must
+// have ended by its lease. Another owner may have extended the lease since this
+// one was last known to own, so that only leases that lapsed before that count.
+func (c *Core) lapsed(w *worker) bool {
+	return w.lapsed(c.ownedUntil)
+}
+
 // settled reports whether every worker on which an earlier owner may have runs
 // of the job has answered or lapsed.
 func (c *Core) settled(j *job) bool {
@@ -125,7 +140,7 @@
 func (c *Core) countUnmet() {
 	clear(c.unmet)
 	for _, w := range c.workers {
-		if w.inherited && !w.met && !w.lapsed(c.now) {
+		if w.inherited && !w.met && !c.lapsed(w) {
 			c.unmet[w.Service] = true
 		}
 	}
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -66,8 +66,10 @@
 
 type worldWorker struct {
 	platform.Worker
-	alive   bool
-	cut     bool
+	alive bool
+	cut   bool
+	// hidden are the owners that cannot reach it.
+	hidden  map[*worldOwner]bool
 	born    time.Time
 	slow    float64
 	fence   platform.Fence
@@ -105,7 +107,7 @@
 func (w *world) addWorker(host string) {
 	w.lives++
 	id := platform.WorkerID(fmt.Sprint("w-", w.lives))
-	v := &worldWorker{alive: true, born: w.now, slow: []float64{1, 0.98}[w.lives%2], runs: map[string]*worldRun{}, highest: map[string]int64{}}
+	v := &worldWorker{alive: true, born: w.now, slow: []float64{1, 0.98}[w.lives%2], runs: map[string]*worldRun{}, highest: map[string]int64{}, hidden: map[*worldOwner]bool{}}
 	v.Worker = platform.Worker{
 		ID: id, Service: "blue", Host: host, Address: netip.MustParseAddrPort("10.0.0.1:80"),
 		Capacity: platform.Resources{MilliCores: 4000, MemoryMB: 4000},
@@ -167,6 +169,9 @@
 		}
 		if w.now.UnixMilli()%50 == 0 {
 			for _, o := range w.owners {
+				if o.fence == w.store.fence {
+					w.tell(o, Renewed{SentAt: w.now})
+				}
 				w.tell(o, Tick{})
 			}
 		}
@@ -189,9 +194,9 @@
 
 // fate draws what becomes of a message: its way there, its way back, and
 // whether the answer is lost.
-func (w *world) fate(v *worldWorker) (there, back time.Duration, lost bool) {
+func (w *world) fate(o *worldOwner, v *worldWorker) (there, back time.Duration, lost bool) {
 	there = time.Duration(1+w.lives%3) * time.Millisecond
-	if v.cut || !v.alive {
+	if v.cut || !v.alive || v.hidden[o] {
 		return there, 0, true
 	}
 	if w.lossy && rapid.IntRange(0, 5).Draw(w.t, "lost") == 0 {
@@ -230,9 +235,9 @@
 // send carries an order to a worker and its answer back, or loses it.
 func (w *world) send(o *worldOwner, id platform.WorkerID, timeout time.Duration, do func(*worldWorker) Event, failed func(error) Event) {
 	v := w.workers[id]
-	there, back, lost := w.fate(v)
+	there, back, lost := w.fate(o, v)
 	w.after(there, func() {
-		if !v.alive || (v.cut && lost) {
+		if !v.alive || ((v.cut || v.hidden[o]) && lost) {
 			return
 		}
 		e := do(v)
