Take lasting tasks that have just begun for being at work

Two tasks of a step that bears one away began on a machine that was next in its wave; half a second later both were stopped, since the last look had not shown them at work. By then one was.

Ruled out: a stop carried out late; a worker unheard of (it had answered).

A task counts as one that the evacuation takes away unless its run has had three seconds to come to work. A test failed before.

--- a/job/lasting.go
+++ b/job/lasting.go
@@ -45,7 +45,7 @@
 // more tasks of its step being away than it bears.
 func (t *task) mayTake(now time.Time) bool {
 	s := t.of
-	if !s.Lasting || s.MayMiss == 0 || !t.atWork {
+	if !s.Lasting || s.MayMiss == 0 || t.neverAtWork(now) {
 		return true
 	}
 	away := 0
@@ -57,6 +57,20 @@
 	return away < s.MayMiss
 }
 
+// neverAtWork reports whether the task's run has had its time to be at work and
+// is not. One that began of late may be by now, whatever the last look said.
+func (t *task) neverAtWork(now time.Time) bool {
+	if t.atWork {
+		return false
+	}
+	for _, r := range t.runs {
+		if now.Sub(r.sentAt) < warmUp {
+			return false
+		}
+	}
+	return true
+}
+
 // sound reports whether a lasting task is at work, by what its worker has said
 // of late.
 func (t *task) sound(now time.Time) bool {
--- a/job/machines_test.go
+++ b/job/machines_test.go
@@ -138,6 +138,41 @@
 	require.Len(t, f.stops(), 1, "the second would leave none of two at work")
 }
 
+// Tasks that began a moment ago may be at work before the next look says so.
+func TestLastingTasksThatHaveJustBegunAreNotEvacuatedTogether(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.pass(stopsShow)
+	s := oneTask()
+	s.Count, s.Lasting, s.MayMiss = 2, true, 1
+	f.submit(idA, "quick", s)
+	l := f.starts()
+	require.Len(t, l, 2)
+	for _, r := range l {
+		f.took(r)
+	}
+	f.join("w2")
+	rows := func(percent int) platform.Look {
+		return platform.Look{Running: []platform.RunningRow{runningRow(l[0], percent), runningRow(l[1], percent)}}
+	}
+	f.pass(500 * time.Millisecond)
+	if _, ok := f.looks["w1"]; ok {
+		f.answer("w1", rows(60))
+	}
+	f.core.evacuate(f.core.workers["w1"])
+	f.step(Tick{})
+	require.Empty(t, f.stops())
+	for range 8 {
+		f.pass(500 * time.Millisecond)
+		if _, ok := f.looks["w1"]; ok {
+			f.answer("w1", rows(60))
+		}
+	}
+	f.core.evacuate(f.core.workers["w1"])
+	f.step(Tick{})
+	require.NotEmpty(t, f.stops(), "tasks that never come to work hold nothing back")
+}
+
 func TestShortPoolGetsSpareHosts(t *testing.T) {
 	f := newFixture(t)
 	f.join("w1")
