Begin lasting tasks where no wave will end them

Cause: a lasting task that had to begin anew went to the fullest host, also where a wave was to maintain that one next, and was evacuated half a second later (seen in the trace of the commit before).

--- a/job/machines_test.go
+++ b/job/machines_test.go
@@ -173,6 +173,24 @@
 	require.NotEmpty(t, f.stops(), "tasks that never come to work hold nothing back")
 }
 
+// A lasting task begins where no wave will end it, though another host is fuller.
+func TestLastingTasksBeginOnHostsThatNoWaveWillMaintain(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1", "w2")
+	f.machinesAre(machineOf("w1", "blue"), machineOf("w2", "blue"))
+	f.submit(idB, "quick", oneTask())
+	busy := f.starts()[0]
+	f.took(busy)
+	f.step(WaveAsked{Wave: platform.Wave{Number: 4, Machines: []string{busy.Worker.Host}, Within: 20 * time.Second, Cap: 1}})
+	f.pass(tickEvery)
+	s := oneTask()
+	s.Lasting = true
+	f.submit(idA, "quick", s)
+	l := f.starts()
+	require.Len(t, l, 1)
+	require.NotEqual(t, busy.Worker.ID, l[0].Worker.ID)
+}
+
 func TestShortPoolGetsSpareHosts(t *testing.T) {
 	f := newFixture(t)
 	f.join("w1")
--- a/job/place.go
+++ b/job/place.go
@@ -18,6 +18,9 @@
 	blameWeight  = 200
 	// farPenalty keeps a task near its data wherever there is room.
 	farPenalty = 1 << 38
+	// duePenalty keeps lasting tasks from hosts that a wave is to maintain, from
+	// which they would have to move again.
+	duePenalty = 1 << 30
 	// avoidPenalty outweighs all else that rates a worker.
 	avoidPenalty = 1 << 40
 )
@@ -153,6 +156,9 @@
 	if t.of.NearRack != "" && t.of.NearRack != w.rack {
 		v -= farPenalty
 	}
+	if w.due && t.of.Lasting {
+		v -= duePenalty
+	}
 	v -= int64(w.blame) * blameWeight
 	v += c.rateShared(w, t.of)
 	return v
--- a/job/waves.go
+++ b/job/waves.go
@@ -107,13 +107,26 @@
 	for _, m := range c.byName {
 		c.resend(m)
 	}
+	for _, w := range c.workers {
+		w.due = false
+	}
 	for _, v := range c.waves {
 		if !v.reported {
+			c.markDue(v)
 			c.tendWave(v)
 		}
 	}
 }
 
+// markDue marks the workers on machines that the wave has yet to maintain.
+func (c *Core) markDue(v *wave) {
+	for n := range v.todo {
+		if m := c.byName[n]; m != nil && c.workerOf(m) != nil {
+			c.workerOf(m).due = true
+		}
+	}
+}
+
 func (c *Core) tendWave(v *wave) {
 	for n := range v.todo {
 		if c.byName[n] == nil {
--- a/job/worker.go
+++ b/job/worker.go
@@ -87,6 +87,8 @@
 	setAside time.Time
 	// leaving says that its machine is to be moved or maintained.
 	leaving bool
+	// due says that a wave has yet to maintain its machine.
+	due bool
 	// idleSince is when the last run on it ended.
 	idleSince time.Time
 	// paceAt is when pace may change again.
