Send idle hosts back sooner where a pool has far more than it wants

Where a pool has more than eight hosts, and more than an eighth, beyond what it wants, 0.3 s are enough.

--- a/job/pools.go
+++ b/job/pools.go
@@ -14,6 +14,13 @@
 	// idleFor is how long a host is more than its pool wants before it goes to
 	// the spare pool.
 	idleFor = 800 * time.Millisecond
+	// surplusIdleFor is the same where the pool has far more than it wants, as
+	// after a turn of the load.
+	surplusIdleFor = 300 * time.Millisecond
+	// surplusShare is the part of what a pool wants beyond which it has far more,
+	// and surplusLeast the fewest hosts.
+	surplusShare = 8
+	surplusLeast = 8
 	// planEvery is how often pools are looked at.
 	planEvery = 100 * time.Millisecond
 	// noteEvery is how often the log tells of all pools.
@@ -212,6 +219,14 @@
 	c.order(m, &machineOrder{pool: pool})
 }
 
+// patience is how long a host of the pool idles before it goes.
+func (d *demand) patience() time.Duration {
+	if d.have-d.want > max(surplusLeast, d.want/surplusShare) {
+		return surplusIdleFor
+	}
+	return idleFor
+}
+
 // giveBack sends hosts that a pool has not wanted for a while to the spare
 // pool.
 func (c *Core) giveBack(d *demand, spare string) {
@@ -219,7 +234,7 @@
 		if d.have <= d.want {
 			return
 		}
-		if !c.idle(m) || c.now.Sub(c.workerOf(m).idleSince) < idleFor {
+		if !c.idle(m) || c.now.Sub(c.workerOf(m).idleSince) < d.patience() {
 			continue
 		}
 		c.move(m, spare, d)
