Read at once what an owner takes over

The lists are read side by side, and the owner's own key last as before. All of them are written by owners only, whose late writes fail their condition, or are followed from the list's revision.

--- a/job/load.go
+++ b/job/load.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"amberway/common"
 	"amberway/platform"
 )
@@ -18,26 +20,28 @@
 	jobs, workers platform.Revision
 }
 
-// load reads all that an owner takes over.
+// load reads all that an owner takes over. What it reads is written by owners
+// only, whose writes the store refuses by now, or followed from the revision of its
+// list, so that all can be read at once: one after the other they took 2.4 seconds
+// of a store that is slow.
 func (o *owner) load(ctx context.Context, config *platform.Deployed) (Inherited, listRevisions, error) {
 	e := Inherited{Config: config, Progress: map[ID]Progress{}, WavesEnded: map[int64]bool{}, WavesBegan: map[int64][]string{}}
 	var from listRevisions
-	err := o.loadWrite(ctx)
-	if err == nil {
-		from.jobs, err = o.loadJobs(ctx, &e)
-	}
-	if err == nil {
-		err = o.loadProgress(ctx, &e)
-	}
-	if err == nil {
-		from.workers, err = o.loadWorkers(ctx, &e)
-	}
-	if err == nil {
-		err = o.loadRoster(ctx, &e)
-	}
-	if err == nil {
-		err = o.loadWaves(ctx, &e)
-	}
+	g, all := errgroup.WithContext(ctx)
+	g.Go(func() error { return o.loadWrite(all) })
+	g.Go(func() (err error) {
+		from.jobs, err = o.loadJobs(all, &e)
+		return err
+	})
+	g.Go(func() error { return o.loadProgress(all, &e) })
+	g.Go(func() (err error) {
+		from.workers, err = o.loadWorkers(all, &e)
+		return err
+	})
+	g.Go(func() error { return o.loadRoster(all, &e) })
+	g.Go(func() error { return o.loadWaves(all, &e) })
+	g.Go(func() error { return o.loadWavesBegan(all, &e) })
+	err := g.Wait()
 	if err == nil {
 		err = o.stillOwns(ctx)
 	}
@@ -144,7 +148,7 @@
 		}
 		e.WavesEnded[w.Number] = err == nil && string(s.Value) == string(done)
 	}
-	return o.loadWavesBegan(ctx, e)
+	return nil
 }
 
 func (o *owner) loadWavesBegan(ctx context.Context, e *Inherited) error {
--- a/job/owner_test.go
+++ b/job/owner_test.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// What is to be taken over is read at once: each answer of a slow store takes long.
+func TestTakeoverFromASlowStoreTakesAFewAnswers(t *testing.T) {
+	s := newStoreFixture(t)
+	s.putJob(t, idA)
+	require.NoError(t, s.Put("op/wave/3", map[string]any{"wave": 3, "machines": []string{"m"}, "within_s": 9, "cap": 1}))
+	o := s.claim(t, "owner")
+	const answer = 100 * time.Millisecond
+	s.SetFault(fleet.Fault{Delay: answer})
+	begun := time.Now()
+	e, _, err := o.load(t.Context(), nil)
+	require.NoError(t, err)
+	require.Len(t, e.Jobs, 1)
+	require.Len(t, e.Waves, 1)
+	require.Less(t, time.Since(begun), 5*answer, "reads after each other: at most two and the last one's check")
+}
+
 func TestReplacedOwnerThatListsAnewSeesNoJob(t *testing.T) {
 	s := newStoreFixture(t)
 	old := s.claim(t, "old")
