--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -12,9 +12,13 @@
 const (
 	// callEvery is the time between two jobs.
 	callEvery = 120 * time.Millisecond
-	// tries is how often a caller hands a job in, and retryAfter the pause.
+	// tries is how often a caller hands a job in, and retryAfter the pause. One of
+	// giveUp callers tries once only, so that refusals stand.
 	tries      = 8
+	giveUp     = 3
 	retryAfter = 400 * time.Millisecond
+	// One of longEvery jobs has tasks that outlast a fault or a look.
+	longEvery = 5
 	// settle is how long jobs may take once all faults are over: a silent
 	// worker's lease and what an owner waits for after a change, twice.
 	settle = 40 * time.Second
@@ -22,12 +26,19 @@
 	firstStep, secondStep = 3, 2
 )
 
-var work = fleet.Job{Spec: "300ms", Steps: []fleet.Step{
-	{Count: firstStep, CPU: 1000, MemMB: 100, Estimate: 300},
-	{Count: secondStep, CPU: 1500, MemMB: 100, Estimate: 300, After: []int{0}},
-}}
+// work returns job n. Its estimates are those of a short one.
+func work(n int) fleet.Job {
+	spec := "300ms"
+	if n%longEvery == 0 {
+		spec = "2500ms"
+	}
+	return fleet.Job{Spec: spec, Steps: []fleet.Step{
+		{Count: firstStep, CPU: 1000, MemMB: 100, Estimate: 300},
+		{Count: secondStep, CPU: 1500, MemMB: 100, Estimate: 300, After: []int{0}},
+	}}
+}
 
-// final is what a state of a final job looks like to callers.
+// succeeded is what callers get for a job that is done.
 const succeeded = `{"state":"succeeded"}`
 
 // call hands job n in, at another entry host after each answer that is no
@@ -61,8 +72,12 @@
 // may never run.
 func (r *Run) handIn(n int, queue, id string) bool {
 	refused := true
-	for i := range tries {
-		code, _, err := r.jobs.Entries[(n+i)%len(r.jobs.Entries)].Call(http.MethodPost, queue, id, work)
+	most := tries
+	if n%giveUp == 0 {
+		most = 1
+	}
+	for i := range most {
+		code, _, err := r.jobs.Entries[(n+i)%len(r.jobs.Entries)].Call(http.MethodPost, queue, id, work(n))
 		if err == nil && code == http.StatusOK {
 			return true
 		}
