--- a/internal/standin/fleet/machines.go
+++ b/internal/standin/fleet/machines.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -216,8 +215,7 @@
 
 func (f *Fleet) serveMove(w http.ResponseWriter, r *http.Request) {
 	var q struct{ Machine, Pool string }
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !decode(w, r, &q) {
 		return
 	}
 	f.mu.Lock()
@@ -244,8 +242,7 @@
 		Machine string
 		Wave    int64
 	}
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !decode(w, r, &q) {
 		return
 	}
 	f.mu.Lock()
--- a/internal/standin/fleet/store_http.go
+++ b/internal/standin/fleet/store_http.go
@@ -55,6 +55,16 @@
 // WriteHeader is part of http.ResponseWriter.
 func (*nowhere) WriteHeader(int) {}
 
+// decode reads a call's body into v. It answers 400 and reports false where the
+// body is none.
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	err := json.NewDecoder(r.Body).Decode(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
 func answer(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -139,8 +149,7 @@
 		Put    []item   `json:"put"`
 		Remove []string `json:"remove"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !decode(w, r, &t) {
 		return
 	}
 	s.mu.Lock()
@@ -178,8 +187,7 @@
 	var q struct {
 		TTLMs int64 `json:"ttl_ms"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !decode(w, r, &q) {
 		return
 	}
 	s.mu.Lock()
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -162,8 +161,7 @@
 		UntilMs int64  `json:"until_ms"`
 		Fence   int64  `json:"fence"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		http.Error(rw, err.Error(), http.StatusBadRequest)
+	if !decode(rw, r, &q) {
 		return
 	}
 	w.mu.Lock()
@@ -197,8 +195,7 @@
 		Run   int64  `json:"run"`
 		Fence int64  `json:"fence"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		http.Error(rw, err.Error(), http.StatusBadRequest)
+	if !decode(rw, r, &q) {
 		return
 	}
 	w.mu.Lock()
@@ -226,8 +223,7 @@
 		LastSeen int64 `json:"last_seen"`
 		WaitMs   int64 `json:"wait_ms"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		http.Error(rw, err.Error(), http.StatusBadRequest)
+	if !decode(rw, r, &q) {
 		return
 	}
 	end := time.Now().Add(time.Duration(q.WaitMs) * time.Millisecond)
