--- a/job/intake.go
+++ b/job/intake.go
@@ -38,12 +38,16 @@
 	log   *Journal
 	now   func() time.Time
 	queue chan *application
+	reach reach
 }
 
 func newIntake(kv *platform.KV, log *Journal, now func() time.Time) *intake {
 	return &intake{kv: kv, log: log, now: now, queue: make(chan *application, 1024)}
 }
 
+// errAway says that the store has not answered for a while.
+var errAway = errors.New("the store is away")
+
 // accept writes a job. Its verdict is Ran where the store holds the job, NotRun
 // where it certainly never will, and MayHaveRun where that is not known by the
 // deadline.
@@ -52,6 +56,9 @@
 	if err != nil {
 		return common.NotRun, err
 	}
+	if i.reach.refuses(i.now()) {
+		return common.NotRun, errAway
+	}
 	a := &application{id: id, value: b, deadline: deadline, outcome: make(chan common.Verdict, 1)}
 	select {
 	case i.queue <- a:
@@ -98,7 +105,9 @@
 // write settles all applications of the batch.
 func (i *intake) write(ctx context.Context, l []*application) {
 	for len(l) > 0 {
+		sent := i.now()
 		at, found, err := i.kv.Commit(ctx, intakeTxn(l))
+		i.reach.note(sent, err == nil || errors.Is(err, platform.ErrConflict))
 		switch {
 		case err == nil:
 			i.tell(l, common.Ran, "written", int64(at))
--- a/job/owner_test.go
+++ b/job/owner_test.go
@@ -39,8 +39,12 @@
 	return newOwner(Clients{KV: s.kv}, nil, time.Now, name, n, newSpeedometer(time.Now), m)
 }
 
+func fixtureSubmission() platform.Submission {
+	return platform.Submission{Spec: "s", Steps: []platform.Step{oneTask()}}
+}
+
 func (s storeFixture) putJob(t *testing.T, id ID) {
-	r := NewRecord(testConfig().Queues[0], platform.Submission{Spec: "s", Steps: []platform.Step{oneTask()}}, time.Now())
+	r := NewRecord(testConfig().Queues[0], fixtureSubmission(), time.Now())
 	require.NoError(t, s.Put(newKey(id), r))
 }
 
