--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -58,10 +58,10 @@
 			r.count("succeeded")
 			return
 		case err == nil && code == http.StatusGone:
-			r.broke("%s was accepted and is not known", id)
+			r.brokef("%s was accepted and is not known", id)
 			return
 		case r.settled():
-			r.broke("%s was accepted and is not done: %d %s %v", id, code, body, err)
+			r.brokef("%s was accepted and is not done: %d %s %v", id, code, body, err)
 			return
 		}
 		time.Sleep(retryAfter / 2)
@@ -103,7 +103,7 @@
 		for x := range count {
 			t := fmt.Sprintf("%s.0.%d.%d", id, step, x)
 			if !r.jobs.Fleet.Books.Done(t) {
-				r.broke("%s is shown as succeeded and %s is not done", id, t)
+				r.brokef("%s is shown as succeeded and %s is not done", id, t)
 			}
 		}
 	}
--- a/internal/soak/cmd/main.go
+++ b/internal/soak/cmd/main.go
@@ -41,7 +41,7 @@
 
 func run(o options) (bool, error) {
 	if o.Seed == 0 {
-		o.Seed = uint64(time.Now().Unix()) //nolint:gosec // after 1970
+		o.Seed = uint64(time.Now().Unix())
 	}
 	dir := o.Logs
 	if dir == "" {
@@ -55,7 +55,7 @@
 		return false, err
 	}
 	broken := false
-	for s := o.Seed; s < o.Seed+uint64(o.Runs); s++ { //nolint:gosec // a few runs
+	for s := o.Seed; s < o.Seed+uint64(o.Runs); s++ {
 		b, err := one(o, s, bin, filepath.Join(dir, fmt.Sprint("seed-", s)))
 		if err != nil {
 			return broken, err
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -63,7 +63,7 @@
 	_ = x.Signal(s)
 	if s == syscall.SIGTERM {
 		if _, err := x.Wait(restartWithin); err != nil {
-			r.broke("%s was told to stop: %v", x.Name, err)
+			r.brokef("%s was told to stop: %v", x.Name, err)
 		}
 	}
 	x.Kill()
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -41,7 +42,7 @@
 
 // NewLink returns a sound link to the address.
 func NewLink(to string) (*Link, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // lives as long as the run
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -111,7 +112,7 @@
 }
 
 func (k *Link) join(c net.Conn) {
-	d, err := net.Dial("tcp", k.to) //nolint:noctx // lives as long as the run
+	d, err := net.Dial("tcp", k.to)
 	if err != nil {
 		reset(c)
 		return
@@ -140,7 +141,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if !errors.Is(err, io.EOF) {
 				return
 			}
 			// Let the other direction finish what is under way.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,8 +34,21 @@
 	Kind
 	weight int
 }{
-	{Kill, 4}, {Stop, 3}, {Freeze, 4}, {Hup, 1}, {LinkFault, 5}, {Refuse, 2}, {Lose, 2}, {Delay, 2},
-	{Mute, 1}, {Forget, 1}, {Crash, 3}, {Silence, 4}, {Configure, 1}, {Wave, 1}, {KillAll, 1},
+	{Kill, 4},
+	{Stop, 3},
+	{Freeze, 4},
+	{Hup, 1},
+	{LinkFault, 5},
+	{Refuse, 2},
+	{Lose, 2},
+	{Delay, 2},
+	{Mute, 1},
+	{Forget, 1},
+	{Crash, 3},
+	{Silence, 4},
+	{Configure, 1},
+	{Wave, 1},
+	{KillAll, 1},
 }
 
 // Event is one fault or change of a run.
@@ -61,7 +74,7 @@
 // Plan returns the events that follow from the seed: two a second on average, in
 // series and overlapping, until the given time.
 func Plan(seed uint64, entries int, until time.Duration) []Event {
-	r := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // a run has to follow from its seed
+	r := rand.New(rand.NewPCG(seed, 0))
 	var l []Event
 	for at := time.Second; at < until; {
 		l = append(l, draw(r, at, entries))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -91,12 +91,12 @@
 	b := r.jobs.Fleet.Books
 	for _, id := range r.refused {
 		if b.Started(id) {
-			r.broke("%s was refused each time and has run", id)
+			r.brokef("%s was refused each time and has run", id)
 		}
 	}
 	for n := range r.waves {
 		if m := r.jobs.Fleet.MostDown(n + 1); m > waveCap {
-			r.broke("wave %d had %d machines down, and %d may be", n+1, m, waveCap)
+			r.brokef("wave %d had %d machines down, and %d may be", n+1, m, waveCap)
 		}
 	}
 	return Report{Counts: r.counts, Starts: b.Starts(), Broken: append(r.broken, b.Broken()...)}
@@ -140,7 +140,7 @@
 	r.counts[what]++
 }
 
-func (r *Run) broke(format string, a ...any) {
+func (r *Run) brokef(format string, a ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.broken = append(r.broken, fmt.Sprintf(format, a...))
@@ -149,6 +149,6 @@
 // fail notes an error of the run itself, so that it does not pass for a success.
 func (r *Run) fail(err error) {
 	if err != nil {
-		r.broke("the run failed: %v", err)
+		r.brokef("the run failed: %v", err)
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,7 +24,7 @@
 
 // echo answers each byte, and returns its address.
 func echo(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // ends with the test
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
@@ -62,7 +62,7 @@
 	k, err := NewLink(echo(t))
 	require.NoError(t, err)
 	t.Cleanup(k.Close)
-	c, err := net.Dial("tcp", k.Address()) //nolint:noctx // ends with the test
+	c, err := net.Dial("tcp", k.Address())
 	require.NoError(t, err)
 	_, err = ask(c, time.Second)
 	require.NoError(t, err)
--- a/internal/standin/fleet/books.go
+++ b/internal/standin/fleet/books.go
@@ -38,7 +38,8 @@
 		b.broken = append(b.broken, fmt.Sprintf("%s run %d began on %s after a good end of it was taken note of", task, number, worker))
 	}
 	b.checkOrder(task)
-	b.started[task[:strings.Index(task, ".")]] = true
+	job, _, _ := strings.Cut(task, ".")
+	b.started[job] = true
 	b.going[task] = worker
 }
 
--- a/job/arrivals_test.go
+++ b/job/arrivals_test.go
@@ -8,15 +8,18 @@
 	"github.com/stretchr/testify/require"
 )
 
-// play feeds jobs of the work, in core-milliseconds, that come at random at a
-// rate of jobs a second, and returns the largest forecast at the ends of steps.
-func (a *arrivals) play(r *rand.Rand, from time.Time, d time.Duration, work float64, perSecond func(time.Duration) float64) float64 {
+// jobWork is the work of each job, in core-milliseconds.
+const jobWork = 8000
+
+// play feeds jobs that come at random, so many a second, and returns the largest
+// forecast.
+func (a *arrivals) play(r *rand.Rand, from time.Time, d time.Duration, perSecond func(time.Duration) float64) float64 {
 	const step = 2 * time.Millisecond
 	most := 0.0
 	for t := time.Duration(0); t < d; t += step {
 		now := from.Add(t)
 		if r.Float64() < perSecond(t)*step.Seconds() {
-			a.add(work, now, now)
+			a.add(jobWork, now, now)
 		}
 		most = max(most, a.forecast(now))
 	}
@@ -31,24 +34,24 @@
 // half into the rise, the forecast is above what comes then, and the mean is far
 // below it.
 func TestForecastRunsAheadOfARise(t *testing.T) {
-	const work, jobs = 8000, 40.0
+	const jobs = 40.0
 	ahead := 0
 	mean := 0.0
 	for seed := range uint64(50) {
 		r := rand.New(rand.NewPCG(seed, 1))
 		a := newArrivals()
 		from := time.Unix(1e9, 0)
-		a.play(r, from, 10*time.Second, work, steady(jobs))
+		a.play(r, from, 10*time.Second, steady(jobs))
 		rise := func(d time.Duration) float64 { return jobs * (1 + 1.5*d.Seconds()) }
-		a.play(r, from.Add(10*time.Second), 1500*time.Millisecond, work, rise)
+		a.play(r, from.Add(10*time.Second), 1500*time.Millisecond, rise)
 		now := from.Add(11500 * time.Millisecond)
-		if a.forecast(now) > rise(1500*time.Millisecond)*work/1000 {
+		if a.forecast(now) > rise(1500*time.Millisecond)*jobWork/1000 {
 			ahead++
 		}
 		mean += a.long.value(now) / 50
 	}
 	require.Greater(t, ahead, 25, "of 50 rises")
-	require.Less(t, mean, 0.75*jobs*3.25*work/1000)
+	require.Less(t, mean, 0.75*jobs*3.25*jobWork/1000)
 }
 
 // Jobs that come at random, at the same rate, seldom look like a rise.
@@ -58,10 +61,10 @@
 		r := rand.New(rand.NewPCG(seed, 2))
 		a := newArrivals()
 		from := time.Unix(1e9, 0)
-		a.play(r, from, 5*time.Second, 8000, steady(20))
+		a.play(r, from, 5*time.Second, steady(20))
 		for i := range 200 {
 			at := from.Add(5*time.Second + time.Duration(i)*50*time.Millisecond)
-			if a.play(r, at, 50*time.Millisecond, 8000, steady(20)) > 2*20*8 {
+			if a.play(r, at, 50*time.Millisecond, steady(20)) > 2*20*8 {
 				over++
 			}
 			samples++
--- a/job/owner_test.go
+++ b/job/owner_test.go
@@ -88,7 +88,9 @@
 	s.putJob(t, idA)
 	select {
 	case e := <-o.events:
-		require.Equal(t, ID(idA), e.(Accepted).ID)
+		a, ok := e.(Accepted)
+		require.True(t, ok, "%T", e)
+		require.Equal(t, ID(idA), a.ID)
 	case <-time.After(1500 * time.Millisecond):
 		t.Fatal("the owner still waits for the mute watch")
 	}
