Log once when the store goes away and when it is back; name the lists' reading

Read as a newcomer: no line told of the store as a lost or regained dependency, and waitlists.of did not say what it returns.

--- a/job/away.go
+++ b/job/away.go
@@ -25,27 +25,38 @@
 	// failingSince is when the first write of those that failed in a row was sent.
 	failingSince time.Time
 	probeAt      time.Time
+	// told says that the log has the store as away.
+	told bool
 }
 
-// note takes in the outcome of a write that was sent at a time.
-func (r *reach) note(sent time.Time, ok bool) {
+// note takes in the outcome of a write that was sent at a time. It reports whether
+// the store has gone away, or is back, by that.
+func (r *reach) note(sent, now time.Time, ok bool) (gone, back bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if ok {
-		r.failures = 0
-		return
+		back = r.told
+		r.failures, r.told = 0, false
+		return false, back
 	}
 	if r.failures == 0 {
 		r.failingSince = sent
 	}
 	r.failures++
+	gone = r.isAway(now) && !r.told
+	r.told = r.told || gone
+	return gone, false
+}
+
+func (r *reach) isAway(now time.Time) bool {
+	return r.failures >= awayFailures && now.Sub(r.failingSince) >= awayAfter
 }
 
 // refuses reports whether a job that comes now is to be refused without a write.
 func (r *reach) refuses(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.failures < awayFailures || now.Sub(r.failingSince) < awayAfter {
+	if !r.isAway(now) {
 		return false
 	}
 	if now.Before(r.probeAt) {
--- a/job/away_test.go
+++ b/job/away_test.go
@@ -13,15 +13,20 @@
 func TestReachRefusesWhileWritesFailAndProbes(t *testing.T) {
 	var r reach
 	now := time.Unix(1e9, 0)
-	r.note(now, false)
+	r.note(now, now, false)
 	require.False(t, r.refuses(now.Add(2*awayAfter)), "one lost answer says nothing")
-	r.note(now.Add(100*time.Millisecond), false)
+	r.note(now.Add(100*time.Millisecond), now.Add(150*time.Millisecond), false)
 	require.False(t, r.refuses(now.Add(awayAfter/2)), "a slow store is not away")
 	now = now.Add(2 * awayAfter)
 	require.False(t, r.refuses(now), "one job finds out whether the store is back")
 	require.True(t, r.refuses(now.Add(probeEvery/2)))
 	require.False(t, r.refuses(now.Add(probeEvery)))
-	r.note(now, true)
+	gone, _ := r.note(now, now, false)
+	require.True(t, gone)
+	gone, _ = r.note(now, now, false)
+	require.False(t, gone, "told once")
+	_, back := r.note(now, now, true)
+	require.True(t, back)
 	require.False(t, r.refuses(now.Add(probeEvery/4)))
 }
 
--- a/job/intake.go
+++ b/job/intake.go
@@ -107,7 +107,7 @@
 	for len(l) > 0 {
 		sent := i.now()
 		at, found, err := i.kv.Commit(ctx, intakeTxn(l))
-		i.reach.note(sent, err == nil || errors.Is(err, platform.ErrConflict))
+		i.noteReach(sent, err)
 		switch {
 		case err == nil:
 			i.tell(l, common.Ran, "written", int64(at))
@@ -125,6 +125,19 @@
 	}
 }
 
+// noteReach notes whether a write was answered, and logs when the store goes away
+// or is back.
+func (i *intake) noteReach(sent time.Time, err error) {
+	now := i.now()
+	gone, back := i.reach.note(sent, now, err == nil || errors.Is(err, platform.ErrConflict))
+	switch {
+	case gone:
+		i.log.Write(Note{What: "store away", Why: err.Error(), Inputs: []any{"since_ms", now.Sub(sent).Milliseconds()}})
+	case back:
+		i.log.Write(Note{What: "store back"})
+	}
+}
+
 // intakeTxn creates the jobs unless they are there or have been: the owner
 // removes the record of a job that has ended, and its progress stays.
 func intakeTxn(l []*application) platform.Txn {
--- a/job/waitlist.go
+++ b/job/waitlist.go
@@ -38,7 +38,8 @@
 	return waitlists{byService: map[string]*waitlist{}}
 }
 
-func (l *waitlists) of(service string) *waitlist {
+// listOf returns the list of the service, a new one if there is none.
+func (l *waitlists) listOf(service string) *waitlist {
 	w := l.byService[service]
 	if w == nil {
 		w = &waitlist{jobs: map[ID]*job{}}
@@ -49,12 +50,12 @@
 
 // replan has the service's waiting tasks placed, as room may have been found.
 func (l *waitlists) replan(service string) {
-	l.of(service).replan = true
+	l.listOf(service).replan = true
 }
 
 // reorder has the service's open steps collected anew and placed.
 func (l *waitlists) reorder(service string) {
-	w := l.of(service)
+	w := l.listOf(service)
 	w.reorder = true
 	w.replan = true
 }
@@ -65,13 +66,15 @@
 	}
 }
 
+// enlist adds a live job.
 func (l *waitlists) enlist(j *job) {
-	l.of(j.queue.Service).jobs[j.id] = j
+	l.listOf(j.queue.Service).jobs[j.id] = j
 	l.reorder(j.queue.Service)
 }
 
+// delist removes a job that has become final.
 func (l *waitlists) delist(j *job) {
-	delete(l.of(j.queue.Service).jobs, j.id)
+	delete(l.listOf(j.queue.Service).jobs, j.id)
 	l.reorder(j.queue.Service)
 }
 
--- a/job/waitlist_test.go
+++ b/job/waitlist_test.go
@@ -29,9 +29,9 @@
 	f.join("w1")
 	f.submit(idA, "quick", oneTask())
 	f.took(f.starts()[0])
-	green := f.core.of("green")
+	green := f.core.listOf("green")
 	green.replan = false
-	blue := f.core.of("blue")
+	blue := f.core.listOf("blue")
 	f.answer("w1", platform.Look{Running: nil})
 	require.False(t, blue.replan || green.replan, "a look without news places nothing")
 	f.core.replan("blue")
