--- a/job/demand.go
+++ b/job/demand.go
@@ -43,20 +43,12 @@
 type demand struct {
 	service string
 	want    int
-	// ahead is how many hosts it is to have since its peak is about to come, and
-	// goal how many it is brought now: want first, and only then ahead.
-	ahead, goal int
 	// have counts the hosts that take tasks or are on their way.
 	have int
 	// waits says that tasks wait without room.
 	waits bool
 }
 
-// keep is how many hosts the pool holds on to.
-func (d *demand) keep() int {
-	return max(d.want, d.ahead)
-}
-
 // notePools logs now and then what each pool wants and has.
 func (c *Core) notePools(plan []demand) {
 	if c.now.Before(c.balance.noteAt) {
@@ -83,14 +75,11 @@
 // demands returns what each pool wants and has, the shortest first.
 func (c *Core) demands(spare string) []demand {
 	var l []demand
-	coming := c.learnRotation()
 	for _, s := range c.config.Services {
 		if s.Name == spare {
 			continue
 		}
 		d := demand{service: s.Name, want: c.wants(s.Name), have: c.coming(s.Name)}
-		d.goal = d.want
-		d.ahead = hostsFor(platform.Resources{MilliCores: int64(coming[s.Name] * 1000)}, c.hostOf(s.Name))
 		for _, w := range c.pools[s.Name] {
 			if !w.Draining && !w.leaving && !w.tainted && w.silent < silentAfter && c.byHost[w.Host] == w {
 				d.have++
@@ -108,40 +97,29 @@
 // wants returns how many hosts a pool needs for what runs, waits and comes in.
 func (c *Core) wants(service string) int {
 	need := c.balance.waiting[service]
+	host := platform.Resources{}
+	hosts := 0
 	for _, w := range c.pools[service] {
 		need.MilliCores += w.used.MilliCores
 		need.MemoryMB += w.used.MemoryMB
-	}
-	if a := c.balance.arrivals[service]; a != nil {
-		need.MilliCores = max(need.MilliCores, int64(a.forecast(c.now)*1000)+c.lastingCores(service))
-	}
-	return max(hostsFor(need, c.hostOf(service)), c.spread(service))
-}
-
-// hostOf returns the capacity of the largest host of a pool, or of some machine
-// where the pool has none.
-func (c *Core) hostOf(service string) platform.Resources {
-	host := platform.Resources{}
-	for _, w := range c.pools[service] {
 		host.MilliCores = max(host.MilliCores, w.Capacity.MilliCores)
 		host.MemoryMB = max(host.MemoryMB, w.Capacity.MemoryMB)
 	}
 	if host.MilliCores == 0 {
-		return c.anyHost()
+		host = c.anyHost()
 	}
-	return host
-}
-
-// hostsFor returns how many such hosts the need takes, with room to spare.
-func hostsFor(need, host platform.Resources) int {
 	if host.MilliCores == 0 || host.MemoryMB == 0 {
 		return 0
 	}
-	share := max(float64(need.MilliCores)/float64(host.MilliCores), float64(need.MemoryMB)/float64(host.MemoryMB))
-	if share <= 0 {
-		return 0
+	cores := float64(need.MilliCores)
+	if a := c.balance.arrivals[service]; a != nil {
+		cores = max(cores, a.forecast(c.now)*1000+float64(c.lastingCores(service)))
+	}
+	share := max(cores/float64(host.MilliCores), float64(need.MemoryMB)/float64(host.MemoryMB))
+	if share > 0 {
+		hosts = int(math.Ceil(share*(1+roomToSpare) + nearlyFull))
 	}
-	return int(math.Ceil(share*(1+roomToSpare) + nearlyFull))
+	return max(hosts, c.spread(service))
 }
 
 // lastingCores is what the lasting tasks of a pool take.
--- a/job/load.go
+++ b/job/load.go
@@ -41,7 +41,6 @@
 	g.Go(func() error { return o.loadRoster(all, &e) })
 	g.Go(func() error { return o.loadWaves(all, &e) })
 	g.Go(func() error { return o.loadWavesBegan(all, &e) })
-	g.Go(func() error { return o.loadRotation(all, &e) })
 	err := g.Wait()
 	if err == nil {
 		err = o.stillOwns(ctx)
@@ -168,23 +167,6 @@
 	return nil
 }
 
-// loadRotation reads what earlier owners have learned of the load. Without it an
-// owner learns anew.
-func (o *owner) loadRotation(ctx context.Context, e *Inherited) error {
-	v, err := o.KV.Get(ctx, rotationKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	e.Rotation, err = decodeRotation(v)
-	if err != nil {
-		o.log.Write(Note{What: "entry not understood", Why: err.Error()})
-	}
-	return nil
-}
-
 // jobEvent returns what an entry of the jobs says, or nil.
 func (o *owner) jobEvent(v platform.Entry) Event {
 	if len(v.Key) > len(cancelPrefix) && v.Key[:len(cancelPrefix)] == cancelPrefix {
--- a/job/succession.go
+++ b/job/succession.go
@@ -70,8 +70,6 @@
 	// machines whose upkeep has begun, by wave.
 	WavesEnded map[int64]bool
 	WavesBegan map[int64][]string
-	// Rotation is what earlier owners have learned of the load.
-	Rotation Rotation
 }
 
 // apply takes over what is in the store.
@@ -83,7 +81,6 @@
 		WorkerListed{Worker: w}.apply(c)
 	}
 	c.inherit(e.Roster)
-	c.balance.rotation = e.Rotation
 	for _, m := range e.Roster.Ordered {
 		c.heldUntil[m] = c.now.Add(handOver)
 	}
