--- a/job/arrivals.go
+++ b/job/arrivals.go
@@ -51,9 +51,6 @@
 	// squares is the mean of the squares of the work of single jobs, from which
 	// the chance in the short average is told.
 	squares average
-	// counts is the mean number of jobs in a millisecond.
-	counts average
-	past   history
 }
 
 func newArrivals() *arrivals {
@@ -61,7 +58,6 @@
 		long:    average{window: arrivalWindow},
 		short:   average{window: riseWindow},
 		squares: average{window: riseWindow / 2},
-		counts:  average{window: arrivalWindow},
 	}
 }
 
@@ -70,13 +66,6 @@
 	a.long.add(work, came, now)
 	a.short.add(work, came, now)
 	a.squares.add(work*work, came, now)
-	a.counts.add(1, came, now)
-	a.past.add(work, came)
-}
-
-// jobs returns how many jobs came over the last arrivalWindow.
-func (a *arrivals) jobs(now time.Time) float64 {
-	return a.counts.value(now) * float64(arrivalWindow.Milliseconds())
 }
 
 // forecast returns the work that is to be expected once a host that is moved now
--- a/job/core.go
+++ b/job/core.go
@@ -147,7 +147,7 @@
 	if c.jobs[e.ID] != nil {
 		return
 	}
-	c.noteArrival(c.add(e.ID, e.Record, e.Created, Progress{}))
+	c.noteArrival(c.add(e.ID, e.Record, e.Created, Progress{}), c.now)
 }
 
 func (c *Core) add(id ID, r Record, created platform.Revision, p Progress) *job {
--- a/job/demand.go
+++ b/job/demand.go
@@ -4,21 +4,14 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"amberway/platform"
 )
 
-// noteArrival counts the work of a job that has come now.
-func (c *Core) noteArrival(j *job) {
-	c.sizeUp(j)
-	if j.arrival != nil {
-		c.arrivalsOf(j.arrival.Service).add(j.arrival.Work, c.now, c.now)
-	}
-}
-
-// sizeUp notes the work that the job brings. Lasting tasks, and those that fill,
-// bring none.
-func (c *Core) sizeUp(j *job) {
+// noteArrival counts the work of a job that came at the time. Of the jobs that an
+// owner takes over most came long ago, and say nothing of what comes now.
+func (c *Core) noteArrival(j *job, came time.Time) {
 	work := 0.0
 	for i := range j.Steps {
 		s := &j.Steps[i]
@@ -26,38 +19,12 @@
 			work += float64(s.Count) * float64(s.MilliCores) / 1000 * float64(c.expect(j, s).Milliseconds())
 		}
 	}
-	if work > 0 {
-		j.arrival = &Arrival{Service: j.queue.Service, CameAt: j.CameAt, Work: work}
-	}
-}
-
-func (c *Core) arrivalsOf(service string) *arrivals {
-	a := c.balance.arrivals[service]
+	a := c.balance.arrivals[j.queue.Service]
 	if a == nil {
 		a = newArrivals()
-		c.balance.arrivals[service] = a
-	}
-	return a
-}
-
-// replay takes in the work that came before this owner, in the order in which it
-// came, so that the owner knows what earlier ones had learned of the load.
-func (c *Core) replay(l []*Arrival) {
-	slices.SortFunc(l, func(a, b *Arrival) int { return a.CameAt.Compare(b.CameAt) })
-	if len(l) == 0 {
-		return
-	}
-	at := latest(l[0].CameAt, c.now.Add(-historySteps*historyStep))
-	for ; at.Before(c.now); at = at.Add(planEvery) {
-		for len(l) > 0 && !l[0].CameAt.After(at) {
-			c.arrivalsOf(l[0].Service).add(l[0].Work, l[0].CameAt, at)
-			l = l[1:]
-		}
-		c.balance.rotation.observe(at, c.loads(at))
-	}
-	for _, a := range l {
-		c.arrivalsOf(a.Service).add(a.Work, c.now, c.now)
+		c.balance.arrivals[j.queue.Service] = a
 	}
+	a.add(work, came, c.now)
 }
 
 // noteDemand notes what waits without room after placement.
@@ -76,25 +43,12 @@
 type demand struct {
 	service string
 	want    int
-	// ahead is how many hosts it is to have since its peak is about to come, and
-	// goal how many it is brought now: want first, and only then ahead.
-	ahead, goal int
 	// have counts the hosts that take tasks or are on their way.
 	have int
 	// waits says that tasks wait without room.
 	waits bool
 }
 
-// keep is how many hosts the pool holds on to.
-func (d *demand) keep() int {
-	return max(d.want, d.ahead)
-}
-
-// borrows reports whether the pool takes hosts that have to run empty first.
-func (d *demand) borrows() bool {
-	return d.waits || d.ahead > d.want
-}
-
 // notePools logs now and then what each pool wants and has.
 func (c *Core) notePools(plan []demand) {
 	if c.now.Before(c.balance.noteAt) {
@@ -121,14 +75,11 @@
 // demands returns what each pool wants and has, the shortest first.
 func (c *Core) demands(spare string) []demand {
 	var l []demand
-	coming := c.learnRotation()
 	for _, s := range c.config.Services {
 		if s.Name == spare {
 			continue
 		}
 		d := demand{service: s.Name, want: c.wants(s.Name), have: c.coming(s.Name)}
-		d.goal = d.want
-		d.ahead = hostsFor(platform.Resources{MilliCores: int64(coming[s.Name] * 1000)}, c.hostOf(s.Name))
 		for _, w := range c.pools[s.Name] {
 			if !w.Draining && !w.leaving && !w.tainted && w.silent < silentAfter && c.byHost[w.Host] == w {
 				d.have++
@@ -146,40 +97,29 @@
 // wants returns how many hosts a pool needs for what runs, waits and comes in.
 func (c *Core) wants(service string) int {
 	need := c.balance.waiting[service]
+	host := platform.Resources{}
+	hosts := 0
 	for _, w := range c.pools[service] {
 		need.MilliCores += w.used.MilliCores
 		need.MemoryMB += w.used.MemoryMB
-	}
-	if a := c.balance.arrivals[service]; a != nil {
-		need.MilliCores = max(need.MilliCores, int64(a.forecast(c.now)*1000)+c.lastingCores(service))
-	}
-	return max(hostsFor(need, c.hostOf(service)), c.spread(service))
-}
-
-// hostOf returns the capacity of the largest host of a pool, or of some machine
-// where the pool has none.
-func (c *Core) hostOf(service string) platform.Resources {
-	host := platform.Resources{}
-	for _, w := range c.pools[service] {
 		host.MilliCores = max(host.MilliCores, w.Capacity.MilliCores)
 		host.MemoryMB = max(host.MemoryMB, w.Capacity.MemoryMB)
 	}
 	if host.MilliCores == 0 {
-		return c.anyHost()
+		host = c.anyHost()
 	}
-	return host
-}
-
-// hostsFor returns how many such hosts the need takes, with room to spare.
-func hostsFor(need, host platform.Resources) int {
 	if host.MilliCores == 0 || host.MemoryMB == 0 {
 		return 0
 	}
-	share := max(float64(need.MilliCores)/float64(host.MilliCores), float64(need.MemoryMB)/float64(host.MemoryMB))
-	if share <= 0 {
-		return 0
+	cores := float64(need.MilliCores)
+	if a := c.balance.arrivals[service]; a != nil {
+		cores = max(cores, a.forecast(c.now)*1000+float64(c.lastingCores(service)))
+	}
+	share := max(cores/float64(host.MilliCores), float64(need.MemoryMB)/float64(host.MemoryMB))
+	if share > 0 {
+		hosts = int(math.Ceil(share*(1+roomToSpare) + nearlyFull))
 	}
-	return int(math.Ceil(share*(1+roomToSpare) + nearlyFull))
+	return max(hosts, c.spread(service))
 }
 
 // lastingCores is what the lasting tasks of a pool take.
--- a/job/pools.go
+++ b/job/pools.go
@@ -42,8 +42,6 @@
 	waiting map[string]platform.Resources
 	// arrivals is the work that came in lately, by service.
 	arrivals map[string]*arrivals
-	// rotation is what has been learned of peaks that go round.
-	rotation rotation
 }
 
 func newPooling() pooling {
@@ -60,11 +58,13 @@
 	c.renewTainted(spare)
 	plan := c.demands(spare)
 	c.notePools(plan)
-	c.fetch(plan, spare)
 	for i := range plan {
-		plan[i].goal = plan[i].keep()
+		c.fetchIdle(&plan[i], plan)
+		c.fetchSpares(&plan[i], spare)
+	}
+	for i := range plan {
+		c.borrow(&plan[i], plan)
 	}
-	c.fetch(plan, spare)
 	for i := range plan {
 		c.giveBack(&plan[i], spare)
 	}
@@ -90,25 +90,13 @@
 	}
 }
 
-// fetch brings hosts to the pools that are short of their goal, those first that
-// take no tasks now.
-func (c *Core) fetch(plan []demand, spare string) {
-	for i := range plan {
-		c.fetchIdle(&plan[i], plan)
-		c.fetchSpares(&plan[i], spare)
-	}
-	for i := range plan {
-		c.borrow(&plan[i], plan)
-	}
-}
-
 // fetchSpares brings hosts from the spare pool to one that is short.
 func (c *Core) fetchSpares(d *demand, spare string) {
-	if d.have >= d.goal {
+	if d.have >= d.want {
 		return
 	}
 	for _, m := range c.movable(spare) {
-		if d.have >= d.goal {
+		if d.have >= d.want {
 			return
 		}
 		c.move(m, d.service, d)
@@ -125,7 +113,7 @@
 			continue
 		}
 		for _, m := range c.movable(from.service) {
-			if d.have >= d.goal || from.have <= from.keep() {
+			if d.have >= d.want || from.have <= from.want {
 				break
 			}
 			if !c.idle(m) {
@@ -160,13 +148,13 @@
 // runs move at once; others run empty first, if no lasting tasks are there.
 func (c *Core) borrow(d *demand, plan []demand) {
 	c.tendLent(d)
-	for i := len(plan) - 1; i >= 0 && d.have < d.goal && d.borrows(); i-- {
+	for i := len(plan) - 1; i >= 0 && d.have < d.want && d.waits; i-- {
 		from := &plan[i]
-		if from.service == d.service || from.have <= from.keep() {
+		if from.service == d.service || from.have <= from.want {
 			continue
 		}
 		for _, m := range c.lendable(from.service) {
-			if d.have >= d.goal || from.have <= from.keep() {
+			if d.have >= d.want || from.have <= from.want {
 				break
 			}
 			m.lend = d.service
@@ -217,7 +205,7 @@
 		case w == nil || len(w.runs) == 0:
 			m.lend = ""
 			c.move(m, d.service, d)
-		case !d.borrows() || c.now.Sub(m.emptyingSince) > lendPatience:
+		case !d.waits || c.now.Sub(m.emptyingSince) > lendPatience:
 			m.lend = ""
 			m.emptyingSince = time.Time{}
 			w.leaving = false
@@ -227,7 +215,7 @@
 }
 
 func (c *Core) move(m *machine, pool string, d *demand) {
-	c.do(Note{What: "move", Inputs: []any{"machine", m.Name, "from", m.Pool, "to", pool, "want", d.want, "ahead", d.ahead, "have", d.have, "waits", d.waits}})
+	c.do(Note{What: "move", Inputs: []any{"machine", m.Name, "from", m.Pool, "to", pool, "want", d.want, "have", d.have, "waits", d.waits}})
 	c.order(m, &machineOrder{pool: pool})
 }
 
@@ -243,7 +231,7 @@
 // pool.
 func (c *Core) giveBack(d *demand, spare string) {
 	for _, m := range c.movable(d.service) {
-		if d.have <= d.keep() {
+		if d.have <= d.want {
 			return
 		}
 		if !c.idle(m) || c.now.Sub(c.workerOf(m).idleSince) < d.patience() {
--- a/job/progress.go
+++ b/job/progress.go
@@ -20,16 +20,6 @@
 	// number. Those below Past are done in whole.
 	Instances map[int]InstanceProgress `json:"i,omitempty"`
 	Past      int                      `json:"p,omitempty"`
-	// Arrival is kept of a final job, for the next owner's view of the load.
-	Arrival *Arrival `json:"a,omitempty"`
-}
-
-// Arrival is the work that a job has brought.
-type Arrival struct {
-	Service string    `json:"s"`
-	CameAt  time.Time `json:"t"`
-	// Work is in core-milliseconds.
-	Work float64 `json:"w"`
 }
 
 // InstanceProgress is what is kept of one time of a job.
@@ -70,7 +60,6 @@
 func (j *job) progress() Progress {
 	p := Progress{State: j.state, FinalAt: j.finalAt}
 	if j.state.Final() {
-		p.Arrival = j.arrival
 		return p
 	}
 	p.Past = j.past
--- a/job/state.go
+++ b/job/state.go
@@ -26,8 +26,6 @@
 	// is the first that is not yet due.
 	past, next int
 	dirty      bool
-	// arrival is the work that it has brought, if any.
-	arrival *Arrival
 	// failedOn are the workers on which a run of the job has failed.
 	failedOn map[platform.WorkerID]bool
 }
--- a/job/succession.go
+++ b/job/succession.go
@@ -84,7 +84,16 @@
 	for _, m := range e.Roster.Ordered {
 		c.heldUntil[m] = c.now.Add(handOver)
 	}
-	c.takeJobs(e.Jobs, e.Progress)
+	for id, p := range e.Progress {
+		if p.State.Final() {
+			c.jobs[id] = &job{id: id, state: p.State, kept: p.State, finalAt: p.FinalAt, began: true}
+		}
+	}
+	for _, j := range e.Jobs {
+		if c.jobs[j.ID] == nil {
+			c.noteArrival(c.add(j.ID, j.Record, j.Created, e.Progress[j.ID]), j.Record.CameAt)
+		}
+	}
 	for _, id := range e.Cancels {
 		CancelAsked{ID: id}.apply(c)
 	}
@@ -99,31 +108,6 @@
 	Tick{}.apply(c)
 }
 
-// takeJobs takes over jobs, and what earlier owners have seen come in.
-func (c *Core) takeJobs(l []Accepted, kept map[ID]Progress) {
-	var came []*Arrival
-	for id, p := range kept {
-		if !p.State.Final() {
-			continue
-		}
-		c.jobs[id] = &job{id: id, state: p.State, kept: p.State, finalAt: p.FinalAt, began: true, arrival: p.Arrival}
-		if p.Arrival != nil {
-			came = append(came, p.Arrival)
-		}
-	}
-	for _, e := range l {
-		if c.jobs[e.ID] != nil {
-			continue
-		}
-		j := c.add(e.ID, e.Record, e.Created, kept[e.ID])
-		c.sizeUp(j)
-		if j.arrival != nil {
-			came = append(came, j.arrival)
-		}
-	}
-	c.replay(came)
-}
-
 // inherit adds the workers that an earlier owner may have runs on.
 func (c *Core) inherit(r Roster) {
 	for _, e := range r.Workers {
