--- a/job/ends.go
+++ b/job/ends.go
@@ -89,6 +89,8 @@
 	c.begin(j)
 	c.mark(j)
 	if r != nil {
+		t.took = c.now.Sub(r.sentAt)
+		t.doneAt = r.at.ID
 		c.learnRun(r)
 	}
 	if t.of.Gang {
--- a/job/looks.go
+++ b/job/looks.go
@@ -169,6 +169,7 @@
 		r.percent = v.Percent
 		r.movedAt = c.now
 	}
+	r.heardAt = c.now
 	r.level = v.Level
 	c.checkRun(r)
 	t := r.task
--- /dev/null
+++ b/job/slow.go
@@ -0,0 +1,100 @@
+package job
+
+import (
+	"slices"
+	"time"
+)
+
+// Figures of telling a slow worker from a long task. Tasks differ more than workers
+// do: their estimates are off by up to nine tenths, and the tasks of one step by
+// three tenths.
+const (
+	// slowAfter is how long a run goes on before its pace is judged.
+	slowAfter = 800 * time.Millisecond
+	// slowBy is how many times its expected time a run may still need before it
+	// is better begun anew elsewhere.
+	slowBy = 2
+	// slowTimes is how many times longer than others a run has to take for its
+	// worker to be slow. One task in a thousand does by chance.
+	slowTimes = 2.5
+	// slowAlone is the same, against what was expected, where no other task tells:
+	// more than any estimate is off.
+	slowAlone = 8
+	// slowWitnesses is the fewest others that speak for or against a worker.
+	slowWitnesses = 2
+)
+
+// crawls reports whether the run is better begun anew elsewhere: it needs much
+// longer for the rest than the whole task is expected to take, and by other tasks
+// that is its worker's fault. A task moves for that once.
+func (c *Core) crawls(r *run) bool {
+	t := r.task
+	if t.of.Lasting || t.of.Fills || t.moved || t.of.Gang {
+		return false
+	}
+	whole, ok := r.whole()
+	went := r.heardAt.Sub(r.sentAt)
+	if !ok || went < slowAfter || whole-went <= slowBy*c.expect(t.of.of.job, t.of.Step)+slowAfter {
+		return false
+	}
+	return c.slowFor(r, whole) && c.roomElsewhere(r.at, t)
+}
+
+// whole returns how long the run will have taken, by what its worker has last said
+// of it. It reports false where the worker has not said enough.
+func (r *run) whole() (time.Duration, bool) {
+	done := r.percent - r.adoptedAt
+	if r.phase != running || done <= 0 {
+		return 0, false
+	}
+	return r.heardAt.Sub(r.sentAt) * time.Duration(100-r.adoptedAt) / time.Duration(done), true
+}
+
+// slowFor reports whether the run takes so long for its worker's sake: tasks of its
+// step take much less elsewhere or, where there are none, its worker is slow with
+// other jobs as well. Where neither tells, it has to be slow beyond all doubt.
+func (c *Core) slowFor(r *run, whole time.Duration) bool {
+	if l := r.task.of.elsewhere(r.at); len(l) >= slowWitnesses {
+		return float64(whole) > slowTimes*float64(median(l))
+	}
+	if l := c.otherJobs(r); len(l) >= slowWitnesses {
+		return median(l) > slowTimes
+	}
+	return whole > slowAlone*c.expect(r.task.of.of.job, r.task.of.Step)
+}
+
+// elsewhere returns how long tasks of the step take on other workers.
+func (s *step) elsewhere(w *worker) []time.Duration {
+	var l []time.Duration
+	for _, t := range s.tasks {
+		if t.took > 0 && t.doneAt != w.ID {
+			l = append(l, t.took)
+		}
+		for _, r := range t.runs {
+			if whole, ok := r.whole(); ok && r.at != w {
+				l = append(l, whole)
+			}
+		}
+	}
+	return l
+}
+
+// otherJobs returns how many times as long as expected other jobs take on the
+// run's worker.
+func (c *Core) otherJobs(r *run) []float64 {
+	var l []float64
+	for _, o := range r.at.runs {
+		j := o.task.of.of.job
+		e := c.expect(j, o.task.of.Step)
+		if whole, ok := o.whole(); ok && e > 0 && j != r.task.of.of.job && !o.task.of.Lasting {
+			l = append(l, float64(whole)/float64(e))
+		}
+	}
+	return l
+}
+
+// median returns the middle of what is not empty.
+func median[T time.Duration | float64](l []T) T {
+	slices.Sort(l)
+	return l[len(l)/2]
+}
--- /dev/null
+++ b/job/slow_test.go
@@ -0,0 +1,97 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/platform"
+)
+
+// spread starts a job of six tasks over three workers, two on each, and returns
+// their starts by worker.
+func spread(f *fixture) map[platform.WorkerID][]StartRun {
+	s := oneTask()
+	s.Count = 6
+	s.MaxPerWorker = 2
+	f.join("w1", "w2", "w3", "w4")
+	f.submit(idA, "quick", s)
+	l := map[platform.WorkerID][]StartRun{}
+	for _, r := range f.starts() {
+		f.took(r)
+		l[r.Worker.ID] = append(l[r.Worker.ID], r)
+	}
+	require.Len(f.t, l, 3)
+	return l
+}
+
+// tell answers the look at a worker: all its runs are at the percent.
+func (f *fixture) tell(w platform.WorkerID, l []StartRun, percent int) {
+	var rows []platform.RunningRow
+	for _, r := range l {
+		rows = append(rows, runningRow(r, percent))
+	}
+	f.answer(string(w), platform.Look{Running: rows})
+}
+
+// A task that takes long everywhere is left where it is: to begin it anew would
+// only lose what is done.
+func TestLongTaskIsNotTakenForASlowWorker(t *testing.T) {
+	f := newFixture(t)
+	l := spread(f)
+	f.pass(time.Second)
+	for range 2 {
+		for w, r := range l {
+			f.tell(w, r, 16)
+		}
+		f.pass(100 * time.Millisecond)
+	}
+	require.Empty(t, f.stops(), "all take six times as long as they are expected to")
+}
+
+// Tasks on a slow worker are begun anew elsewhere once others of their step have
+// gone on much faster.
+func TestSlowWorkerIsToldByTasksOfTheSameStep(t *testing.T) {
+	f := newFixture(t)
+	l := spread(f)
+	f.pass(time.Second)
+	var slow platform.WorkerID
+	for w, r := range l {
+		if slow == "" {
+			slow = w
+			continue
+		}
+		f.tell(w, r, 70)
+	}
+	f.tell(slow, l[slow], 15)
+	s := f.stops()
+	require.Len(t, s, 2)
+	require.Equal(t, slow, s[0].Worker.ID)
+}
+
+// Where a step has no tasks elsewhere, other jobs on the worker tell.
+func TestSlowWorkerIsToldByOtherJobs(t *testing.T) {
+	for _, v := range []struct {
+		others int
+		stops  bool
+	}{{15, true}, {60, false}} {
+		f := newFixture(t)
+		f.join("w1")
+		for _, id := range []string{idA, idB, "00000000000000cc"} {
+			f.submit(id, "quick", oneTask())
+		}
+		l := f.starts()
+		require.Len(t, l, 3)
+		for _, r := range l {
+			f.took(r)
+		}
+		f.join("w2")
+		f.pass(time.Second)
+		rows := []platform.RunningRow{runningRow(l[1], v.others), runningRow(l[2], v.others), runningRow(l[0], 15)}
+		f.answer("w1", platform.Look{Running: rows})
+		f.pass(50 * time.Millisecond)
+		f.answer("w1", platform.Look{Running: rows})
+		require.Equal(t, v.stops, len(f.stops()) > 0, "others at %d", v.others)
+	}
+}
--- a/job/stall.go
+++ b/job/stall.go
@@ -16,11 +16,6 @@
 	// mostStalls is how often a task is moved for standing still: some tasks may
 	// show no progress anywhere.
 	mostStalls = 3
-	// slowAfter is how long a run goes on before its pace is judged.
-	slowAfter = 800 * time.Millisecond
-	// slowBy is how many times its expected time a run may still need before it
-	// is better begun anew elsewhere.
-	slowBy = 2
 	// stallAside is how long a worker gets no starts after a run stood still
 	// there.
 	stallAside = 3 * time.Second
@@ -53,18 +48,6 @@
 	return still > max(stallAfter, c.expect(t.of.of.job, t.of.Step)/stallShare)
 }
 
-// crawls reports whether the run needs much longer for the rest than the whole
-// task is expected to take elsewhere. A task moves for that once.
-func (c *Core) crawls(r *run) bool {
-	t := r.task
-	went := c.now.Sub(r.sentAt)
-	if t.of.Lasting || t.of.Fills || t.moved || t.of.Gang || r.percent <= 0 || r.percent <= r.adoptedAt || went < slowAfter {
-		return false
-	}
-	rest := time.Duration(float64(went) * float64(100-r.percent) / float64(r.percent-r.adoptedAt))
-	return rest > slowBy*c.expect(t.of.of.job, t.of.Step)+slowAfter && c.roomElsewhere(r.at, t)
-}
-
 func (c *Core) leaveWorker(r *run, why string) {
 	t := r.task
 	w := r.at
--- a/job/state.go
+++ b/job/state.go
@@ -74,6 +74,9 @@
 	awaySince time.Time
 	// atWork says that a lasting task is at work.
 	atWork bool
+	// took is how long its good run took, and doneAt where.
+	took   time.Duration
+	doneAt platform.WorkerID
 	// moved says that a run was given up for being slow.
 	moved bool
 	// stalls counts the runs that were given up for standing still.
@@ -111,6 +114,8 @@
 	level     float64
 	// movedAt is when percent last rose, from movedFrom at the run's start.
 	movedAt time.Time
+	// heardAt is when its worker last said how far it is.
+	heardAt time.Time
 	pace    int
 }
 
