Do not count a host in the pool that it has left

Cause: the record of a worker that ended with its machine's move stays listed for some seconds, and its pool took it for a host that takes tasks, so that a pool short of hosts did not see it. Found by the figures 'have' in the log of pools, 2 s after each move.

--- a/job/demand.go
+++ b/job/demand.go
@@ -81,7 +81,7 @@
 		}
 		d := demand{service: s.Name, want: c.wants(s.Name), have: c.coming(s.Name)}
 		for _, w := range c.pools[s.Name] {
-			if !w.Draining && !w.leaving && !w.tainted && w.silent < silentAfter && c.byHost[w.Host] == w {
+			if !w.Draining && !w.leaving && !w.stale && !w.tainted && w.silent < silentAfter && c.byHost[w.Host] == w {
 				d.have++
 			}
 		}
--- a/job/machines_test.go
+++ b/job/machines_test.go
@@ -399,3 +399,19 @@
 	f.step(Accepted{ID: idB, Record: record(now), Created: 300})
 	require.Greater(t, f.core.balance.arrivals["blue"].long.value(f.now), 80.0, "cores")
 }
+
+// A machine that has left a pool is not counted there any more, although the record
+// of the worker that ended with it is still listed.
+func TestPoolDoesNotCountHostsThatHaveLeft(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1", "w2")
+	f.machinesAre(machineOf("w1", "blue"), machineOf("w2", "blue"))
+	gone := machineOf("", "spare")
+	gone.Name = "host-of-w1"
+	f.machinesAre(gone, machineOf("w2", "blue"))
+	for _, d := range f.core.demands("spare") {
+		if d.service == "blue" {
+			require.Equal(t, 1, d.have)
+		}
+	}
+}
