Have hosts for the steps that are about to open

Cause: pools counted a job's work as it came, and then what ran and waited; hosts given back as the first steps ended were missing two seconds later. Large jobs, of several steps, lost most.

--- a/job/demand.go
+++ b/job/demand.go
@@ -111,6 +111,9 @@
 	if host.MilliCores == 0 || host.MemoryMB == 0 {
 		return 0
 	}
+	soon := c.soon(service, c.now.Add(moveTakes))
+	need.MilliCores = max(need.MilliCores, soon.MilliCores)
+	need.MemoryMB = max(need.MemoryMB, soon.MemoryMB)
 	cores := float64(need.MilliCores)
 	if a := c.balance.arrivals[service]; a != nil {
 		cores = max(cores, a.forecast(c.now)*1000+float64(c.lastingCores(service)))
--- /dev/null
+++ b/job/soon.go
@@ -0,0 +1,65 @@
+package job
+
+import (
+	"time"
+
+	"amberway/platform"
+)
+
+// soon returns what the jobs of a service that are known will ask for at the time:
+// what waits, what will still run, and the steps that will have opened. The later
+// steps of a job ask for hosts seconds after it came.
+func (c *Core) soon(service string, at time.Time) platform.Resources {
+	var sum platform.Resources
+	for _, j := range c.listOf(service).jobs {
+		for _, n := range j.instances {
+			for _, s := range n.steps {
+				tasks := int64(c.asks(s, at))
+				if !s.Fills {
+					sum.MilliCores += tasks * s.MilliCores
+				}
+				sum.MemoryMB += tasks * s.MemoryMB
+			}
+		}
+	}
+	return sum
+}
+
+// asks returns how many tasks of the step will ask for room at the time.
+func (c *Core) asks(s *step, at time.Time) int {
+	switch {
+	case s.left == 0:
+		return 0
+	case s.Lasting:
+		return s.left
+	case !s.open():
+		if c.opensBy(s, at) {
+			return s.left
+		}
+		return 0
+	}
+	return c.unfinished(s, at)
+}
+
+// opensBy reports whether the steps before s are to be done by the time.
+func (c *Core) opensBy(s *step, at time.Time) bool {
+	for _, a := range s.After {
+		before := s.of.steps[a]
+		if before.left > 0 && (!before.open() || c.unfinished(before, at) > 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// unfinished counts the tasks of an open step that will not be done by the time.
+func (c *Core) unfinished(s *step, at time.Time) int {
+	n := s.idle
+	takes := c.expect(s.of.job, s.Step)
+	for _, t := range s.tasks {
+		if !t.done && len(t.runs) > 0 && t.runs[0].sentAt.Add(takes).After(at) {
+			n++
+		}
+	}
+	return n
+}
