--- a/common/exchange.go
+++ b/common/exchange.go
@@ -44,15 +44,15 @@
 }
 
 // NewExchange returns an Exchange that keeps at most conns idle connections to
-// one address.
-func NewExchange(conns int) Exchange {
+// one address, and total to all; 0 is no bound.
+func NewExchange(conns, total int) Exchange {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return dialAbrupt(ctx, d, network, address)
 		},
 		MaxIdleConnsPerHost: conns,
-		MaxIdleConns:        0,
+		MaxIdleConns:        total,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		WriteBufferSize:     2 << 10,
--- a/job/peer.go
+++ b/job/peer.go
@@ -37,7 +37,7 @@
 }
 
 func newPeers() *peers {
-	return &peers{x: common.NewExchange(peerConns)}
+	return &peers{x: common.NewExchange(peerConns, 0)}
 }
 
 // state asks the owner for a job's state.
