--- a/job/orders.go
+++ b/job/orders.go
@@ -29,7 +29,6 @@
 		t.awaySince = c.now
 	}
 	n := t.of.of
-	n.home = w.DataCentre
 	o := platform.StartOrder{
 		Task:     t.key().String(),
 		Run:      number,
--- a/job/place.go
+++ b/job/place.go
@@ -16,9 +16,6 @@
 	coresWeight  = 1000
 	memoryWeight = 100
 	blameWeight  = 200
-	// homeWeight keeps the tasks of one job in one data centre: a cut then holds up
-	// fewer jobs. It counts like a third of the cores.
-	homeWeight = 333
 	// farPenalty keeps a task near its data wherever there is room.
 	farPenalty = 1 << 38
 	// duePenalty keeps lasting tasks from hosts that a wave is to maintain, from
@@ -162,9 +159,6 @@
 	if w.due && t.of.Lasting {
 		v -= duePenalty
 	}
-	if w.DataCentre == t.of.of.home && !t.of.Lasting {
-		v += homeWeight
-	}
 	v -= int64(w.blame) * blameWeight
 	v += c.rateShared(w, t.of)
 	return v
--- a/job/state.go
+++ b/job/state.go
@@ -36,8 +36,6 @@
 	k     int
 	due   time.Time
 	steps []*step
-	// home is the data centre of the last task that was started.
-	home string
 	// left counts the tasks that are not done.
 	left int
 }
