--- a/job/follow.go
+++ b/job/follow.go
@@ -18,8 +18,8 @@
 	// workers: a watch that was cut without a word may cost half a second, not
 	// two. While jobs come, it answers sooner anyway.
 	ownerWatchWait = 500 * time.Millisecond
-	// watchSlack is how much longer than its wait a watch may take: a slow store
-	// takes a quarter of a second.
+	// watchSlack is how much longer than its wait a watch may take, after which its
+	// connection counts as silent: a slow store takes a quarter of a second.
 	watchSlack = 500 * time.Millisecond
 	// followRetry is the pause after a list or watch that failed.
 	followRetry = 150 * time.Millisecond
