Hold no hosts for jobs that wait for an earlier owner's workers

From 43 to 53 s gauges wanted 24 hosts and used one core of each, while wadis had 871 cores waiting: a job with at most one task on a worker waited for a worker behind a cut, and counted in what its pool spreads over.

--- a/job/demand.go
+++ b/job/demand.go
@@ -139,11 +139,11 @@
 }
 
 // spread returns how many hosts the bounds on tasks of one step on one worker
-// ask for.
+// ask for. Jobs that may not run yet ask for none.
 func (c *Core) spread(service string) int {
 	most := 0
 	for _, j := range c.live {
-		if j.queue.Service != service {
+		if j.queue.Service != service || !c.settled(j) {
 			continue
 		}
 		for _, n := range j.instances {
--- a/job/soon.go
+++ b/job/soon.go
@@ -8,10 +8,14 @@
 
 // soon returns what the jobs of a service that are known will ask for at the time:
 // what waits, what will still run, and the steps that will have opened. The later
-// steps of a job ask for hosts seconds after it came.
+// steps of a job ask for hosts seconds after it came. Jobs that may not run yet ask
+// for none.
 func (c *Core) soon(service string, at time.Time) platform.Resources {
 	var sum platform.Resources
 	for _, j := range c.listOf(service).jobs {
+		if !c.settled(j) {
+			continue
+		}
 		for _, n := range j.instances {
 			for _, s := range n.steps {
 				tasks := int64(c.asks(s, at))
--- a/job/soon_test.go
+++ b/job/soon_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"amberway/platform"
 )
 
 // A pool has hosts on their way for a step that opens by the time they take tasks,
@@ -34,3 +36,24 @@
 		require.Equal(t, v.wants, f.core.wants("blue") > 10, "once the rise of the load is forgotten")
 	}
 }
+
+// A job that may not run yet, since a worker of an earlier owner has not answered,
+// holds no hosts: they would stand idle until that worker's leases have lapsed.
+func TestPoolHoldsNoHostsForJobsThatMayNotRunYet(t *testing.T) {
+	f := newFixture(t)
+	s := oneTask()
+	s.Count = 24
+	s.MaxPerWorker = 1
+	r := NewRecord(f.core.queues["quick"], platform.Submission{Spec: "spec", Steps: []platform.Step{s}}, f.now)
+	f.step(Inherited{
+		Config:  testConfig(),
+		Workers: []platform.Worker{testWorker("w1")},
+		Roster:  Roster{Workers: []RosterEntry{{ID: "w1", Service: "blue", Host: "host-of-w1"}}},
+		Jobs:    []Accepted{{ID: idA, Record: r, Created: 50}},
+	})
+	f.machinesAre(machineOf("w1", "blue"))
+	require.Zero(t, f.core.spread("blue"))
+	require.Zero(t, f.core.soon("blue", f.now.Add(moveTakes)).MilliCores)
+	f.answer("w1", platform.Look{})
+	require.Equal(t, 24, f.core.spread("blue"))
+}
