--- a/job/demand.go
+++ b/job/demand.go
@@ -81,7 +81,7 @@
 		}
 		d := demand{service: s.Name, want: c.wants(s.Name), have: c.coming(s.Name)}
 		for _, w := range c.pools[s.Name] {
-			if !w.Draining && !w.leaving && !w.stale && !w.tainted && w.silent < silentAfter && c.byHost[w.Host] == w {
+			if c.serves(w) {
 				d.have++
 			}
 		}
@@ -94,6 +94,13 @@
 	return l
 }
 
+// serves reports whether the worker is one that its pool has: it takes tasks, or
+// will once it has answered.
+func (c *Core) serves(w *worker) bool {
+	ends := w.Draining || w.leaving || w.stale || w.tainted
+	return !ends && w.silent < silentAfter && c.byHost[w.Host] == w
+}
+
 // wants returns how many hosts a pool needs for what runs, waits and comes in.
 func (c *Core) wants(service string) int {
 	need := c.balance.waiting[service]
--- a/job/ends.go
+++ b/job/ends.go
@@ -89,8 +89,9 @@
 	c.begin(j)
 	c.mark(j)
 	if r != nil {
-		t.took = c.now.Sub(r.sentAt)
-		t.doneAt = r.at.ID
+		t.begunAt = r.sentAt
+		t.doneAt = c.now
+		t.doneOn = r.at.ID
 		c.learnRun(r)
 	}
 	if t.of.Gang {
--- a/job/slow.go
+++ b/job/slow.go
@@ -25,24 +25,24 @@
 )
 
 // crawls reports whether the run is better begun anew elsewhere: it needs much
-// longer for the rest than the whole task is expected to take, and by other tasks
+// longer for the rest than the total task is expected to take, and by other tasks
 // that is its worker's fault. A task moves for that once.
 func (c *Core) crawls(r *run) bool {
 	t := r.task
 	if t.of.Lasting || t.of.Fills || t.moved || t.of.Gang {
 		return false
 	}
-	whole, ok := r.whole()
+	total, ok := r.total()
 	went := r.heardAt.Sub(r.sentAt)
-	if !ok || went < slowAfter || whole-went <= slowBy*c.expect(t.of.of.job, t.of.Step)+slowAfter {
+	if !ok || went < slowAfter || total-went <= slowBy*c.expect(t.of.of.job, t.of.Step)+slowAfter {
 		return false
 	}
-	return c.slowFor(r, whole) && c.roomElsewhere(r.at, t)
+	return c.slowFor(r, total) && c.roomElsewhere(r.at, t)
 }
 
-// whole returns how long the run will have taken, by what its worker has last said
+// total returns how long the run will have taken, by what its worker has last said
 // of it. It reports false where the worker has not said enough.
-func (r *run) whole() (time.Duration, bool) {
+func (r *run) total() (time.Duration, bool) {
 	done := r.percent - r.adoptedAt
 	if r.phase != running || done <= 0 {
 		return 0, false
@@ -53,26 +53,26 @@
 // slowFor reports whether the run takes so long for its worker's sake: tasks of its
 // step take much less elsewhere or, where there are none, its worker is slow with
 // other jobs as well. Where neither tells, it has to be slow beyond all doubt.
-func (c *Core) slowFor(r *run, whole time.Duration) bool {
+func (c *Core) slowFor(r *run, total time.Duration) bool {
 	if l := r.task.of.elsewhere(r.at); len(l) >= slowWitnesses {
-		return float64(whole) > slowTimes*float64(median(l))
+		return float64(total) > slowTimes*float64(median(l))
 	}
 	if l := c.otherJobs(r); len(l) >= slowWitnesses {
 		return median(l) > slowTimes
 	}
-	return whole > slowAlone*c.expect(r.task.of.of.job, r.task.of.Step)
+	return total > slowAlone*c.expect(r.task.of.of.job, r.task.of.Step)
 }
 
 // elsewhere returns how long tasks of the step take on other workers.
 func (s *step) elsewhere(w *worker) []time.Duration {
 	var l []time.Duration
 	for _, t := range s.tasks {
-		if t.took > 0 && t.doneAt != w.ID {
-			l = append(l, t.took)
+		if !t.doneAt.IsZero() && t.doneOn != w.ID {
+			l = append(l, t.doneAt.Sub(t.begunAt))
 		}
 		for _, r := range t.runs {
-			if whole, ok := r.whole(); ok && r.at != w {
-				l = append(l, whole)
+			if total, ok := r.total(); ok && r.at != w {
+				l = append(l, total)
 			}
 		}
 	}
@@ -86,8 +86,8 @@
 	for _, o := range r.at.runs {
 		j := o.task.of.of.job
 		e := c.expect(j, o.task.of.Step)
-		if whole, ok := o.whole(); ok && e > 0 && j != r.task.of.of.job && !o.task.of.Lasting {
-			l = append(l, float64(whole)/float64(e))
+		if total, ok := o.total(); ok && e > 0 && j != r.task.of.of.job && !o.task.of.Lasting {
+			l = append(l, float64(total)/float64(e))
 		}
 	}
 	return l
--- a/job/state.go
+++ b/job/state.go
@@ -74,9 +74,9 @@
 	awaySince time.Time
 	// atWork says that a lasting task is at work.
 	atWork bool
-	// took is how long its good run took, and doneAt where.
-	took   time.Duration
-	doneAt platform.WorkerID
+	// begunAt and doneAt are the times of its good run, doneOn its worker.
+	begunAt, doneAt time.Time
+	doneOn          platform.WorkerID
 	// moved says that a run was given up for being slow.
 	moved bool
 	// stalls counts the runs that were given up for standing still.
@@ -112,7 +112,7 @@
 	// adoptedAt is the percent at which the owner came to know the run.
 	adoptedAt int
 	level     float64
-	// movedAt is when percent last rose, from movedFrom at the run's start.
+	// movedAt is when percent last changed.
 	movedAt time.Time
 	// heardAt is when its worker last said how far it is.
 	heardAt time.Time
