--- a/job/slow.go
+++ b/job/slow.go
@@ -25,7 +25,7 @@
 )
 
 // crawls reports whether the run is better begun anew elsewhere: it needs much
-// longer for the rest than the total task is expected to take, and by other tasks
+// longer for the rest than the whole task is expected to take, and by other tasks
 // that is its worker's fault. A task moves for that once.
 func (c *Core) crawls(r *run) bool {
 	t := r.task
