Take a host back only when its order to reboot is over

Another coordinator took the restart for the reboot and put the host into service; the order, which could be sent for a minute, then ended what ran there. Now an order lives for three seconds and is renewed under its term while the host has not restarted; nobody takes the host back before the order is over.

--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -10,8 +10,11 @@
 
 // Times of a host's maintenance.
 const (
-	// OrderLife is how long an order to the platform may be sent.
-	OrderLife = time.Minute
+	// OrderLife is how long an order to the platform may be sent before it is
+	// renewed. A host is not taken back before its order is over, so that it also
+	// bounds how much later than its reboot a host serves; a plan is made twice a
+	// second.
+	OrderLife = 3 * time.Second
 	// ReturnWithin is how long a reboot may take.
 	ReturnWithin = 15 * time.Minute
 	// GoneAfter is how long a host may be off a fresh list before its row goes.
@@ -208,13 +211,19 @@
 	p.resend(name, w, h)
 }
 
-// returned takes a rebooted host back, or notes that it stays away.
+// returned takes a rebooted host back, or notes that it stays away. While its order
+// may still be sent it is not taken back: the host may have restarted by itself, and
+// the order would end what runs on it by then.
 func (p *planner) returned(name string, w Row) {
 	h, ok := p.listed[name]
 	if p.stale {
 		return
 	}
-	if ok && h.Live && h.Boot > w.Boot {
+	restarted := ok && h.Live && h.Boot > w.Boot
+	if restarted && p.Now.Before(w.OrderBy) {
+		return
+	}
+	if restarted {
 		w.Done = append(slices.Clone(w.Done), w.Wave)
 		p.back(name, w)
 		return
@@ -227,12 +236,16 @@
 	p.resend(name, w, h)
 }
 
-// resend hands the order out again while it may be sent: its first sender may
-// have died before it was sent. The platform takes each term once.
+// resend hands the order out again, for a longer time if that is over: its first
+// sender may have died before it was sent. The platform takes each term once.
 func (p *planner) resend(name string, w Row, h platform.Host) {
-	if w.State != Rebooting || !h.Live || !p.Now.Before(w.OrderBy) {
+	if w.State != Rebooting || !h.Live {
 		return
 	}
+	if !p.Now.Before(w.OrderBy) {
+		w.OrderBy = p.Now.Add(OrderLife)
+		p.set(name, w)
+	}
 	p.out.Orders = append(p.out.Orders, platform.Order{Host: name, Term: w.Term, Deadline: w.OrderBy})
 }
 
--- a/fleet/plan_test.go
+++ b/fleet/plan_test.go
@@ -526,3 +526,36 @@
 		require.Equal(t, want, Plan(in).Record.Hosts["h00000"].State, term)
 	}
 }
+
+// A host that restarts by itself between the list and its order is not taken back
+// while that order may still be sent: it would end what runs there by then.
+func TestHostIsNotTakenBackBeforeItsOrderIsOver(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	at := func(boot int64, d time.Duration, r Record) Output {
+		return Plan(Input{
+			Now: now.Add(d), Generation: 1, DataCentre: testDC, Record: r,
+			Document: &config.Document{
+				DataCentres: []string{testDC}, Teams: []config.Team{{Name: "t"}},
+				Pools: []config.Pool{{Name: "a", Team: "t", Select: config.Selector{"pool": {"a"}}, Budget: config.Budget{Available: map[string]int{testDC: 0}}}},
+				Waves: []config.Wave{{Name: "w", Pools: []string{"a"}, Limit: 1, Failures: 1, State: config.WaveRunning}},
+			},
+			List: platform.HostList{AsOf: now.Add(d), Hosts: []platform.Host{
+				{Name: "h", DataCentre: testDC, Rack: "r", Labels: map[string]string{"pool": "a"}, Live: true, Boot: boot},
+			}},
+		})
+	}
+	r := Record{Version: 1, Generation: 1, Hosts: map[string]Row{"h": {Pool: "a", State: Drained, Term: 2, Wave: "w"}}}
+	o := at(1, 0, r)
+	require.Len(t, o.Orders, 1)
+	require.Equal(t, Rebooting, o.Record.Hosts["h"].State)
+
+	early := at(2, time.Second, o.Record)
+	require.Equal(t, Rebooting, early.Record.Hosts["h"].State)
+	late := at(2, OrderLife, o.Record)
+	require.Equal(t, InService, late.Record.Hosts["h"].State)
+
+	again := at(1, OrderLife, o.Record)
+	require.Len(t, again.Orders, 1, "a sender that died before it sent the order")
+	require.Equal(t, o.Orders[0].Term, again.Orders[0].Term)
+	require.True(t, again.Orders[0].Deadline.After(o.Orders[0].Deadline))
+}
