Tell which jobs a next owner holds back, and bound the log by kind

Each kind now has bounds of its own, and what was left out is told by kind once a second. No decision changes.

--- a/job/journal.go
+++ b/job/journal.go
@@ -1,6 +1,9 @@
 package job
 
 import (
+	"maps"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,10 +13,13 @@
 
 // Bounds of the log.
 const (
-	// logRate and logBurst bound the lines of one process: a start and an end
-	// for each of some two hundred tasks a second.
-	logRate  = 500
-	logBurst = 1000
+	// logRate and logBurst bound the lines of one kind: a start, and an end, for
+	// each of some two hundred tasks a second. Each kind has bounds of its own,
+	// so that a burst of starts leaves out no change of an owner.
+	logRate  = 200
+	logBurst = 400
+	// leftOutEvery is how often the lines that were left out are told.
+	leftOutEvery = time.Second
 	// logBuffer is how many lines may wait for a reader.
 	logBuffer = 2000
 )
@@ -21,11 +27,20 @@
 // Journal writes the log, one line for each decision. It never blocks: lines
 // beyond its bounds, or that nobody reads, are counted instead.
 type Journal struct {
-	logger  *logrus.Logger
-	limiter *rate.Limiter
-	lines   chan line
+	logger *logrus.Logger
+	lines  chan line
+	// dropped counts all lines that were left out.
 	dropped atomic.Int64
 	now     func() time.Time
+	mu      sync.Mutex
+	kinds   map[string]*logKind
+}
+
+// logKind is what the journal keeps of one kind of line.
+type logKind struct {
+	limiter *rate.Limiter
+	// untold counts the lines left out since that was last told.
+	untold int64
 }
 
 type line struct {
@@ -36,10 +51,10 @@
 // NewJournal returns a journal that writes to the logger until done is closed.
 func NewJournal(l *logrus.Logger, now func() time.Time, done <-chan struct{}) *Journal {
 	j := &Journal{
-		logger:  l,
-		limiter: rate.NewLimiter(logRate, logBurst),
-		lines:   make(chan line, logBuffer),
-		now:     now,
+		logger: l,
+		lines:  make(chan line, logBuffer),
+		now:    now,
+		kinds:  map[string]*logKind{},
 	}
 	go j.run(done)
 	return j
@@ -51,14 +66,33 @@
 		return
 	}
 	now := j.now()
-	if !j.limiter.AllowN(now, 1) {
-		j.dropped.Add(1)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	k := j.kind(n.What)
+	if k.limiter.AllowN(now, 1) && j.queue(line{at: now, Note: n}) {
 		return
 	}
+	k.untold++
+	j.dropped.Add(1)
+}
+
+// kind returns what is kept of a kind of line.
+func (j *Journal) kind(what string) *logKind {
+	k := j.kinds[what]
+	if k == nil {
+		k = &logKind{limiter: rate.NewLimiter(logRate, logBurst)}
+		j.kinds[what] = k
+	}
+	return k
+}
+
+// queue reports whether there was room for the line.
+func (j *Journal) queue(l line) bool {
 	select {
-	case j.lines <- line{at: now, Note: n}:
+	case j.lines <- l:
+		return true
 	default:
-		j.dropped.Add(1)
+		return false
 	}
 }
 
@@ -68,19 +102,37 @@
 }
 
 func (j *Journal) run(done <-chan struct{}) {
-	told := int64(0)
+	t := time.NewTicker(leftOutEvery)
+	defer t.Stop()
 	for {
 		select {
 		case l := <-j.lines:
 			j.print(l)
+		case <-t.C:
+			for _, l := range j.leftOut() {
+				j.print(l)
+			}
 		case <-done:
 			return
 		}
-		if n := j.dropped.Load(); n > told && len(j.lines) == 0 {
-			j.print(line{at: j.now(), Note: Note{What: "log lines left out", Inputs: []any{"lines", n - told}}})
-			told = n
+	}
+}
+
+// leftOut returns a line for each kind of which lines were left out since the last
+// call.
+func (j *Journal) leftOut() []line {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var l []line
+	for _, what := range slices.Sorted(maps.Keys(j.kinds)) {
+		k := j.kinds[what]
+		if k.untold == 0 {
+			continue
 		}
+		l = append(l, line{at: j.now(), Note: Note{What: "log lines left out", Why: what, Inputs: []any{"lines", k.untold}}})
+		k.untold = 0
 	}
+	return l
 }
 
 func (j *Journal) print(l line) {
--- /dev/null
+++ b/job/journal_test.go
@@ -0,0 +1,61 @@
+package job
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+// syncBuffer is a buffer that a journal writes while a test reads.
+type syncBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.String()
+}
+
+// A takeover comes with a burst of starts. The lines that tell of it must be there.
+func TestBurstOfOneKindLeavesOutNoOther(t *testing.T) {
+	var out syncBuffer
+	l := logrus.New()
+	l.SetOutput(&out)
+	j := NewJournal(l, time.Now, t.Context().Done())
+	for range 10 * logBurst {
+		j.Write(Note{What: "start"})
+	}
+	require.Eventually(t, func() bool { return len(j.lines) == 0 }, time.Second, time.Millisecond)
+	j.Write(Note{What: "takes over"})
+	require.Eventually(t, func() bool { return strings.Contains(out.String(), "takes over") }, time.Second, time.Millisecond)
+	require.Positive(t, j.Dropped())
+	require.Eventually(t, func() bool { return strings.Contains(out.String(), "log lines left out") }, 3*leftOutEvery, time.Millisecond)
+	require.Contains(t, out.String(), "why=start")
+}
+
+// Nobody reads the log: writing goes on, and counts.
+func TestLogThatNobodyReadsHoldsUpNothing(t *testing.T) {
+	r, w := io.Pipe()
+	t.Cleanup(func() { _ = r.Close() })
+	l := logrus.New()
+	l.SetOutput(w)
+	j := NewJournal(l, time.Now, t.Context().Done())
+	for i := range 3 * logBuffer {
+		j.Write(Note{What: string(rune('a' + i%26))})
+	}
+	require.Positive(t, j.Dropped())
+}
--- a/job/succession.go
+++ b/job/succession.go
@@ -44,8 +44,8 @@
 // succession is what an owner has to do with those before and after it.
 type succession struct {
 	// unmet are the services with workers that have not answered yet and on
-	// which an earlier owner's runs may go on.
-	unmet       map[string]bool
+	// which an earlier owner's runs may go on, by when that was first found.
+	unmet       map[string]time.Time
 	rosterDirty bool
 	// ownedUntil is the last time at which the owner is known to have owned.
 	ownedUntil time.Time
@@ -54,7 +54,7 @@
 }
 
 func newSuccession(now time.Time) succession {
-	return succession{unmet: map[string]bool{}, ownedUntil: now}
+	return succession{unmet: map[string]time.Time{}, ownedUntil: now}
 }
 
 // Inherited is what an owner finds in the store when it takes over.
@@ -141,16 +141,33 @@
 	if int64(j.created) > int64(c.fence) {
 		return true
 	}
-	return !c.unmet[j.queue.Service] && !c.unmet[j.Service]
+	_, waits := c.unmet[j.queue.Service]
+	_, waited := c.unmet[j.Service]
+	return !waits && !waited
 }
 
 // countUnmet finds the services with workers that have never answered and whose
 // earlier leases may go on.
 func (c *Core) countUnmet() {
-	clear(c.unmet)
+	before := c.unmet
+	c.unmet = map[string]time.Time{}
 	for _, w := range c.workers {
-		if w.inherited && !w.met && !c.lapsed(w) {
-			c.unmet[w.Service] = true
+		if !w.inherited || w.met || c.lapsed(w) {
+			continue
+		}
+		if _, counted := c.unmet[w.Service]; counted {
+			continue
+		}
+		since, known := before[w.Service]
+		if !known {
+			since = c.now
+			c.do(Note{What: "inherited jobs wait", Worker: w.ID, Why: "an earlier owner's runs may go on at a worker that has not answered", Inputs: []any{"service", w.Service, "host", w.Host, "silent", w.silent, "at_most_ms", w.lapsesAt.Sub(c.now).Milliseconds()}})
+		}
+		c.unmet[w.Service] = since
+	}
+	for s, since := range before {
+		if _, waits := c.unmet[s]; !waits {
+			c.do(Note{What: "inherited jobs go on", Inputs: []any{"service", s, "waited_ms", c.now.Sub(since).Milliseconds()}})
 		}
 	}
 }
