A next owner waits for a host that was removed for good: failing test

Brings the incident about by hand: the owner before had a lasting task on w2; w2's record is gone, its looks hang, no list of machines names its host. The tests beside it pass today and say what must stay: a host that the list names, one that answers, or one with a record is not given up.

--- /dev/null
+++ b/job/removed_test.go
@@ -0,0 +1,119 @@
+package job
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/common"
+	"amberway/platform"
+)
+
+// heir is an owner that has taken over a lasting job, whose task ran on w2 under the
+// owner before. Worker w1 has answered, has room, and is kept in its pool by a task of
+// a new job; w2 has no record in the store any more and does not answer.
+type heir struct {
+	*fixture
+	keeps StartRun
+}
+
+func newHeir(t *testing.T) *heir {
+	t.Helper()
+	f := newFixture(t)
+	s := oneTask()
+	s.Lasting = true
+	rec := NewRecord(f.core.queues["quick"], platform.Submission{Spec: "s", Steps: []platform.Step{s}}, f.now)
+	last := RosterEntry{ID: "w2", Service: "blue", Host: "host-of-w2", Address: netip.MustParseAddrPort("10.0.0.2:80")}
+	f.step(Inherited{
+		Config: testConfig(), Workers: []platform.Worker{testWorker("w1")},
+		Jobs:   []Accepted{{ID: idA, Record: rec, Created: 50}},
+		Roster: Roster{Workers: []RosterEntry{last}},
+	})
+	f.answer("w1", platform.Look{})
+	f.submit(idB, "quick", s)
+	l := f.starts()
+	require.Len(t, l, 1, "no earlier owner has seen the new job")
+	h := &heir{fixture: f, keeps: l[0]}
+	h.took(h.keeps)
+	return h
+}
+
+// live lets time pass while lists of machines name those given, looks at w2 hang and
+// w1 answers. It returns the starts of that time.
+func (f *heir) live(d time.Duration, l ...platform.Machine) []StartRun {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.pass(tickEvery)
+		f.hang("w2")
+		if _, ok := f.looks["w1"]; ok {
+			f.answer("w1", platform.Look{Running: []platform.RunningRow{runningRow(f.keeps, 100)}})
+		}
+		if f.core.listing {
+			f.machinesAre(l...)
+		}
+	}
+	return f.starts()
+}
+
+// hang ends a look at a worker that nothing answers, once its time is over.
+func (f *heir) hang(id platform.WorkerID) {
+	w := f.core.workers[id]
+	a, ok := f.looks[id]
+	if ok && w != nil && f.now.Sub(w.lookSentAt) >= lookSlack+a.Order.Wait {
+		f.fail(string(id), common.ErrNotSent)
+	}
+}
+
+// lastingTaskAgainWithin is how soon after the change of its owner a lasting task of a
+// removed host is to start: the users count it as lost from six seconds after its last
+// run, of which the owner's lease took up to one and a half.
+const lastingTaskAgainWithin = 4 * time.Second
+
+func TestNextOwnerDoesNotWaitForAHostThatWasRemoved(t *testing.T) {
+	f := newHeir(t)
+	l := f.live(lastingTaskAgainWithin, machineOf("w1", "blue"))
+	require.Len(t, l, 1)
+	require.EqualValues(t, "w1", l[0].Worker.ID)
+}
+
+// A host that is cut off stands in the list: its worker may run on.
+func TestNextOwnerWaitsForAHostThatTheListNames(t *testing.T) {
+	f := newHeir(t)
+	there := []platform.Machine{machineOf("w1", "blue"), machineOf("w2", "blue")}
+	require.Empty(t, f.live(inheritedLease-time.Second, there...))
+	require.Len(t, f.live(2*time.Second, there...), 1)
+}
+
+// The pages of a list are no snapshot: one list that lacks a host says nothing.
+func TestOneListThatLacksAHostSaysNothing(t *testing.T) {
+	f := newHeir(t)
+	f.fail("w2", common.ErrNotSent)
+	f.machinesAre(machineOf("w1", "blue"))
+	f.machinesAre(machineOf("w1", "blue"), machineOf("w2", "blue"))
+	f.machinesAre(machineOf("w1", "blue"))
+	f.pass(tickEvery)
+	require.Empty(t, f.starts())
+}
+
+// A worker whose record is there has begun of late or is about to go: the list may
+// lag behind it.
+func TestWorkerWithARecordIsNotTakenForRemoved(t *testing.T) {
+	f := newHeir(t)
+	f.step(WorkerListed{Worker: testWorker("w2")})
+	require.Empty(t, f.live(lastingTaskAgainWithin, machineOf("w1", "blue")))
+}
+
+// A host that answers is not removed, whatever the list says.
+func TestHostThatAnswersIsNotTakenForRemoved(t *testing.T) {
+	f := newHeir(t)
+	task := taskKey{id: idA}.String()
+	for range 20 {
+		f.pass(100 * time.Millisecond)
+		if _, ok := f.looks["w2"]; ok {
+			f.answer("w2", platform.Look{Running: []platform.RunningRow{{Task: task, Run: 7, Percent: 100}}})
+		}
+		f.machinesAre(machineOf("w1", "blue"))
+	}
+	require.Empty(t, f.starts())
+}
