Stand-in: machines that are taken away for good, leases that end in time

A machine of the fleet can say that it drains, serve on, and be removed: its record goes, the list of machines names it no more, and connections to its address are refused or hang, open ones included, as those to a machine without power. Some never say that they drain.

A worker that ends or falls silent no longer answers the look that waits at it. It answered it with an empty list of runs, which told the owner at once what no dead machine tells. Leases of the store's stand-in ended with the next call only, so that a change of owner took up to two seconds longer than by the platform's.

--- a/internal/standin/fleet/books.go
+++ b/internal/standin/fleet/books.go
@@ -111,6 +111,14 @@
 	return b.done[task]
 }
 
+// Runs reports whether the task runs.
+func (b *Books) Runs(task string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, ok := b.going[task]
+	return ok
+}
+
 // Running returns how many tasks run.
 func (b *Books) Running() int {
 	b.mu.Lock()
--- a/internal/standin/fleet/machines.go
+++ b/internal/standin/fleet/machines.go
@@ -27,6 +27,8 @@
 	ID       string   `json:"id"`
 	worker   *worker
 	wave     int64
+	// leaving says that it is being taken away for good.
+	leaving bool
 }
 
 // Fleet is the store, machines with workers, and the interface to machines.
@@ -39,9 +41,13 @@
 	DownFor  time.Duration
 	mu       sync.Mutex
 	machines []*Machine
-	lives    int
-	kv, api  *httptest.Server
-	down     map[int64]int
+	// gone are the lives of machines that were taken away for good, made the
+	// number of machines that there ever were.
+	gone    []*worker
+	made    int
+	lives   int
+	kv, api *httptest.Server
+	down    map[int64]int
 	// MostDown is the most machines of each wave that were down at once.
 	mostDown map[int64]int
 	moves    int
@@ -68,6 +74,9 @@
 			m.worker.end()
 		}
 	}
+	for _, w := range f.gone {
+		w.end()
+	}
 	f.Store.Close()
 	f.kv.CloseClientConnections()
 	f.kv.Close()
@@ -86,7 +95,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for range n {
-		i := len(f.machines)
+		i := f.made
+		f.made++
 		m := &Machine{
 			Name: fmt.Sprintf("m-%03d", i), Pool: pool, State: "up", Zone: fmt.Sprint("dc-", i%2),
 			Labels: []string{"a", fmt.Sprintf("r1-%d", i/4)}, Capacity: c,
@@ -102,12 +112,16 @@
 // boot starts the machine's worker, unless its pool is switched off.
 func (f *Fleet) boot(m *Machine) error {
 	m.State, m.ID, m.worker = "up", "", nil
-	if m.Pool == f.Spare {
+	if m.Pool == f.Spare || m.leaving {
 		return nil
 	}
 	f.lives++
 	m.ID = fmt.Sprintf("i-%06d", f.lives)
-	m.worker = newWorker(m.ID, m.Pool, m, f.Books)
+	w, err := newWorker(m.ID, m.Pool, m, f.Books)
+	if err != nil {
+		return err
+	}
+	m.worker = w
 	return f.Store.Put("servers/"+m.ID, m.worker.record(false))
 }
 
@@ -126,7 +140,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, m := range f.machines {
-		if m.worker != nil && m.worker.busy() {
+		if m.worker != nil && !m.leaving && m.State == "up" && m.worker.busy() {
 			id := m.ID
 			m.worker.end()
 			m.State = "down"
@@ -149,7 +163,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, m := range f.machines {
-		if w := m.worker; w != nil && w.busy() {
+		if w := m.worker; w != nil && !m.leaving && w.busy() {
 			w.setSilent(true)
 			time.AfterFunc(d, func() { w.setSilent(false) })
 			return w.id
@@ -226,7 +240,7 @@
 		http.Error(w, "no such machine", http.StatusBadRequest)
 	case m.Pool == q.Pool:
 		answer(w, http.StatusOK, map[string]string{})
-	case m.State != "up":
+	case m.State != "up", m.leaving:
 		answer(w, http.StatusConflict, map[string]string{"reason": "busy"})
 	default:
 		f.moves++
@@ -253,7 +267,7 @@
 		http.Error(w, "no such machine", http.StatusBadRequest)
 	case m.wave == q.Wave:
 		answer(w, http.StatusOK, map[string]string{})
-	case m.State != "up":
+	case m.State != "up", m.leaving:
 		answer(w, http.StatusConflict, map[string]string{"reason": "busy"})
 	default:
 		f.halt(m)
--- /dev/null
+++ b/internal/standin/fleet/removal.go
@@ -0,0 +1,204 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Removal says how a machine is taken away for good.
+type Removal struct {
+	// Drain is how long its worker says that it is draining before it goes;
+	// zero says nothing.
+	Drain time.Duration
+	// Hangs leaves connections to its address without an answer, also open
+	// ones, as those to a machine without power; else they are refused.
+	Hangs bool
+}
+
+// errNoWorker says that there is no worker of the id, or that it leaves already.
+var errNoWorker = errors.New("no such worker, or it is leaving")
+
+// Remove takes the machine of a worker away for good, once it has drained: its
+// record goes, it is listed no more, and nothing answers at its address. It
+// returns after that.
+func (f *Fleet) Remove(id string, r Removal) error {
+	m, err := f.beginRemoval(id, r)
+	if err != nil {
+		return err
+	}
+	time.Sleep(r.Drain)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m.worker != nil {
+		f.Store.Remove("servers/" + m.ID)
+		m.worker.leave(r.Hangs)
+		f.gone = append(f.gone, m.worker)
+		m.worker = nil
+	}
+	f.forget(m)
+	return nil
+}
+
+func (f *Fleet) beginRemoval(id string, r Removal) (*Machine, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machines {
+		if m.worker == nil || m.ID != id || m.leaving || m.State != "up" {
+			continue
+		}
+		m.leaving = true
+		if r.Drain > 0 {
+			return m, f.Store.Put("servers/"+m.ID, m.worker.record(true))
+		}
+		return m, nil
+	}
+	return nil, fmt.Errorf("%w: %s", errNoWorker, id)
+}
+
+func (f *Fleet) forget(m *Machine) {
+	for i, o := range f.machines {
+		if o == m {
+			f.machines = append(f.machines[:i:i], f.machines[i+1:]...)
+			return
+		}
+	}
+}
+
+// MostLasting returns the id of the worker with the most lasting tasks and its
+// pool, among those that are not leaving; none if no lasting task runs.
+func (f *Fleet) MostLasting() (id, pool string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for _, m := range f.machines {
+		if m.worker == nil || m.leaving || m.State != "up" {
+			continue
+		}
+		if n := m.worker.lasting(); n > most {
+			id, pool, most = m.ID, m.Pool, n
+		}
+	}
+	return id, pool
+}
+
+// Idle returns how many workers of the pool answer, are not leaving and have at
+// most so many runs.
+func (f *Fleet) Idle(pool string, most int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, m := range f.machines {
+		if m.worker != nil && m.Pool == pool && m.State == "up" && !m.leaving && m.worker.hasRoom(most) {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *worker) lasting() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, r := range w.runs {
+		if r.lasting {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *worker) hasRoom(most int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.silent && len(w.runs) <= most
+}
+
+// leave ends the life for good.
+func (w *worker) leave(hangs bool) {
+	if !hangs {
+		w.end()
+		return
+	}
+	w.setSilent(true)
+	w.endRuns()
+	w.gate.shut()
+}
+
+// gate is a listener that can be shut so that connections to it hang.
+type gate struct {
+	*net.TCPListener
+	isShut, isClosed chan struct{}
+	shutOnce, once   sync.Once
+	fillers          []net.Conn
+}
+
+func newGate() (*gate, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	t, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil, errors.New("no TCP listener")
+	}
+	return &gate{TCPListener: t, isShut: make(chan struct{}), isClosed: make(chan struct{})}, nil
+}
+
+// Accept returns the next connection, and waits for Close once it is shut.
+func (g *gate) Accept() (net.Conn, error) {
+	for {
+		select {
+		case <-g.isShut:
+			<-g.isClosed
+			return nil, net.ErrClosed
+		default:
+		}
+		c, err := g.TCPListener.Accept()
+		if !errors.Is(err, syscall.EAGAIN) && !isTimeout(err) {
+			return c, err
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
+
+// Close ends the listener.
+func (g *gate) Close() error {
+	g.once.Do(func() {
+		close(g.isClosed)
+		for _, c := range g.fillers {
+			_ = c.Close()
+		}
+	})
+	return g.TCPListener.Close()
+}
+
+// fillWait is how long a connection may take on loopback before the queue of the
+// listener counts as full.
+const fillWait = 50 * time.Millisecond
+
+// shut has new connections hang: nobody accepts any more, and the queue of the
+// listener is as short as it can be, and full.
+func (g *gate) shut() {
+	g.shutOnce.Do(func() {
+		close(g.isShut)
+		_ = g.SetDeadline(time.Now())
+		if r, err := g.SyscallConn(); err == nil {
+			_ = r.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) })
+		}
+		for range 8 {
+			c, err := net.DialTimeout("tcp", g.Addr().String(), fillWait)
+			if err != nil {
+				return
+			}
+			g.fillers = append(g.fillers, c)
+		}
+	})
+}
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -56,7 +56,28 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, items: map[string]item{}, leases: map[int64]lease{}, changed: make(chan struct{}), closed: make(chan struct{})}
+	s := &Store{revision: 1, items: map[string]item{}, leases: map[int64]lease{}, changed: make(chan struct{}), closed: make(chan struct{})}
+	go s.endLeases()
+	return s
+}
+
+// leaseTick is how late a lease may end.
+const leaseTick = 20 * time.Millisecond
+
+// endLeases ends leases in time, also while nobody calls.
+func (s *Store) endLeases() {
+	t := time.NewTicker(leaseTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.closed:
+			return
+		case <-t.C:
+			s.mu.Lock()
+			s.expire()
+			s.mu.Unlock()
+		}
+	}
 }
 
 // Close ends the watches that wait.
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -15,6 +15,7 @@
 	pool    string
 	machine *Machine
 	server  *httptest.Server
+	gate    *gate
 	books   *Books
 	born    time.Time
 	mu      sync.Mutex
@@ -41,9 +42,13 @@
 	pace    int
 }
 
-func newWorker(id, pool string, m *Machine, b *Books) *worker {
+func newWorker(id, pool string, m *Machine, b *Books) (*worker, error) {
+	g, err := newGate()
+	if err != nil {
+		return nil, err
+	}
 	w := &worker{
-		id: id, pool: pool, machine: m, books: b, born: time.Now(),
+		id: id, pool: pool, machine: m, gate: g, books: b, born: time.Now(),
 		runs: map[string]*run{}, highest: map[string]int64{}, changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -51,9 +56,22 @@
 	mux.HandleFunc("POST /run-stop", w.serveStop)
 	mux.HandleFunc("POST /hold", w.serveHold)
 	mux.HandleFunc("POST /pace", w.servePace)
-	w.server = httptest.NewServer(w.guard(mux))
+	w.server = &httptest.Server{Listener: g, Config: &http.Server{Handler: w.guard(mux)}}
+	w.server.Start()
 	go w.work()
-	return w
+	return w, nil
+}
+
+// mute ends a call without an answer: when the caller gives up, if the worker is
+// silent, else at once.
+func (w *worker) mute(r *http.Request) {
+	w.mu.Lock()
+	silent := w.silent
+	w.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // work ends runs in time, also while nobody asks.
@@ -78,8 +96,7 @@
 		silent := w.silent
 		w.mu.Unlock()
 		if silent {
-			<-r.Context().Done()
-			return
+			w.mute(r)
 		}
 		if x := r.Header.Get("Amberway-Expect-Instance"); x != "" && x != w.id {
 			rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -91,15 +108,20 @@
 
 // end ends the life and all that runs.
 func (w *worker) end() {
+	w.endRuns()
+	_ = w.gate.Close()
+	w.server.CloseClientConnections()
+	go w.server.Close()
+}
+
+func (w *worker) endRuns() {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.over = true
 	for t, r := range w.runs {
 		w.books.ended(t, r.number, "gone")
 	}
 	w.runs = map[string]*run{}
-	w.mu.Unlock()
-	w.server.CloseClientConnections()
-	go w.server.Close()
 }
 
 func (w *worker) clock() int64 {
@@ -252,6 +274,11 @@
 		w.pause()
 		w.live()
 	}
+	if w.over || w.silent {
+		w.mu.Unlock()
+		defer w.mu.Lock()
+		w.mute(r)
+	}
 	running := [][]any{}
 	for t, o := range w.runs {
 		running = append(running, []any{t, o.number, "", o.percent(), 0})
