--- /dev/null
+++ b/tests/removal_test.go
@@ -0,0 +1,80 @@
+package tests
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/internal/local"
+	"amberway/internal/standin/fleet"
+)
+
+// lastingJob has so many tasks that run until they are cancelled.
+func lastingJob(tasks int) fleet.Job {
+	return fleet.Job{Spec: "lasts", Steps: []fleet.Step{{Count: tasks, CPU: 500, MemMB: 10, Daemon: true}}}
+}
+
+// allRun reports whether all tasks of a job with one step run.
+func allRun(j *local.Jobs, id string, tasks int) bool {
+	for x := range tasks {
+		if !j.Fleet.Books.Runs(fmt.Sprintf("%s.0.0.%d", id, x)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Times of the next owner's way to the tasks of a removed host.
+const (
+	// killedAfter is how long after a host was removed its owner is killed: it
+	// has not given up the host's lease by then.
+	killedAfter = time.Second
+	// restartedWithin is how long after the kill lasting tasks have to be at work
+	// again: the owner's lease ends after 1.5 s, the next one takes over within
+	// half a second, and the last lease that a worker got before the kill is over
+	// 4.2 s after it on a slow clock. The rest is slack.
+	restartedWithin = 8 * time.Second
+)
+
+// TestLastingTasksOfARemovedHostAreRestartedByTheNextOwner takes a host with
+// lasting tasks away for good, with its record and its line in the list of
+// machines, and kills the owner before that has given the host's lease up.
+func TestLastingTasksOfARemovedHostAreRestartedByTheNextOwner(t *testing.T) {
+	for name, r := range map[string]fleet.Removal{
+		"connections are refused": {},
+		"connections hang":        {Hangs: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const tasks = 4
+			j := startJobs(t)
+			code, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), lastingJob(tasks))
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, code)
+			require.Eventually(t, func() bool { return allRun(j, jobID(1), tasks) }, jobsTime, tick)
+			id, _ := j.Fleet.MostLasting()
+			require.Eventually(t, func() bool { return rostered(j, id) }, jobsTime, tick)
+
+			require.NoError(t, j.Fleet.Remove(id, r))
+			require.False(t, allRun(j, jobID(1), tasks))
+			time.Sleep(killedAfter)
+			o := j.Owner()
+			require.NotNil(t, o)
+			o.Kill()
+			begun := time.Now()
+			require.Eventually(t, func() bool { return allRun(j, jobID(1), tasks) }, jobsTime, tick)
+			took := time.Since(begun)
+			t.Logf("at work %s after the owner's kill", took.Round(time.Millisecond))
+			require.Less(t, took, restartedWithin)
+		})
+	}
+}
+
+// rostered reports whether the store tells the next owner of the worker.
+func rostered(j *local.Jobs, id string) bool {
+	b, _ := j.Fleet.Store.Value("owner/workers")
+	return id != "" && strings.Contains(string(b), id)
+}
