Soak: lasting jobs are watched, machines are removed for good beside kills of the owner

Each run hands six lasting jobs in and checks that in calm, with room, a task is at work again within 6 s of its last run, and 3 s more to count; calm is 7 s without a fault. Series of their own remove the machine with the most lasting tasks, with or without its saying that it drains, and kill the owner once or twice after it; single events of a seed are as they were, and pause for 14 s after each 20.

--- a/internal/local/jobs.go
+++ b/internal/local/jobs.go
@@ -54,6 +54,14 @@
 // SparePool is the pool of machines that are switched off.
 const SparePool = "spare"
 
+// machineSize is what each machine has.
+var machineSize = fleet.Capacity{CPU: 8000, MemMB: 16000}
+
+// AddMachine adds a machine to a pool.
+func (j *Jobs) AddMachine(pool string) error {
+	return j.Fleet.Add(pool, 1, machineSize)
+}
+
 // StartJobs starts a deployment and waits until each entry host is ready. The
 // caller has to Stop it, also after an error.
 func StartJobs(bin, dir string, o JobsOptions) (*Jobs, error) {
@@ -64,13 +72,12 @@
 		o.Via = func(_, address string) (string, error) { return address, nil }
 	}
 	j := &Jobs{JobsOptions: o, Fleet: fleet.New(SparePool, o.DownFor), dir: dir, bin: bin}
-	size := fleet.Capacity{CPU: 8000, MemMB: 16000}
 	for pool, n := range o.Workers {
-		if err := j.Fleet.Add(pool, n, size); err != nil {
+		if err := j.Fleet.Add(pool, n, machineSize); err != nil {
 			return j, err
 		}
 	}
-	if err := j.Fleet.Add(SparePool, o.Spare, size); err != nil {
+	if err := j.Fleet.Add(SparePool, o.Spare, machineSize); err != nil {
 		return j, err
 	}
 	if err := j.Configure(); err != nil {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -26,6 +26,9 @@
 	firstStep, secondStep = 3, 2
 )
 
+// queues are the queues, each with a pool of its name.
+var queues = []string{"blue", "green"}
+
 // work returns job n. Its estimates are those of a short one.
 func work(n int) fleet.Job {
 	spec := "300ms"
@@ -45,7 +48,7 @@
 // success, and follows it to its end.
 func (r *Run) call(n int) {
 	id := fmt.Sprintf("%016x", n+1)
-	queue := []string{"blue", "green"}[n%2]
+	queue := queues[n%len(queues)]
 	if !r.handIn(n, queue, id) {
 		return
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"sync"
 	"syscall"
 	"time"
 
@@ -11,8 +12,11 @@
 // restartWithin is how long a stopped entry host may take to end.
 const restartWithin = 8 * time.Second
 
-// hit carries out one event. What it starts ends by itself.
+// hit carries out one event, and returns when it is over.
 func (r *Run) hit(e Event) {
+	if !e.planned() {
+		defer r.begin()()
+	}
 	x := r.jobs.Entries[e.Entry]
 	if o := r.jobs.Owner(); e.Owner && o != nil {
 		x = o
@@ -23,9 +27,11 @@
 	case Stop:
 		r.restart(x, syscall.SIGTERM, e.For)
 	case KillAll:
+		var wg sync.WaitGroup
 		for _, y := range r.jobs.Entries {
-			go r.restart(y, syscall.SIGKILL, e.For/4)
+			wg.Go(func() { r.restart(y, syscall.SIGKILL, e.For/4) })
 		}
+		wg.Wait()
 	case Freeze:
 		r.freeze(x, e.For)
 	case Hup:
@@ -44,13 +50,30 @@
 		r.jobs.Fleet.Store.Forget()
 	case Crash:
 		r.jobs.Fleet.Crash(e.For)
+		time.Sleep(e.For)
 	case Silence:
 		r.jobs.Fleet.Silence(e.For)
+		time.Sleep(e.For)
 	case Configure:
 		r.fail(r.jobs.Configure())
 	case Wave:
 		r.wave()
+	case Remove:
+		r.remove(fleet.Removal{Drain: e.For, Hangs: e.Hangs})
+	}
+}
+
+// addAfter is how long after a machine was removed another comes in its place.
+const addAfter = 2 * time.Second
+
+// remove takes the machine with the most lasting tasks away for good.
+func (r *Run) remove(how fleet.Removal) {
+	id, pool := r.jobs.Fleet.MostLasting()
+	if r.jobs.Fleet.Remove(id, how) != nil {
+		return
 	}
+	r.count("removed")
+	time.AfterFunc(addAfter, func() { r.fail(r.jobs.AddMachine(pool)) })
 }
 
 // restart ends an entry host by the signal and starts it again. One that is being
--- /dev/null
+++ b/internal/soak/lasting.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"amberway/internal/standin/fleet"
+)
+
+// Figures of the jobs whose tasks run until they are cancelled.
+const (
+	// lastingJobs is how many each pool has, and lastingTasks how many tasks each
+	// of them.
+	lastingJobs, lastingTasks = 3, 2
+	// lastingCPU is what a task takes, in thousandths of a core. A worker with
+	// at most roomRuns runs has room for it twice over, whichever they are.
+	lastingCPU, roomRuns = 500, 3
+	// restartIn is how long a task may be away after its last run: an owner's
+	// lease, its successor's first second, and the lease of a worker that is no
+	// more. overdueFor is how long it has to be overdue to count.
+	restartIn  = 6 * time.Second
+	overdueFor = 3 * time.Second
+	// calmFor is how long before there must have been no fault: the time that it
+	// is overdue, and the lease of a worker before that.
+	calmFor = overdueFor + 4*time.Second
+	// watchFor is how long lasting tasks are watched after the last fault was
+	// drawn: a fault lasts five seconds, and a breach shows after that.
+	watchFor = 5*time.Second + restartIn + overdueFor
+	// lookEvery is the pause between two looks at them.
+	lookEvery = 20 * time.Millisecond
+)
+
+// lasting is a task that is to run until its job is cancelled.
+type lasting struct {
+	task, queue string
+	// awaySince is when it was first seen not to run; zero while it runs.
+	awaySince time.Time
+	told      bool
+}
+
+// beginLasting hands the lasting jobs in, and returns their tasks.
+func (r *Run) beginLasting() []*lasting {
+	var l []*lasting
+	for i := range 2 * lastingJobs {
+		queue := queues[i%len(queues)]
+		id := fmt.Sprintf("%016x", lastingIDs+i)
+		j := fleet.Job{Spec: "lasts", Steps: []fleet.Step{
+			{Count: lastingTasks, CPU: lastingCPU, MemMB: 100, Daemon: true, MayMiss: i % 3},
+		}}
+		code, body, err := r.jobs.Entries[0].Call(http.MethodPost, queue, id, j)
+		if err != nil || code != http.StatusOK {
+			r.brokef("%s was not accepted before any fault: %d %s %v", id, code, body, err)
+			continue
+		}
+		for x := range lastingTasks {
+			l = append(l, &lasting{task: fmt.Sprintf("%s.0.0.%d", id, x), queue: queue})
+		}
+	}
+	return l
+}
+
+// lastingIDs begins the ids of lasting jobs.
+const lastingIDs = 0x1000000
+
+// watchLasting checks that each task is at work again in time: in calm, with
+// room, it is away for restartIn at most, and overdueFor more to count.
+func (r *Run) watchLasting(l []*lasting, until time.Time) {
+	roomSince := map[string]time.Time{}
+	for time.Now().Before(until) {
+		now := time.Now()
+		for _, q := range queues {
+			if !r.jobs.Fleet.HasRoom(q, roomRuns) {
+				roomSince[q] = now
+			}
+		}
+		calm := now.Sub(r.disturbedAt())
+		for _, t := range l {
+			r.look(t, now, calm, now.Sub(roomSince[t.queue]))
+		}
+		time.Sleep(lookEvery)
+	}
+}
+
+func (r *Run) look(t *lasting, now time.Time, calm, room time.Duration) {
+	switch {
+	case r.jobs.Fleet.Books.Runs(t.task):
+		t.awaySince, t.told = time.Time{}, false
+		return
+	case t.awaySince.IsZero():
+		t.awaySince = now
+	}
+	away := now.Sub(t.awaySince)
+	if t.told || away < restartIn+overdueFor || calm < calmFor || room < overdueFor {
+		return
+	}
+	t.told = true
+	r.brokef("%s is to last and has been away for %.1f s, the last %.1f s of them calm", t.task, away.Seconds(), min(calm, away).Seconds())
+}
+
+// begin notes that a fault begins, and the function that it returns that it ends.
+func (r *Run) begin() func() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults++
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.faults--
+		r.lastFault = time.Now()
+	}
+}
+
+// disturbedAt returns when there was last a fault: now if there is one.
+func (r *Run) disturbedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.faults > 0 {
+		return time.Now()
+	}
+	return r.lastFault
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,6 +27,7 @@
 	Configure Kind = "configure" // a new configuration
 	Wave      Kind = "wave"      // upkeep of half of the machines
 	KillAll   Kind = "kill all"  // SIGKILL of all entry hosts at once
+	Remove    Kind = "remove"    // a machine drains for For and is taken away for good
 )
 
 // weights says how often each kind is drawn.
@@ -60,6 +61,14 @@
 	Owner   bool
 	Trouble Trouble
 	For     time.Duration
+	// Hangs says that connections to a removed machine hang.
+	Hangs bool
+}
+
+// planned reports whether the event is no fault, but a change that the system is
+// to bear without notice.
+func (e Event) planned() bool {
+	return e.Kind == Configure || e.Kind == Wave || e.Kind == Hup
 }
 
 // String tells of the event on one line.
@@ -71,16 +80,59 @@
 	return fmt.Sprintf("%6.2fs %-9s %-9s trouble %d for %s", e.At.Seconds(), e.Kind, who, e.Trouble, e.For)
 }
 
+// Faults come for burst, and then pause for as long as lasting tasks need to show
+// that they are at work again.
+const (
+	burst = 20 * time.Second
+	pause = watchFor
+)
+
 // Plan returns the events that follow from the seed: two a second on average, in
-// series and overlapping, until the given time.
+// series and overlapping, until the given time, with pauses.
 func Plan(seed uint64, entries int, until time.Duration) []Event {
+	l := single(seed, entries, until)
+	l = slices.DeleteFunc(l, func(e Event) bool { return e.At%(burst+pause) > burst })
+	r := rand.New(rand.NewPCG(seed, 1))
+	for from := time.Duration(0); from < until; from += burst + pause {
+		l = append(l, removals(r, from, min(from+burst, until))...)
+	}
+	slices.SortStableFunc(l, func(a, b Event) int { return int(a.At - b.At) })
+	return l
+}
+
+// between draws a time, in whole milliseconds.
+func between(r *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(r.Int64N(max(1, (to-from).Milliseconds())))*time.Millisecond
+}
+
+// removals returns series of machines removed for good and kills of the owner: one
+// at any time of the burst, and one at its end, so that calm follows.
+func removals(r *rand.Rand, from, to time.Duration) []Event {
+	at := []time.Duration{between(r, from+time.Second, to), between(r, max(from, to-4*time.Second), to)}
+	var l []Event
+	for _, t := range at {
+		e := Event{At: t, Kind: Remove, Hangs: r.IntN(2) == 0}
+		if r.IntN(4) > 0 {
+			e.For = between(r, 200*time.Millisecond, 1500*time.Millisecond)
+		}
+		l = append(l, e)
+		t += e.For
+		for range 1 + r.IntN(2) {
+			t += between(r, 200*time.Millisecond, 3500*time.Millisecond)
+			l = append(l, Event{At: t, Kind: Kill, Owner: true, For: between(r, 200*time.Millisecond, 2*time.Second)})
+		}
+	}
+	return l
+}
+
+// single returns events that are drawn one by one.
+func single(seed uint64, entries int, until time.Duration) []Event {
 	r := rand.New(rand.NewPCG(seed, 0))
 	var l []Event
 	for at := time.Second; at < until; {
 		l = append(l, draw(r, at, entries))
 		at += time.Duration(r.ExpFloat64() * float64(600*time.Millisecond))
 	}
-	slices.SortStableFunc(l, func(a, b Event) int { return int(a.At - b.At) })
 	return l
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -28,13 +28,16 @@
 	jobs  *local.Jobs
 	links map[string][]*Link
 	// endsAt is when all faults are over and settle has passed.
-	endsAt  time.Time
-	mu      sync.Mutex
-	busy    map[string]bool
-	waves   int64
-	refused []string
-	counts  map[string]int
-	broken  []string
+	endsAt time.Time
+	mu     sync.Mutex
+	// faults is how many go on, lastFault when the last ended.
+	faults    int
+	lastFault time.Time
+	busy      map[string]bool
+	waves     int64
+	refused   []string
+	counts    map[string]int
+	broken    []string
 }
 
 // Report is what came of a run.
@@ -57,8 +60,10 @@
 		return Report{}, err
 	}
 	r.jobs.Fleet.Books.CheckOrder(firstStep)
+	l := r.beginLasting()
 	r.endsAt = time.Now().Add(o.For + settle)
 	var wg sync.WaitGroup
+	wg.Go(func() { r.watchLasting(l, time.Now().Add(o.For+watchFor)) })
 	wg.Go(func() { r.disturb(&wg) })
 	for n := 0; time.Until(r.endsAt) > settle; n++ {
 		wg.Go(func() { r.call(n) })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,11 +15,13 @@
 	for seed := range uint64(20) {
 		for _, e := range Plan(seed, 4, time.Minute) {
 			seen[e.Kind] = true
-			require.NotEqual(t, Sound, e.Trouble)
+			if e.Kind == LinkFault {
+				require.NotEqual(t, Sound, e.Trouble)
+			}
 			require.Less(t, e.Entry, 4)
 		}
 	}
-	require.Len(t, seen, len(weights), "each kind is drawn")
+	require.Len(t, seen, len(weights)+1, "each kind is drawn, and machines are removed")
 }
 
 // echo answers each byte, and returns its address.
--- a/internal/standin/fleet/removal.go
+++ b/internal/standin/fleet/removal.go
@@ -85,18 +85,20 @@
 	return id, pool
 }
 
-// Idle returns how many workers of the pool answer, are not leaving and have at
-// most so many runs.
-func (f *Fleet) Idle(pool string, most int) int {
+// HasRoom reports whether a worker of the pool answers, is not leaving and has at
+// most so many runs, or a machine is there that is switched off.
+func (f *Fleet) HasRoom(pool string, most int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 0
 	for _, m := range f.machines {
-		if m.worker != nil && m.Pool == pool && m.State == "up" && !m.leaving && m.worker.hasRoom(most) {
-			n++
+		if m.State != "up" || m.leaving {
+			continue
+		}
+		if m.Pool == f.Spare || m.Pool == pool && m.worker.hasRoom(most) {
+			return true
 		}
 	}
-	return n
+	return false
 }
 
 func (w *worker) lasting() int {
--- a/internal/standin/fleet/removal_test.go
+++ b/internal/standin/fleet/removal_test.go
@@ -48,7 +48,7 @@
 	go func() { done <- f.Remove(w.id, Removal{Drain: 300 * time.Millisecond}) }()
 	require.Eventually(t, func() bool {
 		v, _ := f.Store.Value("servers/" + w.id)
-		return string(v) != "" && f.Idle("blue", 9) == 0
+		return string(v) != "" && !f.HasRoom("blue", 9)
 	}, time.Second, 5*time.Millisecond)
 	v, _ := f.Store.Value("servers/" + w.id)
 	require.Contains(t, string(v), `"draining"`)
