Soak and stand-in: open connections that fall silent for good

Links between entry hosts and the platform, and workers' listeners, can have all open connections lose what they carry, both ways or answers only, without a reset; new connections pass. Neither side learns of the other's end by them.

--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,7 +38,27 @@
 	mu       sync.Mutex
 	trouble  Trouble
 	changed  chan struct{}
-	open     map[net.Conn]bool
+	open     map[*joint]bool
+}
+
+// joint is a connection and the one that passes it on. What it loses is lost for
+// good, and neither side learns of the other's end.
+type joint struct {
+	caller, server    net.Conn
+	requests, answers atomic.Bool
+}
+
+func (j *joint) close() {
+	reset(j.caller)
+	reset(j.server)
+}
+
+// loses reports whether what goes one way is lost.
+func (j *joint) loses(answers bool) bool {
+	if answers {
+		return j.answers.Load()
+	}
+	return j.requests.Load()
 }
 
 // NewLink returns a sound link to the address.
@@ -46,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &Link{listener: l, to: to, changed: make(chan struct{}), open: map[net.Conn]bool{}}
+	k := &Link{listener: l, to: to, changed: make(chan struct{}), open: map[*joint]bool{}}
 	go k.accept()
 	return k, nil
 }
@@ -77,12 +98,23 @@
 }
 
 func (k *Link) breakAll() {
-	for c := range k.open {
-		reset(c)
+	for j := range k.open {
+		j.close()
 	}
 	clear(k.open)
 }
 
+// Silence has all open connections lose what they carry from now on, for good:
+// answers, and requests as well unless oneWay. New connections are sound.
+func (k *Link) Silence(oneWay bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for j := range k.open {
+		j.answers.Store(true)
+		j.requests.Store(!oneWay || j.requests.Load())
+	}
+}
+
 // reset closes a connection so that the other side gets a reset.
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
@@ -117,25 +149,29 @@
 		reset(c)
 		return
 	}
+	j := &joint{caller: c, server: d}
 	k.mu.Lock()
-	k.open[c], k.open[d] = true, true
+	k.open[j] = true
 	k.mu.Unlock()
-	go k.pass(c, d, false)
-	k.pass(d, c, true)
+	var wg sync.WaitGroup
+	wg.Go(func() { k.pass(j, c, d, false) })
+	k.pass(j, d, c, true)
+	wg.Wait()
 	k.mu.Lock()
-	delete(k.open, c)
-	delete(k.open, d)
+	delete(k.open, j)
 	k.mu.Unlock()
 }
 
-// pass copies bytes until either side closes.
-func (k *Link) pass(from, to net.Conn, answers bool) {
-	defer func() { reset(from); reset(to) }()
+// pass copies bytes one way until either side closes.
+func (k *Link) pass(j *joint, from, to net.Conn, answers bool) {
+	defer k.end(j, from, answers)
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
 		if n > 0 {
 			k.hold(answers)
+		}
+		if n > 0 && !j.loses(answers) {
 			if _, err := to.Write(b[:n]); err != nil {
 				return
 			}
@@ -151,6 +187,16 @@
 	}
 }
 
+// end closes both sides, or only the one that has ended if the other is not to
+// learn of it.
+func (*Link) end(j *joint, from net.Conn, answers bool) {
+	if j.loses(answers) {
+		reset(from)
+		return
+	}
+	j.close()
+}
+
 // hold waits while the link lets nothing through.
 func (k *Link) hold(answers bool) {
 	for {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -26,6 +27,11 @@
 
 // echo answers each byte, and returns its address.
 func echo(t *testing.T) string {
+	return echoTo(t, make(chan byte, 1000))
+}
+
+// echoTo answers each byte and passes it on.
+func echoTo(t *testing.T, came chan<- byte) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -41,6 +47,7 @@
 					if _, err := c.Read(b); err != nil {
 						return
 					}
+					came <- b[0]
 					_, _ = c.Write(b)
 				}
 			}()
@@ -85,3 +92,35 @@
 	_, err = ask(c, time.Second)
 	require.Error(t, err)
 }
+
+func TestSilencedConnectionsStaySilentAndNewOnesPass(t *testing.T) {
+	for name, oneWay := range map[string]bool{"both ways": false, "one way": true} {
+		t.Run(name, func(t *testing.T) {
+			came := make(chan byte, 10)
+			k, err := NewLink(echoTo(t, came))
+			require.NoError(t, err)
+			t.Cleanup(k.Close)
+			c, err := net.Dial("tcp", k.Address())
+			require.NoError(t, err)
+			_, err = ask(c, time.Second)
+			require.NoError(t, err)
+			<-came
+			k.Silence(oneWay)
+			_, err = ask(c, 200*time.Millisecond)
+			require.ErrorIs(t, err, os.ErrDeadlineExceeded, "no answer, and no reset")
+			require.Len(t, came, map[bool]int{false: 0, true: 1}[oneWay], "requests that came")
+			_, err = ask(c, 200*time.Millisecond)
+			require.ErrorIs(t, err, os.ErrDeadlineExceeded, "for good")
+			d, err := net.Dial("tcp", k.Address())
+			require.NoError(t, err)
+			_, err = ask(d, time.Second)
+			require.NoError(t, err, "a new connection")
+			require.NoError(t, c.Close())
+			require.Eventually(t, func() bool {
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				return oneWay == (len(k.open) == 1)
+			}, time.Second, 5*time.Millisecond, "the server learns of the end only by what passes")
+		})
+	}
+}
--- a/internal/standin/fleet/removal.go
+++ b/internal/standin/fleet/removal.go
@@ -3,9 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
-	"sync"
-	"syscall"
 	"time"
 )
 
@@ -130,77 +127,15 @@
 	w.gate.shut()
 }
 
-// gate is a listener that can be shut so that connections to it hang.
-type gate struct {
-	*net.TCPListener
-	isShut, isClosed chan struct{}
-	shutOnce, once   sync.Once
-	fillers          []net.Conn
-}
-
-func newGate() (*gate, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	t, ok := l.(*net.TCPListener)
-	if !ok {
-		return nil, errors.New("no TCP listener")
-	}
-	return &gate{TCPListener: t, isShut: make(chan struct{}), isClosed: make(chan struct{})}, nil
-}
-
-// Accept returns the next connection, and waits for Close once it is shut.
-func (g *gate) Accept() (net.Conn, error) {
-	for {
-		select {
-		case <-g.isShut:
-			<-g.isClosed
-			return nil, net.ErrClosed
-		default:
-		}
-		c, err := g.TCPListener.Accept()
-		if !errors.Is(err, syscall.EAGAIN) && !isTimeout(err) {
-			return c, err
+// SilenceConnections has all open connections of the workers lose what they carry
+// from now on, for good: answers, and requests as well unless oneWay. New ones are
+// sound.
+func (f *Fleet) SilenceConnections(oneWay bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machines {
+		if m.worker != nil {
+			m.worker.gate.silence(oneWay)
 		}
 	}
 }
-
-func isTimeout(err error) bool {
-	var n net.Error
-	return errors.As(err, &n) && n.Timeout()
-}
-
-// Close ends the listener.
-func (g *gate) Close() error {
-	g.once.Do(func() {
-		close(g.isClosed)
-		for _, c := range g.fillers {
-			_ = c.Close()
-		}
-	})
-	return g.TCPListener.Close()
-}
-
-// fillWait is how long a connection may take on loopback before the queue of the
-// listener counts as full.
-const fillWait = 50 * time.Millisecond
-
-// shut has new connections hang: nobody accepts any more, and the queue of the
-// listener is as short as it can be, and full.
-func (g *gate) shut() {
-	g.shutOnce.Do(func() {
-		close(g.isShut)
-		_ = g.SetDeadline(time.Now())
-		if r, err := g.SyscallConn(); err == nil {
-			_ = r.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) })
-		}
-		for range 8 {
-			c, err := net.DialTimeout("tcp", g.Addr().String(), fillWait)
-			if err != nil {
-				return
-			}
-			g.fillers = append(g.fillers, c)
-		}
-	})
-}
--- a/internal/standin/fleet/removal_test.go
+++ b/internal/standin/fleet/removal_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -69,3 +71,37 @@
 	s.mu.Unlock()
 	require.Eventually(t, func() bool { _, ok := s.Value("k"); return !ok }, time.Second, 5*time.Millisecond)
 }
+
+// post starts a task at a worker.
+func post(c *http.Client, w *worker, task string, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.address()+"/run-start", strings.NewReader(`{"task":"`+task+`","run":1,"spec":"lasts","until_ms":60000}`))
+	if err != nil {
+		return err
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	return err
+}
+
+func TestSilentConnectionsOfAWorkerStaySilentAndNewOnesPass(t *testing.T) {
+	for name, oneWay := range map[string]bool{"both ways": false, "one way": true} {
+		t.Run(name, func(t *testing.T) {
+			f := New("spare", time.Second)
+			t.Cleanup(f.Close)
+			require.NoError(t, f.Add("blue", 1, Capacity{CPU: 1000}))
+			w := f.machines[0].worker
+			kept, other := &http.Client{Transport: &http.Transport{}}, &http.Client{Transport: &http.Transport{}}
+			require.NoError(t, post(kept, w, "a.0.0.0", time.Second))
+			f.SilenceConnections(oneWay)
+			require.ErrorIs(t, post(kept, w, "a.0.0.1", 200*time.Millisecond), context.DeadlineExceeded)
+			require.Equal(t, oneWay, f.Books.Runs("a.0.0.1"), "what was asked is done one way")
+			require.NoError(t, post(other, w, "a.0.0.2", time.Second), "a new connection")
+		})
+	}
+}
