--- /dev/null
+++ b/internal/standin/fleet/removal.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Removal says how a machine is taken away for good.
+type Removal struct {
+	// Drain is how long its worker says that it is draining before it goes;
+	// zero says nothing.
+	Drain time.Duration
+	// Hangs leaves connections to its address without an answer, also open
+	// ones, as those to a machine without power; else they are refused.
+	Hangs bool
+}
+
+// errNoWorker says that there is no worker of the id, or that it leaves already.
+var errNoWorker = errors.New("no such worker, or it is leaving")
+
+// Remove takes the machine of a worker away for good, once it has drained: its
+// record goes, it is listed no more, and nothing answers at its address. It
+// returns after that.
+func (f *Fleet) Remove(id string, r Removal) error {
+	m, err := f.beginRemoval(id, r)
+	if err != nil {
+		return err
+	}
+	time.Sleep(r.Drain)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m.worker != nil {
+		f.Store.Remove("servers/" + m.ID)
+		m.worker.leave(r.Hangs)
+		f.gone = append(f.gone, m.worker)
+		m.worker = nil
+	}
+	f.forget(m)
+	return nil
+}
+
+func (f *Fleet) beginRemoval(id string, r Removal) (*Machine, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machines {
+		if m.worker == nil || m.ID != id || m.leaving || m.State != "up" {
+			continue
+		}
+		m.leaving = true
+		if r.Drain > 0 {
+			return m, f.Store.Put("servers/"+m.ID, m.worker.record(true))
+		}
+		return m, nil
+	}
+	return nil, fmt.Errorf("%w: %s", errNoWorker, id)
+}
+
+func (f *Fleet) forget(m *Machine) {
+	for i, o := range f.machines {
+		if o == m {
+			f.machines = append(f.machines[:i:i], f.machines[i+1:]...)
+			return
+		}
+	}
+}
+
+// MostLasting returns the id of the worker with the most lasting tasks and its
+// pool, among those that are not leaving; none if no lasting task runs.
+func (f *Fleet) MostLasting() (id, pool string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for _, m := range f.machines {
+		if m.worker == nil || m.leaving || m.State != "up" {
+			continue
+		}
+		if n := m.worker.lasting(); n > most {
+			id, pool, most = m.ID, m.Pool, n
+		}
+	}
+	return id, pool
+}
+
+// HasRoom reports whether a worker of the pool answers, is not leaving and has at
+// most so many runs, or a machine is there that is switched off.
+func (f *Fleet) HasRoom(pool string, most int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machines {
+		if m.State != "up" || m.leaving {
+			continue
+		}
+		if m.Pool == f.Spare || m.Pool == pool && m.worker.hasRoom(most) {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *worker) lasting() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, r := range w.runs {
+		if r.lasting {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *worker) hasRoom(most int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.silent && len(w.runs) <= most
+}
+
+// leave ends the life for good.
+func (w *worker) leave(hangs bool) {
+	if !hangs {
+		w.end()
+		return
+	}
+	w.setSilent(true)
+	w.endRuns()
+	w.gate.shut()
+}
+
+// SilenceConnections has all open connections of the workers lose what they carry
+// from now on, for good: answers, and requests as well unless oneWay. New ones are
+// sound.
+func (f *Fleet) SilenceConnections(oneWay bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machines {
+		if m.worker != nil {
+			m.worker.gate.silence(oneWay)
+		}
+	}
+}
