--- a/job/world_machines_test.go
+++ b/job/world_machines_test.go
@@ -15,13 +15,15 @@
 // a host now and then, though never the same one twice in a row.
 func (w *world) listMachines() MachinesListed {
 	e := MachinesListed{SentAt: w.now}
+	before := w.skipped
+	w.skipped = map[string]bool{}
 	for i := range w.lives {
 		v := w.workers[platform.WorkerID(fmt.Sprint("w-", i+1))]
 		if !v.alive {
 			continue
 		}
-		if w.lossy && v.Host != w.skipped && rapid.IntRange(0, 3).Draw(w.t, "skipped") == 0 {
-			w.skipped = v.Host
+		if w.lossy && !before[v.Host] && rapid.IntRange(0, 3).Draw(w.t, "skipped") == 0 {
+			w.skipped[v.Host] = true
 			continue
 		}
 		e.Machines = append(e.Machines, platform.Machine{
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -31,10 +31,10 @@
 	restarted map[string][]*worldEnd
 	lossy     bool
 	cancels   map[ID]time.Time
-	// hosts is the number of the newest host, skipped the one that the last list of
+	// hosts is the number of the newest host, skipped those that the last list of
 	// machines left out.
 	hosts   int
-	skipped string
+	skipped map[string]bool
 }
 
 type delivery struct {
