A run that nobody waits for keeps its slot until the target has ended it

Cause: an attempt was cut off at its caller's deadline and its slot counted as free, while the target ran it to its end: nothing makes a target stop.

An attempt now has a context of its own. Its caller is answered at the deadline as before; the outcome counts against the target at once (Settle), and the slot is freed once the answer is there (Release), after 30 s at most. A hop to another entry host is still cut off with its caller, as it has a deadline of its own. The model of the scheduler draws runs that go on after their outcome. A planned stop waits for such runs before it says that it has left, or the others would use the slots.

Weighed: holding the slot for the run time that is left by the estimate (rejected: runs that last longer would still be run beside another).

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -170,6 +170,7 @@
 	defer cancel()
 	common.Sleep(within, d.settings.StopDelay)
 	err := callers.Shutdown(within)
+	d.server.Drain(within)
 	leave, done := context.WithTimeout(context.Background(), 2*time.Second)
 	defer done()
 	d.members.Leave(leave)
--- /dev/null
+++ b/request/attempt.go
@@ -0,0 +1,109 @@
+package request
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"amberway/common"
+)
+
+// attempt is one request on its way to one target. It has a context of its own,
+// so that it can outlast its caller.
+type attempt struct {
+	cancel context.CancelFunc
+	// sent says that the target may have got some of the request.
+	sent atomic.Bool
+	// over closes once reply or err is there.
+	over  chan struct{}
+	reply *Reply
+	err   error
+}
+
+// trace notes when the request has a connection.
+func (t *attempt) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.sent.Store(true) }}
+}
+
+// run sends the request and reads the start of the answer.
+func (t *attempt) run(r http.RoundTripper, req *http.Request, id string) {
+	defer close(t.over)
+	res, err := r.RoundTrip(req)
+	if err != nil {
+		t.err = &AttemptError{Sent: t.sent.Load(), Cause: err}
+		return
+	}
+	t.reply, err = readHead(res)
+	if err == nil {
+		err = crossed(res, id)
+	}
+	if err != nil {
+		_ = res.Body.Close()
+		t.err = &AttemptError{Sent: true, Cause: err}
+	}
+}
+
+// crossed returns an error for an answer to another request.
+func crossed(res *http.Response, id string) error {
+	if got := res.Header.Get(common.HeaderID); got != "" && got != id {
+		return merry.Errorf("answer is for request %s", got)
+	}
+	return nil
+}
+
+// outcome returns what the attempt came to. What is left of a long answer is cut
+// off at the end of the caller's context.
+func (t *attempt) outcome(ctx context.Context) (*Reply, error) {
+	if t.err != nil {
+		t.cancel()
+		return nil, t.err
+	}
+	if t.reply.Rest == nil {
+		t.cancel()
+		return t.reply, nil
+	}
+	stop := context.AfterFunc(ctx, t.cancel)
+	t.reply.Rest = &rest{ReadCloser: t.reply.Rest, done: func() { stop(); t.cancel() }}
+	return t.reply, nil
+}
+
+// leave lets the attempt run on without its caller. The error says when it is
+// over.
+func (t *attempt) leave(ctx context.Context) error {
+	over := make(chan struct{})
+	end := time.AfterFunc(runOut, t.cancel)
+	go func() {
+		defer close(over)
+		<-t.over
+		t.discard()
+		end.Stop()
+		t.cancel()
+	}()
+	return &AttemptError{Sent: true, Cause: context.Cause(ctx), Over: over}
+}
+
+// discard reads what is left of an answer that nobody waits for.
+func (t *attempt) discard() {
+	if t.reply == nil || t.reply.Rest == nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, t.reply.Rest)
+	_ = t.reply.Rest.Close()
+}
+
+// rest is what is left of an answer. It ends the attempt when it is closed.
+type rest struct {
+	io.ReadCloser
+	done func()
+}
+
+// Close ends the attempt.
+func (r *rest) Close() error {
+	defer r.done()
+	return r.ReadCloser.Close()
+}
--- a/request/dispatcher.go
+++ b/request/dispatcher.go
@@ -116,6 +116,23 @@
 	d.pump(d.scheduler.PoolOf(i.Service))
 }
 
+// Settle takes in the outcome of an attempt whose target may run on. The slot
+// stays taken until Release.
+func (d *Dispatcher) Settle(i *Item, o Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Settle(d.now(), i, o)
+}
+
+// Release frees the slot of an item that was settled, and starts what can start
+// in its place.
+func (d *Dispatcher) Release(i *Item) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Release(i)
+	d.pump(d.scheduler.PoolOf(i.Service))
+}
+
 // Drop ends an item that will not run, whether it waits or has started.
 func (d *Dispatcher) Drop(i *Item) {
 	if !d.Cancel(i) {
--- a/request/forward.go
+++ b/request/forward.go
@@ -9,11 +9,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"amberway/common"
 )
 
@@ -23,6 +20,9 @@
 	dialTimeout = time.Second
 	// idleTimeout closes a connection that nothing uses.
 	idleTimeout = 30 * time.Second
+	// runOut is how long after its caller's end a run may hold its slot: a tenth
+	// of the five minutes of a reboot, which a run that hangs holds back.
+	runOut = 30 * time.Second
 	// wholeBelow is the size in bytes up to which an answer is read to its
 	// end before any of it is passed on.
 	wholeBelow = 64 << 10
@@ -37,6 +37,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// RunsOn says that a target which has got the request runs it to its end,
+	// whoever waits for it: the end is waited for after the caller's.
+	RunsOn bool
 }
 
 // Reply is the start of a target's answer. Rest is nil where Head is all of it.
@@ -52,6 +55,8 @@
 	// Sent says that the target may have got some of the request.
 	Sent  bool
 	Cause error
+	// Over closes once the target has ended the run, where it may run on.
+	Over <-chan struct{}
 }
 
 // Error returns the cause and whether anything was sent.
@@ -93,26 +98,25 @@
 // Run sends the call to the target once and reads the start of its answer. The
 // error, if any, is an *AttemptError.
 func (f *Forwarder) Run(ctx context.Context, a netip.AddrPort, c Call) (*Reply, error) {
-	var got atomic.Bool
-	t := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }}
-	req, err := f.request(httptrace.WithClientTrace(ctx, t), a, c)
+	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	t := &attempt{cancel: cancel, over: make(chan struct{})}
+	req, err := f.request(httptrace.WithClientTrace(own, t.trace()), a, c)
 	if err != nil {
+		cancel()
 		return nil, &AttemptError{Cause: err}
 	}
-	res, err := f.transport(c).RoundTrip(req)
-	if err != nil {
-		return nil, &AttemptError{Sent: got.Load(), Cause: err}
-	}
-	r, err := readHead(res)
-	if err != nil {
-		_ = res.Body.Close()
-		return nil, &AttemptError{Sent: true, Cause: err}
+	go t.run(f.transport(c), req, c.ID)
+	select {
+	case <-t.over:
+		return t.outcome(ctx)
+	case <-ctx.Done():
 	}
-	if id := res.Header.Get(common.HeaderID); id != "" && id != c.ID {
-		_ = res.Body.Close()
-		return nil, &AttemptError{Sent: true, Cause: merry.Errorf("answer is for request %s", id)}
+	if !c.RunsOn || !t.sent.Load() {
+		cancel()
+		<-t.over
+		return t.outcome(ctx)
 	}
-	return r, nil
+	return nil, t.leave(ctx)
 }
 
 func (f *Forwarder) transport(c Call) *http.Transport {
--- a/request/item.go
+++ b/request/item.go
@@ -24,6 +24,8 @@
 	started  time.Time
 	// probe says that the attempt tries whether its target is back.
 	probe bool
+	// settled says that the outcome of the attempt is known.
+	settled bool
 }
 
 // UnitOf names what the scheduler queues the job's requests under: the service,
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -15,6 +15,26 @@
 
 // Done ends the item's attempt on its target and frees the slot.
 func (s *Scheduler) Done(now time.Time, i *Item, o Outcome) {
+	s.Settle(now, i, o)
+	s.Release(i)
+}
+
+// Settle takes in the outcome of an attempt whose target may run on, so that
+// the slot stays taken until Release. Only the first outcome counts.
+func (s *Scheduler) Settle(now time.Time, i *Item, o Outcome) {
+	t := i.target
+	if t == nil || i.settled {
+		return
+	}
+	i.settled = true
+	if !t.gone {
+		s.learn(now, i.pool, t, i, o)
+		i.pool.place(t)
+	}
+}
+
+// Release frees the slot of an item that has ended on its target.
+func (s *Scheduler) Release(i *Item) {
 	t := i.target
 	if t == nil {
 		return
@@ -24,9 +44,6 @@
 	i.pool = nil
 	p.busy[i.Class]--
 	s.leave(t.Name)
-	if !t.gone {
-		s.learn(now, p, t, i, o)
-	}
 	// The target may have left and come back since.
 	if cur, ok := s.targets[t.Name]; ok {
 		cur.busy = s.inFlight[t.Name]
--- a/request/run.go
+++ b/request/run.go
@@ -168,7 +168,9 @@
 		s.Dispatcher.Drop(i)
 		return nil, &AttemptError{Cause: errors.New("the target left")}
 	}
-	r, err := s.Runner.Run(ctx, a, q.call)
+	c := q.call
+	c.RunsOn = true
+	r, err := s.Runner.Run(ctx, a, c)
 	if err != nil {
 		s.ended(ctx, q, i, err)
 		return nil, err
@@ -180,10 +182,34 @@
 }
 
 // ended notes an attempt without an answer. One that the caller ended says
-// nothing about the target; one that ran into the deadline does.
+// nothing about the target; one that ran into the deadline does. The slot of one
+// that the target may still run stays taken until its end.
 func (s *Server) ended(ctx context.Context, q *intake, i *Item, err error) {
 	q.sent = q.sent || wasSent(err)
-	s.Dispatcher.Done(i, Outcome{Cancelled: errors.Is(ctx.Err(), context.Canceled)})
+	s.Dispatcher.Settle(i, Outcome{Cancelled: errors.Is(ctx.Err(), context.Canceled)})
+	var a *AttemptError
+	if !errors.As(err, &a) || a.Over == nil {
+		s.Dispatcher.Release(i)
+		return
+	}
+	s.running.Go(func() {
+		<-a.Over
+		s.Dispatcher.Release(i)
+	})
+}
+
+// Drain waits until no target runs a request any more that came through this
+// process, or the context ends.
+func (s *Server) Drain(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
 }
 
 // spill passes a request that was refused here for want of capacity on to
--- a/request/scheduler_test.go
+++ b/request/scheduler_test.go
@@ -122,12 +122,18 @@
 		t.Skip("nothing runs")
 	}
 	i := rapid.SampledFrom(m.running).Draw(t, "item")
-	m.running = slices.DeleteFunc(m.running, func(v *Item) bool { return v == i })
-	m.ended[i] = true
-	m.s.Done(m.now, i, Outcome{
+	o := Outcome{
 		OK:        rapid.Bool().Draw(t, "ok"),
 		Cancelled: rapid.IntRange(0, 4).Draw(t, "cancelled") == 0,
-	})
+	}
+	if rapid.IntRange(0, 2).Draw(t, "runs on") == 0 {
+		m.s.Settle(m.now, i, o)
+		m.pump()
+		return
+	}
+	m.running = slices.DeleteFunc(m.running, func(v *Item) bool { return v == i })
+	m.ended[i] = true
+	m.s.Done(m.now, i, o)
 	m.pump()
 }
 
--- a/request/server.go
+++ b/request/server.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"path"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -74,6 +75,8 @@
 	held   *semaphore.Weighted
 	// stopping asks callers to open their next connection elsewhere.
 	stopping atomic.Bool
+	// running are the runs that go on although their callers have their answers.
+	running sync.WaitGroup
 }
 
 // NewServer returns the callers' interface.
