Test that a planned stop serves connections that are kept; it fails

The stand-in of the caller was made to keep the error: EOF within 5 ms on a connection that had been idle, in the second in which the host stopped. http.Server.Shutdown closes idle connections at once; a request that is on its way on one of them is lost.

The new test sends on kept connections one after the other, from the signal on until well after the host was taken out, without looking whether the host has closed them, as a caller does whose request crosses the close.

--- /dev/null
+++ b/tests/stop_test.go
@@ -0,0 +1,77 @@
+package tests
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/internal/local"
+)
+
+// keptConn is a connection to an entry host that its caller keeps open.
+type keptConn struct {
+	net.Conn
+	answers *bufio.Reader
+}
+
+func keep(t *testing.T, e *local.Entry) *keptConn {
+	t.Helper()
+	c, err := net.Dial("tcp", e.Callers.String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
+	return &keptConn{Conn: c, answers: bufio.NewReader(c)}
+}
+
+// ask sends one request and reads its answer to the end. It does not look
+// whether the host has closed the connection meanwhile, as a caller does not
+// whose request and the host's close cross each other.
+func (k *keptConn) ask() error {
+	_, err := fmt.Fprint(k, "POST /tint/quick HTTP/1.1\r\nHost: entry\r\nContent-Length: 4\r\n\r\nbody")
+	if err != nil {
+		return err
+	}
+	res, err := http.ReadResponse(k.answers, nil)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK || !strings.HasPrefix(string(b), "/tint/quick ") {
+		return fmt.Errorf("status %d: %s", res.StatusCode, b)
+	}
+	return nil
+}
+
+// TestPlannedStopServesConnectionsThatAreKept sends requests on connections that
+// have been idle, one after the other, from the signal to stop on until well
+// after the host has been taken out: each has to be answered.
+func TestPlannedStopServesConnectionsThatAreKept(t *testing.T) {
+	d := start(t)
+	e := d.Entries[1]
+	var l []*keptConn
+	for range 60 {
+		k := keep(t, e)
+		require.NoError(t, k.ask())
+		l = append(l, k)
+	}
+	require.NoError(t, e.Signal(syscall.SIGTERM))
+	for i, k := range l {
+		time.Sleep(20 * time.Millisecond)
+		require.NoError(t, k.ask(), "connection %d", i)
+	}
+	code, err := e.Wait(10 * time.Second)
+	require.NoError(t, err)
+	require.Zero(t, code)
+}
