A planned stop closes connections only after callers have stopped using them

After the delay that the balancer has, the host goes on taking connections and requests until none has begun for 250 ms, closes its listener, waits the same for the connections that are kept, and only then shuts down. Each answer asks for the end of its connection, so that those in use become fewer. Looks are counted, not time, so that a host that was held up does not take requests that wait to be read for none. Both waits end after 5 s, for callers that never stop.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -105,7 +105,7 @@
 	}
 	g := peers.NewServer(d.settings.PeerToken)
 	d.offer(g)
-	callers := &http.Server{Handler: d.server, ReadHeaderTimeout: 10 * time.Second}
+	callers := request.NewCallers(d.server)
 	operators := &http.Server{Handler: d.admin, ReadHeaderTimeout: 10 * time.Second}
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Serve(l.callers) }()
@@ -118,7 +118,7 @@
 		return merry.Prepend(err, "daemon: listener")
 	case <-ctx.Done():
 	}
-	return d.stop(callers, operators, g)
+	return d.stop(callers, l.callers, operators, g)
 }
 
 type listeners struct {
@@ -162,14 +162,14 @@
 
 // stop takes no more requests once the balancer had time to learn of it, and
 // waits for those in flight.
-func (d *Daemon) stop(callers, operators *http.Server, g *grpc.Server) error {
+func (d *Daemon) stop(callers *request.Callers, l net.Listener, operators *http.Server, g *grpc.Server) error {
 	d.log.Infof("stopping")
 	d.stopping.Store(true)
 	d.server.Stopping()
 	within, cancel := context.WithTimeout(context.Background(), d.settings.StopWithin)
 	defer cancel()
 	common.Sleep(within, d.settings.StopDelay)
-	err := callers.Shutdown(within)
+	err := callers.Stop(within, l)
 	d.server.Drain(within)
 	leave, done := context.WithTimeout(context.Background(), 2*time.Second)
 	defer done()
--- /dev/null
+++ b/request/callers.go
@@ -0,0 +1,83 @@
+package request
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"amberway/common"
+)
+
+// Times of a planned stop.
+const (
+	// headerTimeout bounds the reading of a request's headers.
+	headerTimeout = 10 * time.Second
+	// quietTick is the time between two looks for new requests. A look that comes
+	// late counts as one, so that a process that was held up does not take the
+	// requests which wait to be read by it for none.
+	quietTick = 25 * time.Millisecond
+	// quietTicks is how many looks in a row have to find none: together some ten
+	// times as long as a request takes from its caller to a busy host.
+	quietTicks = 10
+	// quietWithin bounds the wait for callers that go on opening connections:
+	// they are past the delay that the balancer needs.
+	quietWithin = 5 * time.Second
+	// keptWithin bounds the wait for callers that go on using open connections.
+	// Each of them is closed by its next answer.
+	keptWithin = 5 * time.Second
+)
+
+// Callers is the listener's side of the callers' interface. Its stop loses no
+// request: HTTP/1.1 has no way to tell a caller that an idle connection is about
+// to be closed, so that one is closed only after no caller has used any for a
+// while.
+type Callers struct {
+	server *http.Server
+	// begun counts connections and requests that began.
+	begun atomic.Int64
+}
+
+// NewCallers returns the listener's side of the handler.
+func NewCallers(h http.Handler) *Callers {
+	c := &Callers{}
+	c.server = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnState: c.note}
+	return c
+}
+
+// note counts what a caller begins.
+func (c *Callers) note(_ net.Conn, s http.ConnState) {
+	if s == http.StateNew || s == http.StateActive {
+		c.begun.Add(1)
+	}
+}
+
+// Serve serves the listener's connections until it is closed.
+func (c *Callers) Serve(l net.Listener) error {
+	return c.server.Serve(l)
+}
+
+// Stop takes requests until callers have stopped sending them or the waits for
+// that have passed, and returns once none is in flight or the context ends. The
+// handler has to ask for the end of each connection by then.
+func (c *Callers) Stop(ctx context.Context, l net.Listener) error {
+	c.waitQuiet(ctx, quietWithin)
+	_ = l.Close()
+	c.waitQuiet(ctx, keptWithin)
+	return c.server.Shutdown(ctx)
+}
+
+// waitQuiet waits until no caller has begun anything for a while.
+func (c *Callers) waitQuiet(ctx context.Context, within time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	seen := c.begun.Load()
+	for n := 0; n < quietTicks && ctx.Err() == nil; n++ {
+		common.Sleep(ctx, quietTick)
+		if now := c.begun.Load(); now != seen {
+			seen = now
+			n = -1
+		}
+	}
+}
