Take what the kernel has set up off the callers' listener before its close

A connection that the kernel has set up and nobody has accepted is reset when its listener is closed. The close now accepts all of them first and hands them to the server before the error that ends it. What is left is the time between the last look and the close, of one system call each.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -131,7 +131,7 @@
 	var l listeners
 	var err error
 	var c net.ListenConfig
-	if l.callers, err = c.Listen(ctx, "tcp", d.checked.callers.String()); err != nil {
+	if l.callers, err = request.ListenForCallers(ctx, d.checked.callers); err != nil {
 		return l, merry.Prepend(err, "daemon: callers' listener")
 	}
 	if l.admin, err = c.Listen(ctx, "tcp", d.checked.admin.String()); err != nil {
--- a/request/callers_test.go
+++ b/request/callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -13,11 +14,8 @@
 // until the listener is closed, as on a host that was held up, with a request
 // on each of them.
 func TestCloseOfTheListenerLosesNoConnection(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := ListenForCallers(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
 	require.NoError(t, err)
-	tcp, ok := inner.(*net.TCPListener)
-	require.True(t, ok)
-	l := callerListener(tcp)
 	var open []net.Conn
 	for range 20 {
 		c, err := net.Dial("tcp", l.Addr().String())
@@ -38,8 +36,3 @@
 		require.NoError(t, err, "connection %d", n)
 	}
 }
-
-// callerListener returns the listener as the daemon uses it.
-func callerListener(l *net.TCPListener) net.Listener {
-	return l
-}
