Pay one time-out for all connections that went silent with one

Cause: an Exchange gave up the one connection whose call had timed out, and handed the next call another idle one, which had gone silent with it. Each cost a time-out of its own: up to eight to the store, twelve to a worker.

Now a connection notes when it last brought something. Once a call on one is overdue, the idle ones to its address that have brought nothing since its answer was due are closed, and the calls under way on such ones that may be repeated go again. Reads, watches, renewals, looks, stops, lists of machines, questions to the owner and for advice have half of their time on a kept connection and the rest on a new one; a watch and a look do not wait the second time. Writes to the store are given up as early, since whoever writes settles them by their conditions; starts, paces, orders to machines and relayed jobs are settled as before. A mark of a cancelled job is the same when written twice, and is written again at once.

What the advice service takes follows from the terms in the configuration and what was asked before, in place of three seconds for all.

Ruled out: a new transport for each address (the bound on all idle connections to workers would go), closing all idle connections to all (those of other workers are fine), TCP keep-alive (the least is a second to the first probe, and a proxy on the way answers it).

--- /dev/null
+++ b/common/connections.go
@@ -0,0 +1,160 @@
+package common
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Connections are the open connections of one client, by address. A connection may
+// go silent for good without a reset while new ones work. All that were opened
+// before the silence may be as dead as the one that showed it, so that they are
+// given up together.
+type Connections struct {
+	dial  func(ctx context.Context, network, address string) (net.Conn, error)
+	epoch time.Time
+	mu    sync.Mutex
+	open  map[string]map[*connection]bool
+}
+
+// NewConnections returns none yet. They are opened by dial.
+func NewConnections(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Connections {
+	return &Connections{dial: dial, epoch: time.Now(), open: map[string]map[*connection]bool{}}
+}
+
+// connection is one open connection.
+type connection struct {
+	net.Conn
+	of      *Connections
+	address string
+	// heard is when it was opened or last brought something, as the time since the
+	// epoch: that is read and written without a lock.
+	heard atomic.Int64
+	// calls are those under way on it. The next may begin just before the last
+	// has been noted to be over.
+	calls map[*Usage]bool
+}
+
+// Usage is one call on its way over a connection.
+type Usage struct {
+	on *connection
+	// giveUp ends the call on a connection that is no longer trusted, where it may
+	// be repeated; nil where it may not.
+	giveUp func()
+}
+
+// Dial opens a connection. It has the form that http.Transport wants.
+func (o *Connections) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	n, err := o.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &connection{Conn: n, of: o, address: address, calls: map[*Usage]bool{}}
+	c.hear()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.open[address] == nil {
+		o.open[address] = map[*connection]bool{}
+	}
+	o.open[address][c] = true
+	return c, nil
+}
+
+// Read reads, and notes that the connection is alive.
+func (c *connection) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.hear()
+	}
+	return n, err
+}
+
+func (c *connection) hear() {
+	c.heard.Store(int64(time.Since(c.of.epoch)))
+}
+
+func (c *connection) heardSince(t time.Time) bool {
+	return c.heard.Load() > int64(t.Sub(c.of.epoch))
+}
+
+// Close closes the connection.
+func (c *connection) Close() error {
+	c.of.forget(c)
+	return c.Conn.Close()
+}
+
+func (o *Connections) forget(c *connection) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l := o.open[c.address]
+	delete(l, c)
+	if len(l) == 0 {
+		delete(o.open, c.address)
+	}
+}
+
+// Begin notes that the call is on its way over the connection, which Dial has
+// opened, and no longer over an earlier one. A call that may be repeated is ended by
+// giveUp once the connection is no longer trusted; others have none.
+func (o *Connections) Begin(u *Usage, n net.Conn, giveUp func()) {
+	c, ok := n.(*connection)
+	if !ok {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	u.leave()
+	u.on, u.giveUp = c, giveUp
+	c.calls[u] = true
+}
+
+// End notes that the call is over.
+func (o *Connections) End(u *Usage) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	u.leave()
+}
+
+func (u *Usage) leave() {
+	if u.on != nil {
+		delete(u.on.calls, u)
+		u.on = nil
+	}
+}
+
+// Distrust closes the idle connections to the address that have brought nothing
+// since the time, and gives up the calls on others that may be repeated: one
+// connection was silent at that time. Other calls go on, and their connections are
+// kept if they still answer.
+func (o *Connections) Distrust(address string, since time.Time) {
+	idle, calls := o.suspects(address, since)
+	for _, c := range idle {
+		_ = c.Close()
+	}
+	for _, f := range calls {
+		f()
+	}
+}
+
+func (o *Connections) suspects(address string, since time.Time) ([]*connection, []func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var idle []*connection
+	var calls []func()
+	for c := range o.open[address] {
+		if c.heardSince(since) {
+			continue
+		}
+		if len(c.calls) == 0 {
+			idle = append(idle, c)
+		}
+		for u := range c.calls {
+			if u.giveUp != nil {
+				calls = append(calls, u.giveUp)
+			}
+		}
+	}
+	return idle, calls
+}
--- a/common/exchange_test.go
+++ b/common/exchange_test.go
@@ -38,7 +38,7 @@
 		var done sync.WaitGroup
 		for range burst {
 			done.Go(func() {
-				r, err := x.Call(context.Background(), http.MethodPost, at, "/", nil, nil)
+				r, err := x.Call(context.Background(), Request{Method: http.MethodPost, At: at, Path: "/"})
 				if err != nil || r.Status != http.StatusOK {
 					t.Errorf("status %d, %v", r.Status, err)
 				}
--- /dev/null
+++ b/common/silence_test.go
@@ -0,0 +1,178 @@
+package common
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/internal/standin/proxy"
+)
+
+// silentFixture is an exchange with kept connections to a server that has more than
+// one call under way at a time.
+type silentFixture struct {
+	*proxy.Proxy
+	x     Exchange
+	calls atomic.Int64
+	// together is how many calls the server waits for before it answers any.
+	together sync.WaitGroup
+}
+
+func newSilentFixture(t *testing.T, conns int) *silentFixture {
+	f := &silentFixture{x: NewExchange(conns, conns)}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.calls.Add(1)
+		switch r.URL.Path {
+		case "/together":
+			f.together.Done()
+			f.together.Wait()
+		case "/never":
+			<-r.Context().Done()
+		}
+		w.WriteHeader(http.StatusOK)
+	}))
+	t.Cleanup(s.CloseClientConnections)
+	var err error
+	f.Proxy, err = proxy.New(netip.MustParseAddrPort(s.Listener.Addr().String()))
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	f.together.Add(conns)
+	var done sync.WaitGroup
+	for range conns {
+		done.Go(func() {
+			if _, err := f.x.Call(t.Context(), f.request("/together")); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	done.Wait()
+	return f
+}
+
+func (f *silentFixture) request(path string) Request {
+	return Request{Method: http.MethodGet, At: f.Address(), Path: path}
+}
+
+func eachWay(t *testing.T, test func(*testing.T, proxy.Way)) {
+	for n, w := range map[string]proxy.Way{"both": proxy.Both, "answers": proxy.Answers} {
+		t.Run(n, func(t *testing.T) { test(t, w) })
+	}
+}
+
+func TestOneTimeOutIsPaidForAllSilentConnections(t *testing.T) {
+	eachWay(t, func(t *testing.T, w proxy.Way) {
+		f := newSilentFixture(t, 8)
+		require.Equal(t, 8, f.Silence(w))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := f.x.Repeat(ctx, f.request("/"), f.request("/"))
+		require.NoError(t, err, "a call that may be repeated is answered on a new connection in its time")
+		for range 8 {
+			ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+			_, err := f.x.Call(ctx, f.request("/"))
+			cancel()
+			require.NoError(t, err, "no other silent connection is used")
+		}
+	})
+}
+
+func TestCallThatMayHaveRunIsNotRepeated(t *testing.T) {
+	f := newSilentFixture(t, 4)
+	f.Silence(proxy.Answers)
+	f.calls.Store(0)
+	ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+	defer cancel()
+	_, err := f.x.Call(ctx, f.request("/"))
+	require.ErrorIs(t, err, ErrUnknown)
+	require.ErrorIs(t, err, ErrSilent)
+	require.Equal(t, int64(1), f.calls.Load())
+	next, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+	defer cancel()
+	_, err = f.x.Call(next, f.request("/"))
+	require.NoError(t, err)
+}
+
+func TestSettledCallLeavesTimeForTheNext(t *testing.T) {
+	f := newSilentFixture(t, 2)
+	f.Silence(proxy.Both)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	q := f.request("/")
+	q.Settled = true
+	_, err := f.x.Call(ctx, q)
+	require.ErrorIs(t, err, ErrSilent)
+	_, err = f.x.Call(ctx, q)
+	require.NoError(t, err, "the same time is enough for a second call")
+}
+
+func TestWaitingCallsBesideASilentOneGoAgainAtOnce(t *testing.T) {
+	f := newSilentFixture(t, 2)
+	f.Silence(proxy.Both)
+	waited := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		q := f.request("/")
+		q.Wait = 19 * time.Second
+		_, err := f.x.Repeat(ctx, q, f.request("/"))
+		waited <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := f.x.Repeat(ctx, f.request("/"), f.request("/"))
+	require.NoError(t, err)
+	select {
+	case err := <-waited:
+		require.NoError(t, err)
+	case <-time.After(time.Second):
+		t.Fatal("the waiting call stays on a connection that is no newer than the silent one")
+	}
+}
+
+func TestConnectionsThatAnswerAreKeptBesideOneThatDoesNot(t *testing.T) {
+	f := newSilentFixture(t, 6)
+	ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
+	defer cancel()
+	never := make(chan error, 1)
+	go func() {
+		_, err := f.x.Call(ctx, f.request("/never"))
+		never <- err
+	}()
+	time.Sleep(2 * answerWithin)
+	f.together.Add(5)
+	var done sync.WaitGroup
+	for range 5 {
+		done.Go(func() {
+			_, err := f.x.Call(t.Context(), f.request("/together"))
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	done.Wait()
+	require.ErrorIs(t, <-never, ErrSilent)
+	opened := f.Opened()
+	_, err := f.x.Call(t.Context(), f.request("/"))
+	require.NoError(t, err)
+	require.Equal(t, opened, f.Opened(), "what has answered since is trusted")
+}
+
+func TestNewConnectionWithoutAnAnswerIsNotSilent(t *testing.T) {
+	f := newSilentFixture(t, 1)
+	x := NewExchange(1, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
+	defer cancel()
+	f.calls.Store(0)
+	_, err := x.Repeat(ctx, f.request("/never"), f.request("/never"))
+	require.ErrorIs(t, err, ErrUnknown)
+	require.NotErrorIs(t, err, ErrSilent)
+	require.Equal(t, int64(1), f.calls.Load(), "a service that does not answer is not asked twice")
+}
--- /dev/null
+++ b/internal/standin/proxy/proxy.go
@@ -0,0 +1,128 @@
+// Package proxy passes TCP connections on over loopback, for tests of what
+// silent connections cost.
+package proxy
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+)
+
+// Way is which bytes of a silenced connection get lost.
+type Way int
+
+// The ways of a Proxy.
+const (
+	// Both loses requests and answers.
+	Both Way = iota
+	// Answers passes requests on and loses answers.
+	Answers
+)
+
+// Proxy passes connections on to an address. Those that are open can be silenced
+// for good, without a reset, while new ones work.
+type Proxy struct {
+	listener net.Listener
+	to       netip.AddrPort
+	opened   atomic.Int64
+	mu       sync.Mutex
+	links    map[*link]bool
+}
+
+// link is one connection that is passed on.
+type link struct {
+	client, server net.Conn
+	silent         [2]atomic.Bool
+}
+
+// New returns a proxy of the address.
+func New(to netip.AddrPort) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: l, to: to, links: map[*link]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+// Address is where the proxy listens.
+func (p *Proxy) Address() netip.AddrPort {
+	return netip.MustParseAddrPort(p.listener.Addr().String())
+}
+
+// Opened returns how many connections have been opened so far.
+func (p *Proxy) Opened() int64 {
+	return p.opened.Load()
+}
+
+// Silence loses from now on what the open connections carry, and returns how many
+// those are.
+func (p *Proxy) Silence(w Way) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		l.silent[0].Store(w == Both)
+		l.silent[1].Store(true)
+	}
+	return len(p.links)
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		l.close()
+	}
+}
+
+func (p *Proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		s, err := net.Dial("tcp", p.to.String())
+		if err != nil {
+			_ = c.Close()
+			continue
+		}
+		p.opened.Add(1)
+		l := &link{client: c, server: s}
+		p.mu.Lock()
+		p.links[l] = true
+		p.mu.Unlock()
+		go p.pass(l, c, s, &l.silent[0])
+		go p.pass(l, s, c, &l.silent[1])
+	}
+}
+
+// pass copies bytes, or loses them while the link is silent. The end of one side
+// ends the other, but for a silent link, where it is lost too.
+func (p *Proxy) pass(l *link, from, to net.Conn, silent *atomic.Bool) {
+	b := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(b)
+		if n > 0 && !silent.Load() {
+			_, _ = to.Write(b[:n])
+		}
+		if err != nil {
+			break
+		}
+	}
+	if silent.Load() {
+		return
+	}
+	l.close()
+	p.mu.Lock()
+	delete(p.links, l)
+	p.mu.Unlock()
+}
+
+func (l *link) close() {
+	_ = l.client.Close()
+	_ = l.server.Close()
+}
--- a/job/advice.go
+++ b/job/advice.go
@@ -31,7 +31,9 @@
 type AskAdvice struct {
 	Step    string
 	Workers []platform.WorkerID
-	Key     taskKey
+	// Terms say how long the service takes.
+	Terms platform.AdviceTerms
+	Key   taskKey
 }
 
 func (AskAdvice) action() {}
@@ -83,7 +85,7 @@
 	}
 	a.asking = true
 	l = l[:min(len(l), platform.MaxAdvised)]
-	c.do(AskAdvice{Step: s.stepName(), Workers: l, Key: s.tasks[0].key()})
+	c.do(AskAdvice{Step: s.stepName(), Workers: l, Terms: *s.of.job.queue.Advice, Key: s.tasks[0].key()})
 }
 
 // refused reports whether the advice service has ruled the worker out.
--- a/job/peer.go
+++ b/job/peer.go
@@ -18,7 +18,8 @@
 
 // Times of questions between entry hosts.
 const (
-	// peerTimeout bounds one question. Entry hosts are a millisecond apart.
+	// peerTimeout bounds one question. Entry hosts are a millisecond apart. A kept
+	// connection has half of it, and a new one the rest.
 	peerTimeout = 400 * time.Millisecond
 	// relayTimeout bounds the intake of a job through another entry host, which
 	// writes to the store.
@@ -44,7 +45,8 @@
 func (p *peers) state(ctx context.Context, o Owner, id ID) (platform.State, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	r, err := p.x.Call(ctx, http.MethodGet, o.Peer, "/jobs/"+string(id), nil, nil)
+	q := common.Request{Method: http.MethodGet, At: o.Peer, Path: "/jobs/" + string(id)}
+	r, err := p.x.Repeat(ctx, q, q)
 	switch {
 	case err != nil:
 		return "", false, err
@@ -60,7 +62,8 @@
 func (p *peers) waiting(ctx context.Context, o Owner, queue string) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	r, err := p.x.Call(ctx, http.MethodGet, o.Peer, "/queues?name="+url.QueryEscape(queue), nil, nil)
+	q := common.Request{Method: http.MethodGet, At: o.Peer, Path: "/queues?name=" + url.QueryEscape(queue)}
+	r, err := p.x.Repeat(ctx, q, q)
 	if err != nil {
 		return 0, err
 	}
@@ -74,7 +77,7 @@
 func (p *peers) accept(ctx context.Context, at netip.AddrPort, id ID, r Record) (common.Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	a, err := p.x.Call(ctx, http.MethodPost, at, "/jobs/"+string(id), r, nil)
+	a, err := p.x.Call(ctx, common.Request{Method: http.MethodPost, At: at, Path: "/jobs/" + string(id), Body: r})
 	switch {
 	case errors.Is(err, common.ErrNotSent):
 		return common.NotRun, err
@@ -90,7 +93,7 @@
 func (p *peers) cancel(ctx context.Context, at netip.AddrPort, id ID) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	r, err := p.x.Call(ctx, http.MethodDelete, at, "/jobs/"+string(id), nil, nil)
+	r, err := p.x.Call(ctx, common.Request{Method: http.MethodDelete, At: at, Path: "/jobs/" + string(id)})
 	switch {
 	case err != nil:
 		return false, err
--- a/job/perform.go
+++ b/job/perform.go
@@ -10,10 +10,13 @@
 
 // Bounds of one call to a worker.
 const (
-	// orderTimeout is how long a start, stop or pace may take. A worker answers
-	// in a few milliseconds.
-	orderTimeout = 800 * time.Millisecond
-	// lookSlack is how much longer than its wait a look may take.
+	// orderTimeout is how long a start, stop or pace may take: a fifth of a worker's
+	// lease, so that a start whose answer was lost is settled well before it ends. A
+	// worker answers in a few milliseconds.
+	orderTimeout = leaseFor / 5
+	// lookSlack is how much longer than its wait a look may take. A silent kept
+	// connection has half of it and a new one the rest; the look after a wait still
+	// extends a lease of leaseFor in its first half.
 	lookSlack = 700 * time.Millisecond
 )
 
@@ -112,6 +115,6 @@
 }
 
 func (o *owner) askAdvice(ctx context.Context, a AskAdvice) {
-	l, valid, err := o.Advice.Ask(ctx, a.Step, a.Workers)
+	l, valid, err := o.Advice.Ask(ctx, a.Step, a.Workers, a.Terms)
 	o.send(ctx, Advised{Key: a.Key, Asked: a.Workers, Tickets: l, Valid: valid, Err: err})
 }
--- a/job/serve.go
+++ b/job/serve.go
@@ -126,7 +126,8 @@
 			Guards: []platform.Guard{{Key: e.Key, Revision: e.Revision}},
 			Puts:   []platform.Put{{Key: cancelKey(id), Value: []byte("1")}},
 		})
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, platform.ErrConflict) || (errors.Is(err, common.ErrSilent) && ctx.Err() == nil) {
+			// The mark is the same if it was written and its answer lost.
 			continue
 		}
 		if err == nil {
