Derive how long a watch waits from what it protects

Cause: every watch waited two seconds and half a second of slack, whatever the platform allows for a configuration to be in force. With config_ms 2,000 a configuration acknowledged just after its watch had gone silent was late even where the next connection worked.

The setting config-within carries config_ms. The configuration's watch waits half of it, has another fifth on a kept connection and a fifth on a new one, which leaves a tenth for taking it in. The watch of the owner's key follows from the time to live of the owner's lease, and so do those of jobs and workers. A renewal has 0.3 s on a kept connection, which is less than the time to the next, and as long on a new one.

--- a/commands/settings.go
+++ b/commands/settings.go
@@ -12,6 +12,8 @@
 
 	"github.com/alexflint/go-arg"
 	"github.com/sirupsen/logrus"
+
+	"amberway/job"
 )
 
 // Settings are the settings of the daemon, from flags, environment variables
@@ -37,25 +39,27 @@
 	Orders     string   `arg:"--orders,env:AMBERWAY_ORDERS" yaml:"orders" help:"how workers take orders: call; with --store" placeholder:"WAY"`
 	LogFormat  string   `arg:"--log-format,env:AMBERWAY_LOG_FORMAT" yaml:"log-format" help:"text or json" placeholder:"FORMAT"`
 	LogLevel   string   `arg:"--log-level,env:AMBERWAY_LOG_LEVEL" yaml:"log-level" help:"error, warning, info or debug" placeholder:"LEVEL"`
-	// StopDelay and StopWithin are settings, not state: a deadline is made of
-	// each when the stop begins.
-	StopDelay  time.Duration `arg:"--stop-delay,env:AMBERWAY_STOP_DELAY" yaml:"stop-delay" help:"how long a stopping daemon takes requests while the balancer learns of it" placeholder:"TIME"`
-	StopWithin time.Duration `arg:"--stop-within,env:AMBERWAY_STOP_WITHIN" yaml:"stop-within" help:"how long a stopping daemon waits for requests in flight" placeholder:"TIME"`
+	// ConfigWithin, StopDelay and StopWithin are settings, not state: a deadline is
+	// made of each when a watch or the stop begins.
+	ConfigWithin time.Duration `arg:"--config-within,env:AMBERWAY_CONFIG_WITHIN" yaml:"config-within" help:"time from the store's acknowledgement of a configuration until it has to be in force; with --store" placeholder:"TIME"`
+	StopDelay    time.Duration `arg:"--stop-delay,env:AMBERWAY_STOP_DELAY" yaml:"stop-delay" help:"how long a stopping daemon takes requests while the balancer learns of it" placeholder:"TIME"`
+	StopWithin   time.Duration `arg:"--stop-within,env:AMBERWAY_STOP_WITHIN" yaml:"stop-within" help:"how long a stopping daemon waits for requests in flight" placeholder:"TIME"`
 }
 
 // defaultSettings are the settings where nothing else is said.
 func defaultSettings() Settings {
 	return Settings{
-		Callers:    "127.0.0.1:8080",
-		Admin:      "127.0.0.1:8081",
-		Peers:      "127.0.0.1:8082",
-		Ready:      "127.0.0.1:8083",
-		Cores:      1,
-		Orders:     "call",
-		LogFormat:  "text",
-		LogLevel:   "info",
-		StopDelay:  time.Second,
-		StopWithin: time.Hour,
+		Callers:      "127.0.0.1:8080",
+		Admin:        "127.0.0.1:8081",
+		Peers:        "127.0.0.1:8082",
+		Ready:        "127.0.0.1:8083",
+		Cores:        1,
+		Orders:       "call",
+		LogFormat:    "text",
+		LogLevel:     "info",
+		ConfigWithin: job.DefaultConfigWithin,
+		StopDelay:    time.Second,
+		StopWithin:   time.Hour,
 	}
 }
 
@@ -146,6 +150,11 @@
 	}
 }
 
+// leastConfigWithin is the least time in which a configuration can be in force: a
+// slow store takes a quarter of a second, which a watch on a silent connection and the
+// one after it both have.
+const leastConfigWithin = time.Second
+
 // checkJobs reads the settings that only jobs need.
 func (s *Settings) checkJobs(c *checked, fault faultFunc) {
 	c.store = address("--store", s.Store, fault)
@@ -157,6 +166,9 @@
 	if s.Platform != "" {
 		fault("--store and --platform exclude each other: a daemon serves jobs or requests")
 	}
+	if s.ConfigWithin < leastConfigWithin {
+		fault("--config-within: %s is below %s, in which a slow store can't tell of a configuration", s.ConfigWithin, leastConfigWithin)
+	}
 	if s.Cores <= 0 {
 		fault("--cores: %g is not above zero", s.Cores)
 	}
--- a/job/elect.go
+++ b/job/elect.go
@@ -96,7 +96,7 @@
 
 // follow keeps current until the context ends.
 func (e *election) follow(ctx context.Context) {
-	f := &follower{kv: e.kv, prefix: ownerKey, wait: watchWait, log: e.log}
+	f := &follower{kv: e.kv, prefix: ownerKey, watchTimes: ownerWatch, log: e.log}
 	f.listed = func(l []platform.Entry) {
 		if len(l) == 0 {
 			e.set(Owner{})
--- a/job/follow.go
+++ b/job/follow.go
@@ -11,26 +11,45 @@
 
 // Times of following the store.
 const (
-	// watchWait is how long one watch waits. A watch that a cut has silenced is
-	// noticed after it, and a configuration has to be in force in two seconds.
-	watchWait = 2 * time.Second
-	// ownerWatchWait is the same for an owner, whose watches bring jobs and
-	// workers: a watch that was cut without a word may cost half a second, not
-	// two. While jobs come, it answers sooner anyway.
-	ownerWatchWait = 500 * time.Millisecond
-	// watchSlack is how much longer than its wait a watch may take, after which its
-	// connection counts as silent: a slow store takes a quarter of a second.
-	watchSlack = 500 * time.Millisecond
+	// watchLongest is the longest that one watch waits: a node that hears nothing of
+	// the store for readyWithout calls itself not ready.
+	watchLongest = 2 * time.Second
 	// followRetry is the pause after a list or watch that failed.
 	followRetry = 150 * time.Millisecond
 )
 
+// watchTimes are the times of one watch.
+type watchTimes struct {
+	// wait is how long the store is asked to wait for a change.
+	wait time.Duration
+	// within is when the watch has failed. A kept connection that brings nothing in
+	// half of the time beyond the wait is silent, and a new one has the other half:
+	// whatever became of the first, a change is known by then.
+	within time.Duration
+}
+
+// Bounds of watches, each by what the watch protects.
+var (
+	// ownerWatch is for the owner's key. A host that learns late of a vacancy
+	// claims late; the lease of an owner that has died takes as long to end.
+	ownerWatch = watchTimes{wait: ownerTTL, within: 2 * ownerTTL}
+	// jobsWatch is for the jobs and workers of an owner: what a silent connection
+	// holds up is known within the time in which another would own. While jobs
+	// come, a watch answers sooner anyway.
+	jobsWatch = watchTimes{wait: ownerTTL / 3, within: ownerTTL}
+)
+
+// configWatch is for the configuration, which has to be in force within a time of
+// its acknowledgement. A tenth of that is left for taking it in.
+func configWatch(inForce time.Duration) watchTimes {
+	return watchTimes{wait: min(inForce/2, watchLongest), within: inForce - inForce/10}
+}
+
 // follower keeps up with all keys under a prefix.
 type follower struct {
 	kv     *platform.KV
 	prefix string
-	// wait is how long one watch waits.
-	wait time.Duration
+	watchTimes
 	// gather is the pause after changes, so that one watch brings several.
 	gather time.Duration
 	log    *Journal
@@ -86,7 +105,7 @@
 }
 
 func (f *follower) watchOnce(ctx context.Context, at platform.Revision) ([]platform.Event, platform.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, f.within)
 	defer cancel()
 	return f.kv.Watch(ctx, f.prefix, at, f.wait)
 }
--- a/job/load.go
+++ b/job/load.go
@@ -191,7 +191,7 @@
 // followJobs tells the core of new and cancelled jobs, and ends the ownership
 // when another owner shows among them.
 func (o *owner) followJobs(ctx context.Context, from platform.Revision) {
-	f := &follower{kv: o.KV, prefix: jobsPrefix, wait: ownerWatchWait, gather: watchGather, log: o.log}
+	f := &follower{kv: o.KV, prefix: jobsPrefix, watchTimes: jobsWatch, gather: watchGather, log: o.log}
 	f.listed = func(l []platform.Entry) {
 		err := o.stillOwns(ctx)
 		for err != nil && !errors.Is(err, errDeposed) && ctx.Err() == nil {
@@ -231,7 +231,7 @@
 
 // followWorkers tells the core of workers that come, change and go.
 func (o *owner) followWorkers(ctx context.Context, from platform.Revision) {
-	f := &follower{kv: o.KV, prefix: platform.WorkerPrefix, wait: ownerWatchWait, gather: watchGather, log: o.log}
+	f := &follower{kv: o.KV, prefix: platform.WorkerPrefix, watchTimes: jobsWatch, gather: watchGather, log: o.log}
 	f.listed = func(l []platform.Entry) {
 		all := WorkersListed{}
 		for _, v := range l {
--- a/job/node.go
+++ b/job/node.go
@@ -14,7 +14,7 @@
 )
 
 // readyWithout is how long a node stays ready without answers of the store. A
-// watch answers at least every two seconds.
+// watch answers at least every watchLongest.
 const readyWithout = 3 * time.Second
 
 // Settings are what a node is told at its start.
@@ -24,8 +24,14 @@
 	Peer netip.AddrPort
 	// Cores is how much of a core the host has.
 	Cores float64
+	// ConfigWithin is the time from the acknowledgement of a configuration until it
+	// has to be in force here; zero is DefaultConfigWithin.
+	ConfigWithin time.Duration
 }
 
+// DefaultConfigWithin is what platforms have asked for so far.
+const DefaultConfigWithin = 2 * time.Second
+
 // Node is the jobs' part of one entry host: it takes jobs in, tells of them,
 // and owns them all when it is its turn.
 type Node struct {
@@ -52,6 +58,9 @@
 // handler.
 func NewNode(s Settings, p Clients, log *Journal, d common.Deps, exposed http.Handler) (*Node, error) {
 	now := d.Now
+	if s.ConfigWithin == 0 {
+		s.ConfigWithin = DefaultConfigWithin
+	}
 	n := &Node{Clients: p, settings: s, log: log, now: now, peers: newPeers()}
 	n.election = newElection(p.KV, Owner{Name: s.Name, Peer: s.Peer}, s.Cores, log, now)
 	n.intake = newIntake(p.KV, log, now)
@@ -110,7 +119,7 @@
 			n.takeWave(e)
 		}
 	}
-	f := &follower{kv: n.KV, prefix: platform.OperatorPrefix, wait: watchWait, log: n.log}
+	f := &follower{kv: n.KV, prefix: platform.OperatorPrefix, watchTimes: configWatch(n.settings.ConfigWithin), log: n.log}
 	f.heard = func(err error) {
 		n.speed.sample()
 		if err == nil || errors.Is(err, platform.ErrCompacted) {
--- a/job/owner.go
+++ b/job/owner.go
@@ -18,9 +18,11 @@
 	// renewEvery is how often the owner's lease is renewed: four times in its
 	// time to live.
 	renewEvery = ownerTTL / 4
-	// renewTimeout bounds one renewal: the store answers within a quarter of a
-	// second while it is slow.
-	renewTimeout = 600 * time.Millisecond
+	// renewTimeout bounds one renewal. Half of it goes to a kept connection, which is
+	// less than renewEvery, so that the next renewal does not meet the same silence;
+	// the rest goes to a new one. The store answers within a quarter of a second
+	// while it is slow.
+	renewTimeout = 2 * ownerTTL / 5
 	// maxBatch is the most events that are taken in before tasks are placed.
 	maxBatch = 256
 	// stepEvery is the least time between two steps. Events that come closer
