Soak: connections fall silent in series, and configurations are checked

Series of their own have open connections to the store, the machines or workers fall silent for good, of some entry hosts and of all, beside all other faults, and the configuration changes every two seconds, in calm as well. Each configuration adds a queue and drops the one of the last; each entry host is asked for both ten times a second. The newest has to be in force within 2 s of its acceptance at an entry host that has been without faults for 3 s, as has the store, and none older may follow a newer in one life of the process.

A worker's stand-in that ended while it was silent kept its server's end waiting.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -14,13 +14,13 @@
 
 // hit carries out one event, and returns when it is over.
 func (r *Run) hit(e Event) {
-	if !e.planned() {
-		defer r.begin()()
-	}
 	x := r.jobs.Entries[e.Entry]
 	if o := r.jobs.Owner(); e.Owner && o != nil {
 		x = o
 	}
+	if s := e.scope(x.Name); s != "" {
+		defer r.begin(s)()
+	}
 	switch e.Kind {
 	case Kill:
 		r.restart(x, syscall.SIGKILL, e.For)
@@ -55,14 +55,53 @@
 		r.jobs.Fleet.Silence(e.For)
 		time.Sleep(e.For)
 	case Configure:
-		r.fail(r.jobs.Configure())
+		r.configure()
 	case Wave:
 		r.wave()
+	case Stale:
+		r.silence(x.Name, e)
 	case Remove:
 		r.remove(fleet.Removal{Drain: e.For, Hangs: e.Hangs})
 	}
 }
 
+// scope returns what the event disturbs; nothing if it is no fault, but a change
+// that the system is to bear without notice. Connections that fall silent count
+// as a reset of those of the entry hosts.
+func (e Event) scope(entry string) string {
+	switch e.Kind {
+	case Configure, Wave, Hup:
+		return ""
+	case KillAll:
+		return scopeAll
+	case Refuse, Lose, Delay, Mute:
+		return scopeStore
+	case Forget:
+		return scopeHistory
+	case Crash, Silence, Remove:
+		return scopeWorkers
+	case Stale:
+		if e.All {
+			return scopeAll
+		}
+	default:
+	}
+	return entry
+}
+
+// silence has open connections fall silent, of one entry host or of all.
+func (r *Run) silence(entry string, e Event) {
+	if e.Way == wayWorkers {
+		r.jobs.Fleet.SilenceConnections(e.OneWay)
+		return
+	}
+	for name, l := range r.links {
+		if e.All || name == entry {
+			l[e.Way].Silence(e.OneWay)
+		}
+	}
+}
+
 // addAfter is how long after a machine was removed another comes in its place.
 const addAfter = 2 * time.Second
 
@@ -83,6 +122,8 @@
 		return
 	}
 	defer r.release(x.Name)
+	r.newLife(x.Name)
+	defer r.newLife(x.Name)
 	_ = x.Signal(s)
 	if s == syscall.SIGTERM {
 		if _, err := x.Wait(restartWithin); err != nil {
--- a/internal/soak/lasting.go
+++ b/internal/soak/lasting.go
@@ -65,9 +65,9 @@
 
 // watchLasting checks that each task is at work again in time: in calm, with
 // room, it is away for restartIn at most, and overdueFor more to count.
-func (r *Run) watchLasting(l []*lasting, until time.Time) {
+func (r *Run) watchLasting(l []*lasting) {
 	roomSince := map[string]time.Time{}
-	for time.Now().Before(until) {
+	for !r.watched() {
 		now := time.Now()
 		for _, q := range queues {
 			if !r.jobs.Fleet.HasRoom(q, roomRuns) {
@@ -97,26 +97,3 @@
 	t.told = true
 	r.brokef("%s is to last and has been away for %.1f s, the last %.1f s of them calm", t.task, away.Seconds(), min(calm, away).Seconds())
 }
-
-// begin notes that a fault begins, and the function that it returns that it ends.
-func (r *Run) begin() func() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.faults++
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.faults--
-		r.lastFault = time.Now()
-	}
-}
-
-// disturbedAt returns when there was last a fault: now if there is one.
-func (r *Run) disturbedAt() time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.faults > 0 {
-		return time.Now()
-	}
-	return r.lastFault
-}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -31,6 +31,20 @@
 // store takes.
 const slowBy = 120 * time.Millisecond
 
+// Way is where connections lead to.
+type Way string
+
+// The ways out of an entry host. Connections to workers have no links: they fall
+// silent at the workers.
+const (
+	wayStore    Way = "store"
+	wayMachines Way = "machines"
+	wayWorkers  Way = "workers"
+)
+
+// links are an entry host's.
+type links map[Way]*Link
+
 // Link passes connections on to an address, over loopback.
 type Link struct {
 	listener net.Listener
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -28,6 +28,7 @@
 	Wave      Kind = "wave"      // upkeep of half of the machines
 	KillAll   Kind = "kill all"  // SIGKILL of all entry hosts at once
 	Remove    Kind = "remove"    // a machine drains for For and is taken away for good
+	Stale     Kind = "stale"     // open connections fall silent for good
 )
 
 // weights says how often each kind is drawn.
@@ -63,12 +64,10 @@
 	For     time.Duration
 	// Hangs says that connections to a removed machine hang.
 	Hangs bool
-}
-
-// planned reports whether the event is no fault, but a change that the system is
-// to bear without notice.
-func (e Event) planned() bool {
-	return e.Kind == Configure || e.Kind == Wave || e.Kind == Hup
+	// Way is which connections fall silent, of all entry hosts if All, and for
+	// answers only if OneWay.
+	Way         Way
+	All, OneWay bool
 }
 
 // String tells of the event on one line.
@@ -77,6 +76,9 @@
 	if e.Owner {
 		who = "the owner"
 	}
+	if e.Kind == Stale {
+		return fmt.Sprintf("%6.2fs %-9s %-9s way %s, of all: %t, one way: %t", e.At.Seconds(), e.Kind, who, e.Way, e.All, e.OneWay)
+	}
 	return fmt.Sprintf("%6.2fs %-9s %-9s trouble %d for %s", e.At.Seconds(), e.Kind, who, e.Trouble, e.For)
 }
 
@@ -94,8 +96,11 @@
 	l = slices.DeleteFunc(l, func(e Event) bool { return e.At%(burst+pause) > burst })
 	r := rand.New(rand.NewPCG(seed, 1))
 	for from := time.Duration(0); from < until; from += burst + pause {
-		l = append(l, removals(r, from, min(from+burst, until))...)
+		to := min(from+burst, until)
+		l = append(l, removals(r, from, to)...)
+		l = append(l, stales(r, entries, from, to)...)
 	}
+	l = append(l, configurations(r, until)...)
 	slices.SortStableFunc(l, func(a, b Event) int { return int(a.At - b.At) })
 	return l
 }
@@ -125,6 +130,28 @@
 	return l
 }
 
+// stales returns a series of connections that fall silent: of some entry hosts,
+// then of all.
+func stales(r *rand.Rand, entries int, from, to time.Duration) []Event {
+	var l []Event
+	ways := []Way{wayStore, wayStore, wayMachines, wayWorkers}
+	for at := between(r, from+time.Second, to); at < to; at += between(r, 500*time.Millisecond, 6*time.Second) {
+		e := Event{At: at, Kind: Stale, Entry: r.IntN(entries), Owner: r.IntN(2) == 0, All: r.IntN(2) == 0, OneWay: r.IntN(3) == 0}
+		e.Way = ways[r.IntN(len(ways))]
+		l = append(l, e)
+	}
+	return l
+}
+
+// configurations returns changes of the configuration, in calm as well.
+func configurations(r *rand.Rand, until time.Duration) []Event {
+	var l []Event
+	for at := time.Second; at < until+pause; at += between(r, 300*time.Millisecond, 4*time.Second) {
+		l = append(l, Event{At: at, Kind: Configure})
+	}
+	return l
+}
+
 // single returns events that are drawn one by one.
 func single(seed uint64, entries int, until time.Duration) []Event {
 	r := rand.New(rand.NewPCG(seed, 0))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -26,18 +26,22 @@
 type Run struct {
 	Options
 	jobs  *local.Jobs
-	links map[string][]*Link
-	// endsAt is when all faults are over and settle has passed.
-	endsAt time.Time
-	mu     sync.Mutex
-	// faults is how many go on, lastFault when the last ended.
-	faults    int
-	lastFault time.Time
-	busy      map[string]bool
-	waves     int64
-	refused   []string
-	counts    map[string]int
-	broken    []string
+	links map[string]links
+	// endsAt is when all faults are over and settle has passed, watchedTo when
+	// what lasts was watched for long enough.
+	endsAt, watchedTo time.Time
+	mu                sync.Mutex
+	// faults are those of each scope, lives counts processes of entry hosts.
+	faults map[string]*faults
+	lives  map[string]int
+	// configuring is held while a configuration is written.
+	configuring sync.Mutex
+	versions    []version
+	busy        map[string]bool
+	waves       int64
+	refused     []string
+	counts      map[string]int
+	broken      []string
 }
 
 // Report is what came of a run.
@@ -50,7 +54,7 @@
 
 // Do runs a deployment under the faults that follow from the seed.
 func Do(o Options) (Report, error) {
-	r := &Run{Options: o, links: map[string][]*Link{}, busy: map[string]bool{}, counts: map[string]int{}}
+	r := &Run{Options: o, links: map[string]links{}, busy: map[string]bool{}, counts: map[string]int{}, faults: map[string]*faults{}, lives: map[string]int{}}
 	defer r.close()
 	var err error
 	r.jobs, err = local.StartJobs(o.Bin, o.Dir, local.JobsOptions{
@@ -62,8 +66,12 @@
 	r.jobs.Fleet.Books.CheckOrder(firstStep)
 	l := r.beginLasting()
 	r.endsAt = time.Now().Add(o.For + settle)
+	r.watchedTo = time.Now().Add(o.For + watchFor)
 	var wg sync.WaitGroup
-	wg.Go(func() { r.watchLasting(l, time.Now().Add(o.For+watchFor)) })
+	wg.Go(func() { r.watchLasting(l) })
+	for i := range o.Entries {
+		wg.Go(func() { r.watchConfigs(i) })
+	}
 	wg.Go(func() { r.disturb(&wg) })
 	for n := 0; time.Until(r.endsAt) > settle; n++ {
 		wg.Go(func() { r.call(n) })
@@ -73,13 +81,21 @@
 	return r.report(), nil
 }
 
-// via has an entry host reach a service of the platform by a link of its own.
+// via has an entry host reach a service of the platform by a link of its own: the
+// store first, then the machines.
 func (r *Run) via(entry, address string) (string, error) {
 	k, err := NewLink(address)
 	if err != nil {
 		return "", err
 	}
-	r.links[entry] = append(r.links[entry], k)
+	if r.links[entry] == nil {
+		r.links[entry] = links{}
+	}
+	way := wayStore
+	if r.links[entry][wayStore] != nil {
+		way = wayMachines
+	}
+	r.links[entry][way] = k
 	return k.Address(), nil
 }
 
@@ -118,6 +134,11 @@
 	}
 }
 
+// watched reports whether what lasts was watched for long enough.
+func (r *Run) watched() bool {
+	return time.Now().After(r.watchedTo)
+}
+
 func (r *Run) settled() bool {
 	return time.Now().After(r.endsAt)
 }
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -62,14 +62,17 @@
 	return w, nil
 }
 
-// mute ends a call without an answer: when the caller gives up, if the worker is
-// silent, else at once.
+// mute ends a call without an answer: when the caller gives up or the worker ends,
+// if the worker is silent, else at once.
 func (w *worker) mute(r *http.Request) {
 	w.mu.Lock()
 	silent := w.silent
 	w.mu.Unlock()
 	if silent {
-		<-r.Context().Done()
+		select {
+		case <-r.Context().Done():
+		case <-w.gate.isClosed:
+		}
 	}
 	panic(http.ErrAbortHandler)
 }
