Draw late orders beside cancellations, and owners that are removed for good

The model drew late orders, but hardly any that a worker could still carry out (a start is refused once its lease is over, four seconds on), no task that outlives a cancelling by more than two seconds, no cancelling while nobody owns, and no check that a run of a cancelled job ends. Now half of the orders of a drawn time are late by 2 to 4.5 s; long jobs are cancelled while that lasts; owners are removed with their orders under way, and jobs are cancelled before or after that, their records forgotten; a stop takes 0.4 s; cancel marks leave the store. Two checks: an owner sends no start of a job that it knows is cancelled, and a run of a cancelled job is gone within 2.1 s, and the 0.4 s of the stop, after the last of the cancelling, its start, and the time since which the owner and the worker are in touch.

The unit tests say the same of each case: a start that was carried out after an order to stop got lost, a run that was given up with its silent worker, and one of an owner that is gone, with the job marked, final, forgotten, or its worker known from the roster alone.

--- /dev/null
+++ b/job/cancel_test.go
@@ -0,0 +1,122 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/platform"
+)
+
+// stopsOf counts the orders to stop a run that were given so far.
+func (f *fixture) stopsOf(run int64) int {
+	n := 0
+	for _, s := range f.stops() {
+		if s.Run == run {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fixture) unanswered(s StartRun) {
+	f.step(Started{Worker: s.Worker.ID, Run: s.Order.Run, Task: s.Order.Task, Err: platform.ErrUnknown})
+}
+
+func (f *fixture) stopUnanswered(s StartRun) {
+	f.step(Stopped{Worker: s.Worker.ID, Run: s.Order.Run, Task: s.Order.Task, Err: platform.ErrUnknown})
+}
+
+// lastingTask is a task that goes on until its job is cancelled.
+func lastingTask() platform.Step {
+	s := oneTask()
+	s.Lasting = true
+	return s
+}
+
+// The worker carries the start out after the job was cancelled and after the first
+// order to stop got lost. It is stopped once more within a timeout and a pause.
+func TestCancelledRunThatStartsLateIsStoppedAgain(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idA, "quick", lastingTask())
+	l := f.starts()
+	f.unanswered(l[0])
+	f.step(CancelAsked{ID: idA})
+	require.Equal(t, 1, f.stopsOf(l[0].Order.Run), "the order to stop goes out at once, and rules out a late start")
+	f.pass(orderTimeout)
+	f.stopUnanswered(l[0])
+	f.answer("w1", platform.Look{Running: []platform.RunningRow{runningRow(l[0], 100)}})
+	f.pass(settleAfter + 2*tickEvery)
+	require.Equal(t, 2, f.stopsOf(l[0].Order.Run))
+}
+
+// The worker is silent until its lease has lapsed, so that its runs are given up.
+// Should it list one again, that is stopped at once.
+func TestCancelledRunThatWasGivenUpIsStoppedWhenItShows(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idA, "quick", lastingTask())
+	l := f.starts()
+	f.unanswered(l[0])
+	f.step(CancelAsked{ID: idA})
+	f.fail("w1", platform.ErrUnknown)
+	for f.core.workers["w1"].find(taskKey{id: idA}, l[0].Order.Run) != nil {
+		f.pass(tickEvery)
+		if _, ok := f.looks["w1"]; ok {
+			f.fail("w1", platform.ErrUnknown)
+		}
+	}
+	given := f.stopsOf(l[0].Order.Run)
+	f.pass(lookRetry)
+	f.answer("w1", platform.Look{Running: []platform.RunningRow{runningRow(l[0], 100)}})
+	require.Equal(t, given+1, f.stopsOf(l[0].Order.Run))
+}
+
+// The owner that gave the order is gone. Whatever the store still tells of the job,
+// the next owner stops the run by the first look that lists it, and again if that
+// order gets no answer.
+func TestNextOwnerStopsRunsOfCancelledJobs(t *testing.T) {
+	rec := NewRecord(testConfig().Queues[0], platform.Submission{Spec: "s", Steps: []platform.Step{lastingTask()}}, time.Unix(1e9, 0))
+	accepted := []Accepted{{ID: idA, Record: rec, Created: 50}}
+	for name, e := range map[string]Inherited{
+		"marked":    {Jobs: accepted, Cancels: []ID{idA}},
+		"final":     {Progress: map[ID]Progress{idA: {State: platform.StateCancelled}}},
+		"forgotten": {},
+		"unlisted worker of the roster": {Roster: Roster{Workers: []RosterEntry{
+			{ID: "w1", Service: "blue", Host: "host-of-w1", Address: testWorker("w1").Address},
+		}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newOwnerFixture(t, 200)
+			e.Config = testConfig()
+			if len(e.Roster.Workers) == 0 {
+				e.Workers = []platform.Worker{testWorker("w1")}
+			}
+			f.step(e)
+			late := StartRun{Worker: testWorker("w1"), Order: platform.StartOrder{Task: taskKey{id: idA}.String(), Run: 7}}
+			f.answer("w1", platform.Look{Running: []platform.RunningRow{runningRow(late, 100)}})
+			require.Equal(t, 1, f.stopsOf(7))
+			require.Empty(t, f.starts())
+			f.pass(orderTimeout)
+			f.stopUnanswered(late)
+			f.pass(2 * tickEvery)
+			require.Equal(t, 2, f.stopsOf(7))
+		})
+	}
+}
+
+// A worker that the next owner meets only later may have carried out an order of
+// the removed owner until then. Nothing that it lists is left running.
+func TestRunOnAWorkerThatIsMetLaterIsStopped(t *testing.T) {
+	f := newOwnerFixture(t, 200)
+	f.step(Inherited{Config: testConfig(), Workers: []platform.Worker{testWorker("w1")}})
+	for range 10 {
+		f.fail("w1", platform.ErrUnknown)
+		f.pass(lookRetry + tickEvery)
+	}
+	late := StartRun{Worker: testWorker("w1"), Order: platform.StartOrder{Task: taskKey{id: idA}.String(), Run: 7}}
+	f.answer("w1", platform.Look{Running: []platform.RunningRow{runningRow(late, 100)}})
+	require.Equal(t, 1, f.stopsOf(7))
+}
--- a/job/fuzz_test.go
+++ b/job/fuzz_test.go
@@ -84,7 +84,6 @@
 }
 
 func (w *world) submit() {
-	id := ID(fmt.Sprintf("%016x", len(w.jobs)+1))
 	var steps []platform.Step
 	for i := range rapid.IntRange(1, 3).Draw(w.t, "steps") {
 		s := platform.Step{
@@ -97,6 +96,11 @@
 		}
 		steps = append(steps, s)
 	}
+	w.submitSteps(steps...)
+}
+
+func (w *world) submitSteps(steps ...platform.Step) ID {
+	id := ID(fmt.Sprintf("%016x", len(w.jobs)+1))
 	w.store.revision++
 	rec := NewRecord(testConfig().Queues[0], platform.Submission{Spec: "s", Steps: steps}, w.now)
 	rec.Attempts = 3
@@ -111,6 +115,7 @@
 			w.tell(o, a)
 		}
 	}
+	return id
 }
 
 // TestPromisesHoldUnderFaults drives owners through lost and late messages,
@@ -154,16 +159,7 @@
 
 func (w *world) cancelSome() {
 	id := ID(fmt.Sprintf("%016x", rapid.IntRange(1, len(w.jobs)+1).Draw(w.t, "job")))
-	if _, ok := w.store.records[id]; !ok {
-		return
-	}
-	w.store.cancels[id] = true
-	w.cancels[id] = w.now
-	for _, o := range w.owners {
-		if o.fence == w.store.fence {
-			w.tell(o, CancelAsked{ID: id})
-		}
-	}
+	w.cancel(id)
 }
 
 // crash ends a life; its machine starts another.
@@ -223,6 +219,7 @@
 // heal stops all faults and lets what is left be done.
 func (w *world) heal() {
 	w.lossy = false
+	w.lateUntil = w.now
 	for _, v := range w.workers {
 		v.cut = false
 	}
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -30,7 +30,7 @@
 	// restarted are tasks that began again after an end that may yet count.
 	restarted map[string][]*worldEnd
 	lossy     bool
-	cancels   map[ID]time.Time
+	worldCancels
 }
 
 type delivery struct {
@@ -94,7 +94,7 @@
 func newWorld(t *rapid.T) *world {
 	w := &world{
 		t: t, now: time.Unix(1e9, 0), workers: map[platform.WorkerID]*worldWorker{}, jobs: map[ID]Record{},
-		doneRuns: map[string][]*worldEnd{}, restarted: map[string][]*worldEnd{}, failures: map[string]int{}, cancels: map[ID]time.Time{},
+		doneRuns: map[string][]*worldEnd{}, restarted: map[string][]*worldEnd{}, failures: map[string]int{}, worldCancels: newWorldCancels(),
 	}
 	w.store = worldStore{revision: 10, records: map[ID]Accepted{}, progress: map[ID]Progress{}, cancels: map[ID]bool{}}
 	for i := range 3 {
@@ -167,6 +167,7 @@
 		for _, v := range w.workers {
 			w.live(v)
 		}
+		w.checkCancelled()
 		if w.now.UnixMilli()%50 == 0 {
 			for _, o := range w.owners {
 				if o.fence == w.store.fence {
@@ -205,13 +206,16 @@
 		}
 		return there, 0, true
 	}
+	if d := w.carriedOutLate(); d > 0 {
+		return d, 0, true
+	}
 	return there, there, false
 }
 
 func (w *world) perform(o *worldOwner, a Action) {
 	switch a := a.(type) {
 	case StepDown:
-		o.dead = true
+		w.steppedDown(o)
 	case WakeAt:
 		w.after(a.At.Sub(w.now), func() { w.tell(o, Woken{}) })
 	case Keep:
@@ -220,6 +224,7 @@
 		w.send(o, a.Worker.ID, lookSlack+a.Order.Wait, func(v *worldWorker) Event { return w.look(v, a) },
 			func(err error) Event { return Looked{Worker: a.Worker.ID, SentAt: w.now, Err: err} })
 	case StartRun:
+		w.checkStart(o, a)
 		w.send(o, a.Worker.ID, orderTimeout, func(v *worldWorker) Event { return w.start(v, a) },
 			func(err error) Event {
 				return Started{Worker: a.Worker.ID, Run: a.Order.Run, Task: a.Order.Task, Err: err}
@@ -272,6 +277,7 @@
 			w.checkFinal(id, g.State)
 		}
 	}
+	w.deleted(a.Deletes)
 	w.tell(o, Kept{Number: a.Number})
 }
 
@@ -294,7 +300,7 @@
 		switch {
 		case v.until > 0 && v.clock(w.now) > v.until:
 			how = platform.EndLapsed
-		case w.now.Before(r.endsAt) || r.step.Lasting:
+		case w.now.Before(r.endsAt) || (r.step.Lasting && r.how != platform.EndStopped):
 			continue
 		}
 		delete(v.runs, n)
@@ -365,9 +371,9 @@
 	}
 	v.fence = a.Fence
 	v.highest[a.Task] = max(v.highest[a.Task], a.Run)
-	if r := v.runs[a.Task]; r != nil && r.number == a.Run {
-		delete(v.runs, a.Task)
-		w.end(v, r, platform.EndStopped)
+	if r := v.runs[a.Task]; r != nil && r.number == a.Run && r.how != platform.EndStopped {
+		r.how = platform.EndStopped
+		r.endsAt = w.now.Add(stopTakes)
 	}
 	return out
 }
