Keep a job's cancel mark until the store has its final state

Cause: a job that ends by itself just before its mark is seen had the mark deleted at once, by the next write. An owner that died in between left a record without its mark: the next owner took the job for live, and a task whose worker had crashed would have been started after its cancelling was acknowledged. The write of the final state deletes the mark anyway; it is now deleted by itself only where that state is in the store already.

The test was seen to fail before the change.

--- a/job/cancel_test.go
+++ b/job/cancel_test.go
@@ -1,6 +1,9 @@
 package job
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -120,3 +123,40 @@
 	f.answer("w1", platform.Look{Running: []platform.RunningRow{runningRow(late, 100)}})
 	require.Equal(t, 1, f.stopsOf(7))
 }
+
+// A mark that goes before the final state of its job would be lost with an owner
+// that dies between the two writes: the next one would run the job again.
+func TestCancelMarkStaysUntilItsJobIsFinalInTheStore(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	s := oneTask()
+	s.MilliCores = 100
+	for i := range keepJobs {
+		f.submit(fmt.Sprintf("%016x", i), "quick", s)
+	}
+	f.submit(idA, "quick", s)
+	var ends []platform.EndedRow
+	for i, l := range f.starts() {
+		f.took(l)
+		ends = append(ends, ended(int64(i+1), l, platform.EndDone))
+	}
+	require.Len(t, ends, keepJobs+1)
+	f.pass(100 * time.Millisecond)
+	f.answer("w1", platform.Look{Ended: ends})
+	f.step(CancelAsked{ID: idA})
+	f.pass(time.Second)
+	final := false
+	for _, a := range f.out {
+		k, ok := a.(Keep)
+		if !ok {
+			continue
+		}
+		for _, p := range k.Puts {
+			final = final || (p.Key == progressKey(idA) && strings.Contains(string(p.Value), string(platform.StateSucceeded)))
+		}
+		if slices.Contains(k.Deletes, cancelKey(idA)) {
+			require.True(t, final, "the mark is gone before the store has the final state")
+		}
+	}
+	require.True(t, final)
+}
--- a/job/core.go
+++ b/job/core.go
@@ -251,9 +251,12 @@
 		c.cancelled[e.ID] = true
 		return
 	}
-	if j.state.Final() {
+	switch {
+	case !j.state.Final():
+		c.finalise(j, platform.StateCancelled, "cancelled by its caller")
+	case j.kept == j.state:
 		c.forgetCancel(e.ID)
-		return
+	default:
+		// The write of the final state takes the mark along.
 	}
-	c.finalise(j, platform.StateCancelled, "cancelled by its caller")
 }
