Shorten leases that are worked out from an old answer of a worker's clock

Cause: the end of a lease is worked out from the worker's last answer, and an idle worker is not looked at. Its clock may be 2 % slow, so that after a minute a start named an end 5.3 s ahead where 4 s are meant. Until then a start that was given late is still carried out, and its run goes on. The next owner waits 10.5 s for a worker that it cannot reach: 6 s in which the owner before may give orders, and 4.5 s for the last lease; a run could have gone on beyond that while its task began elsewhere. The owner itself goes by the end that it named and is not affected.

The lease is now shorter by what the clock may have lost beyond 0.4 s, up to half; the first answer, some milliseconds later, brings it back to 4 s. Looking at idle workers every 15 s was ruled out: an idle worker that answers speaks for the owner's reach for 3 s only, and one that does not counts against it.

After 96 s without an answer half of the lease does not cover it any more; this is left. The test was seen to fail before the change (5.306 s, at most 4.5 s).

--- a/job/cancel_test.go
+++ b/job/cancel_test.go
@@ -160,3 +160,19 @@
 	}
 	require.True(t, final)
 }
+
+// A worker's clock is known from its last answer, and may be slow. An order that
+// is carried out late counts as long as its lease does: the next owner waits for
+// that.
+func TestLeaseOfAWorkerThatWasIdleIsNoLongerThanANextOwnerWaits(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	heard := f.clock
+	f.pass(time.Minute)
+	f.submit(idA, "quick", oneTask())
+	u := f.starts()[0].Order.Until
+	slow := heard + platform.WorkerClock(0.98*float64(f.clock-heard))
+	most := inheritedLease - ownerAuthority
+	require.LessOrEqual(t, time.Duration(float64(u-slow)/0.98)*time.Millisecond, most)
+	require.GreaterOrEqual(t, time.Duration(u-f.clock)*time.Millisecond, leaseFor/2, "the next look comes at once and extends it")
+}
--- a/job/worker.go
+++ b/job/worker.go
@@ -14,6 +14,10 @@
 	leaseFor = 4 * time.Second
 	// clockSlack is how slow a worker's clock may be: the pages say 2 %.
 	clockSlack = 0.025
+	// leaseDoubt is how much longer than leaseFor a lease may be because the
+	// worker's clock was last heard a while ago: inheritedLease bears half a
+	// second, of which a lease on a slow clock takes a fifth.
+	leaseDoubt = 400 * time.Millisecond
 	// lapseSlack covers the worker's own delay in ending what has lapsed.
 	lapseSlack = 100 * time.Millisecond
 	// lookWait is how long a worker may wait for an end before it answers. The
@@ -138,9 +142,13 @@
 }
 
 // lease returns the end, on the worker's clock, of a lease that is extended
-// now, and notes it.
+// now, and notes it. After a while without an answer it is shorter by what a slow
+// clock may have lost, up to half: a next owner waits for leaseFor on such a clock.
 func (w *worker) lease(now time.Time) platform.WorkerClock {
-	u := w.clock + platform.WorkerClock(now.Add(leaseFor).Sub(w.clockAt).Milliseconds())
+	heard := now.Sub(w.clockAt)
+	lost := time.Duration(float64(heard) * clockSlack)
+	d := leaseFor - min(max(0, lost-leaseDoubt), leaseFor/2)
+	u := w.clock + platform.WorkerClock((heard + d).Milliseconds())
 	w.until = max(w.until, u)
 	return u
 }
