Judge no life of a worker by a list of machines that is older

Cause: the list of machines tells which life each machine runs, and a silent worker whose machine runs another is given up at once. The answer may be some hundred milliseconds old, more where it has several pages. A life that began in between, and whose first look or start was not answered, was given up on the word of a list that could not name it: its tasks began elsewhere, although a start without an answer may yet be carried out, and nobody looked at it again until its record changed, so that nobody would have stopped a late run there.

The test was seen to fail before the change.

--- a/job/machines.go
+++ b/job/machines.go
@@ -154,7 +154,7 @@
 		}
 		m.Machine = v
 		c.settleOrder(m, e.SentAt)
-		c.compareLife(m)
+		c.compareLife(m, e.SentAt)
 		if m.order != nil {
 			c.listAt = c.now.Add(listEvery)
 		}
@@ -167,9 +167,13 @@
 }
 
 // compareLife marks the record of a worker that its machine does not run any
-// more. A silent one is given up at once.
-func (c *Core) compareLife(m *machine) {
+// more. A silent one is given up at once. A life that was not known yet when the
+// list was asked for may have begun since.
+func (c *Core) compareLife(m *machine, listSentAt time.Time) {
 	for _, w := range slices.Clone(c.lives[m.Name]) {
+		if listSentAt.Before(w.knownSince) {
+			continue
+		}
 		w.stale = m.Worker != w.ID
 		if w.stale && w.silent > 0 {
 			c.lose(w, "its machine runs another life or none, by the list of machines")
--- a/job/machines_test.go
+++ b/job/machines_test.go
@@ -415,3 +415,23 @@
 		}
 	}
 }
+
+// The answer to a list may be a second old when it comes. A life that began since
+// is not in it, whatever else it says of the machine.
+func TestListThatWasAskedForBeforeALifeBeganSaysNothingOfIt(t *testing.T) {
+	f := newFixture(t)
+	asked := f.now
+	f.pass(500 * time.Millisecond)
+	f.join("w1", "w2")
+	f.submit(idA, "quick", oneTask())
+	s := f.starts()[0]
+	f.step(Started{Worker: s.Worker.ID, Run: s.Order.Run, Task: s.Order.Task, Err: common.ErrUnknown})
+	f.fail(string(s.Worker.ID), common.ErrUnknown)
+	before := machineOf(string(s.Worker.ID), "blue")
+	before.Worker = "an earlier life"
+	f.step(MachinesListed{SentAt: asked, Machines: []platform.Machine{before}})
+	require.Contains(t, f.core.workers, s.Worker.ID)
+	require.Empty(t, f.starts(), "the order may still be carried out")
+	f.step(MachinesListed{SentAt: f.now, Machines: []platform.Machine{before}})
+	require.NotContains(t, f.core.workers, s.Worker.ID)
+}
--- a/job/worker.go
+++ b/job/worker.go
@@ -38,6 +38,8 @@
 type worker struct {
 	platform.Worker
 	rack string
+	// knownSince is when the owner came to know it.
+	knownSince time.Time
 	// listed says that the store has its record; unlisted workers get no
 	// starts. unlistedAt is when the record went.
 	listed     bool
@@ -120,13 +122,14 @@
 
 func newWorker(w platform.Worker, now time.Time) *worker {
 	return &worker{
-		Worker:    w,
-		rack:      w.Rack(),
-		runs:      map[runID]*run{},
-		strays:    map[strayID]*stray{},
-		givenUp:   map[strayID]bool{},
-		lapsesAt:  now.Add(inheritedLease),
-		idleSince: now,
+		Worker:     w,
+		rack:       w.Rack(),
+		knownSince: now,
+		runs:       map[runID]*run{},
+		strays:     map[strayID]*stray{},
+		givenUp:    map[strayID]bool{},
+		lapsesAt:   now.Add(inheritedLease),
+		idleSince:  now,
 	}
 }
 
