--- a/job/removed.go
+++ b/job/removed.go
@@ -22,7 +22,7 @@
 		c.countMachine(m, there[n])
 	}
 	for _, w := range c.workers {
-		if e.SentAt.After(w.addedAt) {
+		if w.knownBy(e.SentAt) {
 			c.countWorker(w, there[w.Host])
 		}
 	}
--- a/job/worker.go
+++ b/job/worker.go
@@ -14,6 +14,10 @@
 	leaseFor = 4 * time.Second
 	// clockSlack is how slow a worker's clock may be: the pages say 2 %.
 	clockSlack = 0.025
+	// leaseDoubt is how much longer than leaseFor a lease may be because the
+	// worker's clock was last heard a while ago: inheritedLease bears half a
+	// second, of which a lease on a slow clock takes a fifth.
+	leaseDoubt = 400 * time.Millisecond
 	// lapseSlack covers the worker's own delay in ending what has lapsed.
 	lapseSlack = 100 * time.Millisecond
 	// lookWait is how long a worker may wait for an end before it answers. The
@@ -34,12 +38,12 @@
 type worker struct {
 	platform.Worker
 	rack string
+	// knownSince is when the owner came to know it.
+	knownSince time.Time
 	// listed says that the store has its record; unlisted workers get no
 	// starts. unlistedAt is when the record went.
 	listed     bool
 	unlistedAt time.Time
-	// addedAt is when the owner came to know of it.
-	addedAt time.Time
 	// missed counts the lists of machines in a row, asked for since, that lacked its
 	// host.
 	missed int
@@ -121,17 +125,23 @@
 
 func newWorker(w platform.Worker, now time.Time) *worker {
 	return &worker{
-		Worker:    w,
-		rack:      w.Rack(),
-		runs:      map[runID]*run{},
-		strays:    map[strayID]*stray{},
-		givenUp:   map[strayID]bool{},
-		addedAt:   now,
-		lapsesAt:  now.Add(inheritedLease),
-		idleSince: now,
+		Worker:     w,
+		rack:       w.Rack(),
+		knownSince: now,
+		runs:       map[runID]*run{},
+		strays:     map[strayID]*stray{},
+		givenUp:    map[strayID]bool{},
+		lapsesAt:   now.Add(inheritedLease),
+		idleSince:  now,
 	}
 }
 
+// knownBy reports whether the owner knew of the worker at the time. A list of machines
+// that was asked for earlier says nothing of it.
+func (w *worker) knownBy(t time.Time) bool {
+	return !t.Before(w.knownSince)
+}
+
 // hearClock notes a time of the worker's clock from an answer that came now. A
 // worker that has just begun may tell zero.
 func (w *worker) hearClock(c platform.WorkerClock, now time.Time) {
@@ -144,9 +154,13 @@
 }
 
 // lease returns the end, on the worker's clock, of a lease that is extended
-// now, and notes it.
+// now, and notes it. After a while without an answer it is shorter by what a slow
+// clock may have lost, up to half: a next owner waits for leaseFor on such a clock.
 func (w *worker) lease(now time.Time) platform.WorkerClock {
-	u := w.clock + platform.WorkerClock(now.Add(leaseFor).Sub(w.clockAt).Milliseconds())
+	heard := now.Sub(w.clockAt)
+	lost := time.Duration(float64(heard) * clockSlack)
+	d := leaseFor - min(max(0, lost-leaseDoubt), leaseFor/2)
+	u := w.clock + platform.WorkerClock((heard + d).Milliseconds())
 	w.until = max(w.until, u)
 	return u
 }
