Soak: cancelled jobs, orders carried out late, entry hosts removed for good

Workers leave orders unanswered and carry them out 2 to 12 s late, and owners or others are removed for good, refusing connections or with them open and silent, with another host in their place.

--- a/internal/local/jobs.go
+++ b/internal/local/jobs.go
@@ -12,6 +12,8 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 
 	"amberway/internal/standin/fleet"
@@ -49,6 +51,10 @@
 	dir     string
 	bin     string
 	version int64
+	// mu guards the rows of Entries once hosts are replaced, removed are those
+	// that were.
+	mu      sync.Mutex
+	removed []*JobsEntry
 }
 
 // SparePool is the pool of machines that are switched off.
@@ -84,7 +90,12 @@
 		return j, err
 	}
 	for i := range o.Entries {
-		if err := j.newEntry(fmt.Sprintf("entry-%d", i)); err != nil {
+		e, err := j.newEntry(fmt.Sprintf("entry-%d", i))
+		if err != nil {
+			return j, err
+		}
+		j.Entries = append(j.Entries, e)
+		if err := j.Launch(e); err != nil {
 			return j, err
 		}
 	}
@@ -106,30 +117,64 @@
 	return j.Fleet.Configure(j.version, pools, queues)
 }
 
-func (j *Jobs) newEntry(name string) error {
+func (j *Jobs) newEntry(name string) (*JobsEntry, error) {
 	e := &JobsEntry{Process: &Process{Name: name}, file: filepath.Join(j.dir, name+".yaml")}
 	for _, a := range []*netip.AddrPort{&e.Callers, &e.ready, &e.Peers} {
 		p, err := freePort()
 		if err != nil {
-			return err
+			return nil, err
 		}
 		*a = p
 	}
 	store, err := j.Via(name, j.Fleet.StoreAddress())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	machines, err := j.Via(name, j.Fleet.MachinesAddress())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	text := fmt.Sprintf("name: %s\ndata-centre: dc-0\ncallers: %s\nready: %s\npeers: %s\nstore: %s\nmachines: %s\nlog-format: json\nstop-delay: 300ms\nstop-within: 4s\n",
 		name, e.Callers, e.ready, e.Peers, store, machines)
 	if err := os.WriteFile(e.file, []byte(text), 0o600); err != nil {
-		return err
+		return nil, err
+	}
+	return e, nil
+}
+
+// Entry returns an entry host, also while hosts are replaced.
+func (j *Jobs) Entry(i int) *JobsEntry {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.Entries[i]
+}
+
+// Replace takes an entry host away for good and starts another, of another name and
+// with other addresses, in its place. One that hangs is stopped with its connections
+// open, as those of a machine without power.
+func (j *Jobs) Replace(e *JobsEntry, hangs bool) (*JobsEntry, error) {
+	if hangs {
+		_ = e.Signal(syscall.SIGSTOP)
+	} else {
+		e.Kill()
+	}
+	j.mu.Lock()
+	j.removed = append(j.removed, e)
+	name := fmt.Sprintf("entry-%d", len(j.Entries)+len(j.removed)-1)
+	j.mu.Unlock()
+	n, err := j.newEntry(name)
+	if err != nil {
+		return nil, err
 	}
-	j.Entries = append(j.Entries, e)
-	return j.Launch(e)
+	if err := j.Launch(n); err != nil {
+		return nil, err
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if i := slices.Index(j.Entries, e); i >= 0 {
+		j.Entries[i] = n
+	}
+	return n, nil
 }
 
 // Launch starts an entry host that is not running.
@@ -160,7 +205,7 @@
 
 // Stop ends everything.
 func (j *Jobs) Stop() {
-	for _, e := range j.Entries {
+	for _, e := range append(j.removed, j.Entries...) {
 		e.Kill()
 	}
 	j.Fleet.Close()
@@ -175,6 +220,8 @@
 	if !ok || json.Unmarshal(b, &o) != nil {
 		return nil
 	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	for _, e := range j.Entries {
 		if e.Name == o.Name {
 			return e
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -49,12 +49,12 @@
 func (r *Run) call(n int) {
 	id := fmt.Sprintf("%016x", n+1)
 	queue := queues[n%len(queues)]
-	if !r.handIn(n, queue, id) {
+	if !r.handIn(n, queue, id, work(n)) {
 		return
 	}
 	r.count("accepted")
 	for i := n; ; i++ {
-		code, body, err := r.jobs.Entries[i%len(r.jobs.Entries)].Call(http.MethodGet, queue, id, nil)
+		code, body, err := r.entry(i).Call(http.MethodGet, queue, id, nil)
 		switch {
 		case err == nil && code == http.StatusOK && body == succeeded:
 			r.checkDone(id)
@@ -73,14 +73,14 @@
 
 // handIn reports whether the job was accepted. If all answers refused it, it
 // may never run.
-func (r *Run) handIn(n int, queue, id string) bool {
+func (r *Run) handIn(n int, queue, id string, j fleet.Job) bool {
 	refused := true
 	most := tries
 	if n%giveUp == 0 {
 		most = 1
 	}
 	for i := range most {
-		code, _, err := r.jobs.Entries[(n+i)%len(r.jobs.Entries)].Call(http.MethodPost, queue, id, work(n))
+		code, _, err := r.entry(n+i).Call(http.MethodPost, queue, id, j)
 		if err == nil && code == http.StatusOK {
 			return true
 		}
--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -1,15 +1,13 @@
 package soak
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Scopes of faults besides the names of entry hosts.
 const (
 	scopeStore   = "store"
 	scopeHistory = "history"
 	scopeWorkers = "workers"
+	scopeRemoval = "removal"
 	// scopeAll holds for all entry hosts.
 	scopeAll = "all"
 )
@@ -38,26 +36,26 @@
 	}
 }
 
-// disturbedAt returns when there was last a fault of one of the scopes or of all
-// entry hosts: now if there is one. Without scopes each counts.
-func (r *Run) disturbedAt(scopes ...string) time.Time {
+// disturbedAt returns when there was last a fault of a scope that counts: now if
+// there is one.
+func (r *Run) disturbedAt(counts func(scope string) bool) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var last time.Time
 	for k, f := range r.faults {
-		if len(scopes) > 0 && k != scopeAll && !slices.Contains(scopes, k) {
-			continue
-		}
-		if f.active > 0 {
+		switch {
+		case !counts(k):
+		case f.active > 0:
 			return time.Now()
-		}
-		if f.endedAt.After(last) {
+		case f.endedAt.After(last):
 			last = f.endedAt
 		}
 	}
 	return last
 }
 
+func anyScope(string) bool { return true }
+
 // newLife notes that another process is an entry host, or is about to be.
 func (r *Run) newLife(name string) {
 	r.mu.Lock()
@@ -65,8 +63,14 @@
 	r.lives[name]++
 }
 
-func (r *Run) life(name string) int {
+// process is one life of an entry host.
+type process struct {
+	name string
+	life int
+}
+
+func (r *Run) process(name string) process {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.lives[name]
+	return process{name: name, life: r.lives[name]}
 }
--- a/internal/soak/configs.go
+++ b/internal/soak/configs.go
@@ -60,12 +60,12 @@
 // watchConfigs asks an entry host, by the queue that was added last and the one
 // that was dropped for it, which configuration is in force there.
 func (r *Run) watchConfigs(entry int) {
-	highest, life := -1, -1
+	highest, life := -1, process{}
 	for !r.settled() && !r.watched() {
 		time.Sleep(askEvery)
-		x := r.jobs.Entries[entry]
-		if l := r.life(x.Name); l != life {
-			highest, life = -1, l
+		x := r.entry(entry)
+		if p := r.process(x.Name); p != life {
+			highest, life = -1, p
 		}
 		n, all := r.accepted()
 		for _, i := range []int{n, n - 1} {
@@ -74,7 +74,7 @@
 			}
 			q := question{entry: x, version: i, newest: n, all: all, sentAt: time.Now()}
 			a := q.ask(r.versionOf(i).queue)
-			if r.life(x.Name) != life || a == unknown {
+			if r.process(x.Name) != life || a == unknown {
 				break
 			}
 			r.checkForce(q, a, highest)
@@ -125,10 +125,11 @@
 func (r *Run) checkForce(q question, a presence, highest int) {
 	_, all := r.accepted()
 	newest := r.versionOf(q.newest)
+	touches := func(scope string) bool { return scope == q.entry.Name || scope == scopeStore || scope == scopeAll }
 	switch {
 	case a == there && q.version < highest, a == absent && q.version == highest && all == q.all:
 		r.brokef("%s went back from configuration %d: queue of %d is %s", q.entry.Name, highest, q.version, a)
-	case q.sentAt.Sub(newest.acceptedAt) < configuredWithin, q.sentAt.Sub(r.disturbedAt(q.entry.Name, scopeStore)) < contactFor:
+	case q.sentAt.Sub(newest.acceptedAt) < configuredWithin, q.sentAt.Sub(r.disturbedAt(touches)) < contactFor:
 	case a == absent && q.version == q.newest && all == q.all, a == there && q.version < q.newest:
 		r.brokef("%s does not have configuration %d in force %.1f s after it was accepted: queue of %d is %s",
 			q.entry.Name, q.newest, q.sentAt.Sub(newest.acceptedAt).Seconds(), q.version, a)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -14,7 +15,7 @@
 
 // hit carries out one event, and returns when it is over.
 func (r *Run) hit(e Event) {
-	x := r.jobs.Entries[e.Entry]
+	x := r.entry(e.Entry)
 	if o := r.jobs.Owner(); e.Owner && o != nil {
 		x = o
 	}
@@ -28,8 +29,8 @@
 		r.restart(x, syscall.SIGTERM, e.For)
 	case KillAll:
 		var wg sync.WaitGroup
-		for _, y := range r.jobs.Entries {
-			wg.Go(func() { r.restart(y, syscall.SIGKILL, e.For/4) })
+		for i := range r.Entries {
+			wg.Go(func() { r.restart(r.entry(i), syscall.SIGKILL, e.For/4) })
 		}
 		wg.Wait()
 	case Freeze:
@@ -60,6 +61,10 @@
 		r.wave()
 	case Stale:
 		r.silence(x.Name, e)
+	case Postpone:
+		r.postpone(e)
+	case Replace:
+		r.replace(x, e.Hangs)
 	case Remove:
 		r.remove(fleet.Removal{Drain: e.For, Hangs: e.Hangs})
 	}
@@ -78,8 +83,10 @@
 		return scopeStore
 	case Forget:
 		return scopeHistory
-	case Crash, Silence, Remove:
+	case Crash, Silence, Postpone:
 		return scopeWorkers
+	case Remove:
+		return scopeRemoval
 	case Stale:
 		if e.All {
 			return scopeAll
@@ -95,11 +102,35 @@
 		r.jobs.Fleet.SilenceConnections(e.OneWay)
 		return
 	}
-	for name, l := range r.links {
-		if e.All || name == entry {
-			l[e.Way].Silence(e.OneWay)
-		}
+	for _, l := range r.linksOf(entry, e.All) {
+		l[e.Way].Silence(e.OneWay)
+	}
+}
+
+// postpone has a worker carry orders out late: most within the lease that they
+// name, some after it.
+func (r *Run) postpone(e Event) {
+	d := rand.New(rand.NewPCG(r.Seed, uint64(e.At)))
+	r.jobs.Fleet.Postpone(e.For, func() time.Duration {
+		return between(d, 2*time.Second, time.Duration(4+8*d.IntN(2))*time.Second)
+	})
+	time.Sleep(e.For)
+}
+
+// replace takes an entry host away for good and starts another in its place. One
+// that hangs keeps its connections open, as a machine without power does.
+func (r *Run) replace(x *local.JobsEntry, hangs bool) {
+	if !r.take(x.Name) {
+		return
 	}
+	r.newLife(x.Name)
+	y, err := r.jobs.Replace(x, hangs)
+	r.fail(err)
+	if err != nil {
+		return
+	}
+	r.count("replaced")
+	r.begin(y.Name)()
 }
 
 // addAfter is how long after a machine was removed another comes in its place.
@@ -146,14 +177,16 @@
 }
 
 func (r *Run) troubleLinks(name string, t Trouble, d time.Duration) {
-	l := r.links[name]
-	for _, k := range l {
-		k.Set(t)
+	set := func(t Trouble) {
+		for _, l := range r.linksOf(name, false) {
+			for _, k := range l {
+				k.Set(t)
+			}
+		}
 	}
+	set(t)
 	time.Sleep(d)
-	for _, k := range l {
-		k.Set(Sound)
-	}
+	set(Sound)
 }
 
 func (r *Run) troubleStore(f fleet.Fault, d time.Duration) {
--- a/internal/soak/lasting.go
+++ b/internal/soak/lasting.go
@@ -48,7 +48,7 @@
 		j := fleet.Job{Spec: "lasts", Steps: []fleet.Step{
 			{Count: lastingTasks, CPU: lastingCPU, MemMB: 100, Daemon: true, MayMiss: i % 3},
 		}}
-		code, body, err := r.jobs.Entries[0].Call(http.MethodPost, queue, id, j)
+		code, body, err := r.entry(0).Call(http.MethodPost, queue, id, j)
 		if err != nil || code != http.StatusOK {
 			r.brokef("%s was not accepted before any fault: %d %s %v", id, code, body, err)
 			continue
@@ -74,7 +74,7 @@
 				roomSince[q] = now
 			}
 		}
-		calm := now.Sub(r.disturbedAt())
+		calm := now.Sub(r.disturbedAt(anyScope))
 		for _, t := range l {
 			r.look(t, now, calm, now.Sub(roomSince[t.queue]))
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -28,6 +28,8 @@
 	Wave      Kind = "wave"      // upkeep of half of the machines
 	KillAll   Kind = "kill all"  // SIGKILL of all entry hosts at once
 	Remove    Kind = "remove"    // a machine drains for For and is taken away for good
+	Postpone  Kind = "postpone"  // a worker carries orders out late
+	Replace   Kind = "replace"   // an entry host is removed for good, another comes in its place
 	Stale     Kind = "stale"     // open connections fall silent for good
 )
 
@@ -99,6 +101,7 @@
 		to := min(from+burst, until)
 		l = append(l, removals(r, from, to)...)
 		l = append(l, stales(r, entries, from, to)...)
+		l = append(l, strays(r, entries, from, to)...)
 	}
 	l = append(l, configurations(r, until)...)
 	slices.SortStableFunc(l, func(a, b Event) int { return int(a.At - b.At) })
@@ -143,6 +146,22 @@
 	return l
 }
 
+// strays returns what leaves runs behind that nobody expects: orders that are
+// carried out late, the last of them at the end of the burst, and owners that are
+// removed for good after some.
+func strays(r *rand.Rand, entries int, from, to time.Duration) []Event {
+	var l []Event
+	for at := max(from+time.Second, to-between(r, time.Second, 3*time.Second)); at > from; at -= between(r, 3*time.Second, 7*time.Second) {
+		e := Event{At: at, Kind: Postpone, For: between(r, 500*time.Millisecond, 2500*time.Millisecond)}
+		l = append(l, e)
+		if r.IntN(3) == 0 {
+			at := at + between(r, 100*time.Millisecond, e.For)
+			l = append(l, Event{At: at, Kind: Replace, Entry: r.IntN(entries), Owner: r.IntN(3) > 0, Hangs: r.IntN(2) == 0})
+		}
+	}
+	return l
+}
+
 // configurations returns changes of the configuration, in calm as well.
 func configurations(r *rand.Rand, until time.Duration) []Event {
 	var l []Event
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -37,6 +37,7 @@
 	// configuring is held while a configuration is written.
 	configuring sync.Mutex
 	versions    []version
+	cancels     []*cancelling
 	busy        map[string]bool
 	waves       int64
 	refused     []string
@@ -69,12 +70,16 @@
 	r.watchedTo = time.Now().Add(o.For + watchFor)
 	var wg sync.WaitGroup
 	wg.Go(func() { r.watchLasting(l) })
+	wg.Go(r.watchCancelled)
 	for i := range o.Entries {
 		wg.Go(func() { r.watchConfigs(i) })
 	}
 	wg.Go(func() { r.disturb(&wg) })
 	for n := 0; time.Until(r.endsAt) > settle; n++ {
 		wg.Go(func() { r.call(n) })
+		if n%cancelEvery == 0 {
+			wg.Go(func() { r.callAndCancel(n) })
+		}
 		time.Sleep(callEvery)
 	}
 	wg.Wait()
@@ -88,6 +93,8 @@
 	if err != nil {
 		return "", err
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.links[entry] == nil {
 		r.links[entry] = links{}
 	}
@@ -99,6 +106,24 @@
 	return k.Address(), nil
 }
 
+// linksOf returns the links of an entry host, or of all.
+func (r *Run) linksOf(entry string, all bool) []links {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var l []links
+	for name, k := range r.links {
+		if all || name == entry {
+			l = append(l, k)
+		}
+	}
+	return l
+}
+
+// entry returns an entry host; numbers beyond the last go round.
+func (r *Run) entry(n int) *local.JobsEntry {
+	return r.jobs.Entry(n % r.Entries)
+}
+
 func (r *Run) disturb(wg *sync.WaitGroup) {
 	begun := time.Now()
 	for _, e := range Plan(r.Seed, r.Entries, r.For) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,7 +22,7 @@
 			require.Less(t, e.Entry, 4)
 		}
 	}
-	require.Len(t, seen, len(weights)+2, "each kind is drawn, machines are removed, and connections fall silent")
+	require.Len(t, seen, len(weights)+4, "each kind is drawn, and the four of the series")
 }
 
 // echo answers each byte, and returns its address.
--- a/internal/standin/fleet/books.go
+++ b/internal/standin/fleet/books.go
@@ -4,12 +4,13 @@
 	"fmt"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Books notes what workers did, and which promises that broke.
 type Books struct {
 	mu     sync.Mutex
-	going  map[string]string
+	going  map[string]Going
 	done   map[string]bool
 	broken []string
 	starts int
@@ -22,17 +23,26 @@
 	firstStep int
 }
 
+// Going is a run that goes on.
+type Going struct {
+	Task, Worker string
+	Number       int64
+	Since        time.Time
+	// Late says that its order was carried out late.
+	Late bool
+}
+
 // NewBooks returns empty books.
 func NewBooks() *Books {
-	return &Books{going: map[string]string{}, done: map[string]bool{}, started: map[string]bool{}, noted: map[string]bool{}}
+	return &Books{going: map[string]Going{}, done: map[string]bool{}, started: map[string]bool{}, noted: map[string]bool{}}
 }
 
-func (b *Books) began(task string, number int64, worker string) {
+func (b *Books) began(task string, number int64, worker string, late bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.starts++
 	if o, ok := b.going[task]; ok {
-		b.broken = append(b.broken, fmt.Sprintf("%s run %d began on %s while it ran on %s", task, number, worker, o))
+		b.broken = append(b.broken, fmt.Sprintf("%s run %d began on %s while it ran on %s", task, number, worker, o.Worker))
 	}
 	if b.noted[task] {
 		b.broken = append(b.broken, fmt.Sprintf("%s run %d began on %s after a good end of it was taken note of", task, number, worker))
@@ -40,7 +50,7 @@
 	b.checkOrder(task)
 	job, _, _ := strings.Cut(task, ".")
 	b.started[job] = true
-	b.going[task] = worker
+	b.going[task] = Going{Task: task, Worker: worker, Number: number, Since: time.Now(), Late: late}
 }
 
 // checkOrder checks that a task of the second step begins after the first step.
@@ -119,6 +129,19 @@
 	return ok
 }
 
+// RunsOf returns the runs of the job's tasks.
+func (b *Books) RunsOf(job string) []Going {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var l []Going
+	for t, g := range b.going {
+		if strings.HasPrefix(t, job+".") {
+			l = append(l, g)
+		}
+	}
+	return l
+}
+
 // Running returns how many tasks run.
 func (b *Books) Running() int {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/standin/fleet/guard.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+// lateHeader marks an order that is carried out late.
+const lateHeader = "Late"
+
+// Postpone has the worker of a busy machine leave orders to start and to stop
+// without an answer for a time, and carry each out late by what late returns. It
+// answers looks. It returns its id; none if no machine is busy.
+func (f *Fleet) Postpone(d time.Duration, late func() time.Duration) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machines {
+		if w := m.worker; w != nil && !m.leaving && w.busy() {
+			w.postpone(late)
+			time.AfterFunc(d, func() { w.postpone(nil) })
+			return w.id
+		}
+	}
+	return ""
+}
+
+func (w *worker) postpone(late func() time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.late = late
+}
+
+// guard answers only calls that mean this life, and none while it is silent.
+// Orders may be carried out late.
+func (w *worker) guard(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		silent := w.silent
+		w.mu.Unlock()
+		if silent {
+			w.mute(r)
+		}
+		if x := r.Header.Get("Amberway-Expect-Instance"); x != "" && x != w.id {
+			rw.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		if d, ok := w.lateness(r); ok {
+			w.carryOutLate(h, r, d)
+			return
+		}
+		h.ServeHTTP(rw, r)
+	})
+}
+
+// mute ends a call without an answer: when the caller gives up or the worker ends,
+// if the worker is silent, else at once.
+func (w *worker) mute(r *http.Request) {
+	w.mu.Lock()
+	silent := w.silent
+	w.mu.Unlock()
+	if silent {
+		select {
+		case <-r.Context().Done():
+		case <-w.gate.isClosed:
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// lateness returns by how much an order that comes now is late, if it is.
+func (w *worker) lateness(r *http.Request) (time.Duration, bool) {
+	if r.URL.Path != "/run-start" && r.URL.Path != "/run-stop" {
+		return 0, false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.late == nil {
+		return 0, false
+	}
+	return w.late(), true
+}
+
+// carryOutLate has h serve the order after a time, and leaves the caller without
+// an answer.
+func (w *worker) carryOutLate(h http.Handler, r *http.Request, after time.Duration) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	q := r.Clone(context.WithoutCancel(r.Context()))
+	q.Body = io.NopCloser(bytes.NewReader(b))
+	q.Header.Set(lateHeader, "1")
+	time.AfterFunc(after, func() { h.ServeHTTP(&nowhere{}, q) })
+	select {
+	case <-r.Context().Done():
+	case <-w.gate.isClosed:
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/standin/fleet/guard_test.go
@@ -0,0 +1,33 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestPostponedOrderIsCarriedOutLate(t *testing.T) {
+	f := New("spare", time.Second)
+	t.Cleanup(f.Close)
+	require.NoError(t, f.Add("blue", 1, Capacity{CPU: 1000}))
+	w := f.machines[0].worker
+	c := &http.Client{Transport: &http.Transport{}}
+	require.Empty(t, f.Postpone(time.Second, nil), "no machine is busy")
+	require.NoError(t, post(c, w, "a.0.0.0", time.Second))
+	id := f.Postpone(200*time.Millisecond, func() time.Duration { return 300 * time.Millisecond })
+	require.Equal(t, w.id, id)
+	begun := time.Now()
+	require.ErrorIs(t, post(c, w, "a.0.0.1", 100*time.Millisecond), context.DeadlineExceeded)
+	require.False(t, f.Books.Runs("a.0.0.1"))
+	require.Eventually(t, func() bool { return f.Books.Runs("a.0.0.1") }, time.Second, 5*time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(begun), 300*time.Millisecond)
+	require.NoError(t, post(c, w, "a.0.0.2", time.Second), "the time is over")
+	late := map[string]bool{}
+	for _, g := range f.Books.RunsOf("a") {
+		late[g.Task] = g.Late
+	}
+	require.Equal(t, map[string]bool{"a.0.0.0": false, "a.0.0.1": true, "a.0.0.2": false}, late)
+}
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -21,6 +21,8 @@
 	mu      sync.Mutex
 	over    bool
 	silent  bool
+	// late says by how much orders are late, if not nil.
+	late    func() time.Duration
 	fence   int64
 	until   int64
 	runs    map[string]*run
@@ -62,21 +64,6 @@
 	return w, nil
 }
 
-// mute ends a call without an answer: when the caller gives up or the worker ends,
-// if the worker is silent, else at once.
-func (w *worker) mute(r *http.Request) {
-	w.mu.Lock()
-	silent := w.silent
-	w.mu.Unlock()
-	if silent {
-		select {
-		case <-r.Context().Done():
-		case <-w.gate.isClosed:
-		}
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // work ends runs in time, also while nobody asks.
 func (w *worker) work() {
 	for range time.Tick(5 * time.Millisecond) {
@@ -92,23 +79,6 @@
 	}
 }
 
-// guard answers only calls that mean this life, and none while it is silent.
-func (w *worker) guard(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		w.mu.Lock()
-		silent := w.silent
-		w.mu.Unlock()
-		if silent {
-			w.mute(r)
-		}
-		if x := r.Header.Get("Amberway-Expect-Instance"); x != "" && x != w.id {
-			rw.WriteHeader(http.StatusMisdirectedRequest)
-			return
-		}
-		h.ServeHTTP(rw, r)
-	})
-}
-
 // end ends the life and all that runs.
 func (w *worker) end() {
 	w.endRuns()
@@ -209,7 +179,7 @@
 		w.highest[q.Task] = q.Run
 		d, lasts, fails := workOf(q.Spec)
 		w.runs[q.Task] = &run{number: q.Run, began: time.Now(), work: d, lasting: lasts, failing: fails, pace: 100}
-		w.books.began(q.Task, q.Run, w.id)
+		w.books.began(q.Task, q.Run, w.id, r.Header.Get(lateHeader) != "")
 		answer(rw, http.StatusOK, map[string]int64{"clock_ms": w.clock()})
 	}
 }
