--- a/internal/soak/configs.go
+++ b/internal/soak/configs.go
@@ -127,7 +127,7 @@
 	newest := r.versionOf(q.newest)
 	touches := func(scope string) bool { return scope == q.entry.Name || scope == scopeStore || scope == scopeAll }
 	switch {
-	case a == there && q.version < highest, a == absent && q.version == highest && all == q.all:
+	case a == there && q.version < highest, a == absent && q.version == highest && q.version == q.newest && all == q.all:
 		r.brokef("%s went back from configuration %d: queue of %d is %s", q.entry.Name, highest, q.version, a)
 	case q.sentAt.Sub(newest.acceptedAt) < configuredWithin, q.sentAt.Sub(r.disturbedAt(touches)) < contactFor:
 	case a == absent && q.version == q.newest && all == q.all, a == there && q.version < q.newest:
