--- /dev/null
+++ b/request/refuse_test.go
@@ -0,0 +1,69 @@
+package request
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/common"
+)
+
+// TestPausedEntryHostServesWhatWaits shows that a request which came to an entry
+// host that was held up is served once it has read anew what it may have missed,
+// and not refused.
+func TestPausedEntryHostServesWhatWaits(t *testing.T) {
+	s := oneSlot(t, &slowTarget{})
+	var behind atomic.Int64
+	behind.Store(int64(2 * time.Second))
+	s.Pulse = common.NewPulse(func() time.Time { return time.Now().Add(-time.Duration(behind.Load())) })
+	behind.Store(0)
+	require.True(t, s.Pulse.Suspended(time.Now()))
+
+	start := time.Now()
+	w := ask(t.Context(), s, 100*time.Millisecond)
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Equal(t, common.NotRun.String(), w.Header().Get(common.HeaderVerdict))
+	require.Less(t, time.Since(start), time.Second, "its deadline bounds the wait")
+
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go s.Pulse.Run(ctx, func(c context.Context) error {
+		common.Sleep(c, 200*time.Millisecond)
+		return c.Err()
+	})
+	w = ask(t.Context(), s, 5*time.Second)
+	require.Equal(t, http.StatusOK, w.Code, w.Body.String())
+}
+
+// leftHost is Hosts of which one has left, as the scheduler does not know yet.
+type leftHost struct {
+	Hosts
+	left string
+}
+
+// Address is part of Hosts.
+func (l leftHost) Address(name string) (netip.AddrPort, bool) {
+	if name == l.left {
+		return netip.AddrPort{}, false
+	}
+	return l.Hosts.Address(name)
+}
+
+// TestTargetThatLeftCostsNoRequest shows that requests which the scheduler gives
+// a target that has left meanwhile run on another one, however many they are.
+func TestTargetThatLeftCostsNoRequest(t *testing.T) {
+	s := oneSlot(t, &slowTarget{})
+	s.Hosts = leftHost{Hosts: s.Hosts, left: "a"}
+	s.Dispatcher.Update(func(c *Scheduler) {
+		c.SetTargets([]TargetSpec{{Name: "a", Pool: "p", Slots: 8}, {Name: "b", Pool: "p", Slots: 8}})
+	})
+	for n := range 100 {
+		w := ask(t.Context(), s, 5*time.Second)
+		require.Equal(t, http.StatusOK, w.Code, "request %d: %s", n, w.Body.String())
+	}
+}
