Wait out a pause, and take a target that left out at once, instead of refusing

The target that left is free, so the scheduler gives it to each of the three attempts. It now leaves the scheduler as soon as one request finds that it has left, and that costs the request neither an attempt nor the retry budget. - 'this entry host was paused': the request now waits until the process has read anew what it missed, its deadline at the longest, before it is sent.

The model of verdicts had targets that left come back by themselves, as nothing took them out; they now come back with the next view, 1 ms later. Its checks are the same.

Weighed: not counting the attempt only (rejected: the same target would be chosen in a loop until the scheduler learns).

--- a/request/dispatcher.go
+++ b/request/dispatcher.go
@@ -140,6 +140,15 @@
 	}
 }
 
+// Left ends an item that was not sent because its target has left, and gives the
+// target no more work until it is named again: it would be the cheapest.
+func (d *Dispatcher) Left(i *Item) {
+	d.Update(func(s *Scheduler) {
+		s.Leave(i.Target)
+		s.Done(d.now(), i, Outcome{Cancelled: true})
+	})
+}
+
 // Idle reports whether nothing runs on the host and nothing new can be sent
 // there.
 func (d *Dispatcher) Idle(host string) bool {
--- a/request/run.go
+++ b/request/run.go
@@ -82,9 +82,23 @@
 	return q.problem(http.StatusBadGateway, "no answer from the target", err.Error(), retry)
 }
 
-// attempt queues the request, claims it where needed and sends it to one
-// target. The error is an *AttemptError or a *common.ProblemError.
+// errLeft is the error of a target that left after the scheduler chose it.
+var errLeft = errors.New("the target left")
+
+// attempt sends the request to one target that has not left. The error is an
+// *AttemptError or a *common.ProblemError.
 func (s *Server) attempt(ctx context.Context, q *intake) (*run, error) {
+	for {
+		v, err := s.offer(ctx, q)
+		if !errors.Is(err, errLeft) {
+			return v, err
+		}
+	}
+}
+
+// offer queues the request, claims it where needed and sends it to the target
+// that the scheduler chooses. The error is errLeft or that of attempt.
+func (s *Server) offer(ctx context.Context, q *intake) (*run, error) {
 	i := &Item{Service: UnitOf(q.service, q.job), Job: q.job.Name, Class: q.class, Deadline: q.deadline}
 	started, refusal := s.Dispatcher.Offer(i)
 	if refusal != nil {
@@ -151,22 +165,37 @@
 	return s.Claims.Claim(ctx, q.id)
 }
 
-// send runs the item on the target that the scheduler gave it. It is the last
-// point at which a request whose time has passed is held back.
-func (s *Server) send(ctx context.Context, q *intake, i *Item) (*run, error) {
+// pauseLook is the time between two looks whether the process knows again what
+// it missed in a pause.
+const pauseLook = 20 * time.Millisecond
+
+// hold holds a request back until a process that was paused knows what it has
+// missed. It is the last point at which one whose time has passed is refused.
+func (s *Server) hold(ctx context.Context, q *intake) *common.ProblemError {
 	now := s.deps.Now()
-	if !now.Before(q.deadline) || (q.once && !Fresh(now, q.id)) {
-		s.Dispatcher.Drop(i)
-		return nil, q.problem(http.StatusGatewayTimeout, "the deadline has passed", "", time.Time{})
+	for s.Pulse.Suspended(now) && now.Before(q.deadline) && ctx.Err() == nil {
+		common.Sleep(ctx, pauseLook)
+		now = s.deps.Now()
+	}
+	switch {
+	case s.Pulse.Suspended(now):
+		return q.problem(http.StatusServiceUnavailable, "this entry host was paused", "", now.Add(retryLater))
+	case !now.Before(q.deadline) || (q.once && !Fresh(now, q.id)):
+		return q.problem(http.StatusGatewayTimeout, "the deadline has passed", "", time.Time{})
 	}
-	if s.Pulse.Suspended(now) {
+	return nil
+}
+
+// send runs the item on the target that the scheduler gave it.
+func (s *Server) send(ctx context.Context, q *intake, i *Item) (*run, error) {
+	if p := s.hold(ctx, q); p != nil {
 		s.Dispatcher.Drop(i)
-		return nil, q.problem(http.StatusServiceUnavailable, "this entry host was paused", "", now.Add(retryLater))
+		return nil, p
 	}
 	a, ok := s.Hosts.Address(i.Target)
 	if !ok {
-		s.Dispatcher.Drop(i)
-		return nil, &AttemptError{Cause: errors.New("the target left")}
+		s.Dispatcher.Left(i)
+		return nil, errLeft
 	}
 	c := q.call
 	c.RunsOn = true
--- a/request/scheduler.go
+++ b/request/scheduler.go
@@ -189,6 +189,13 @@
 	p.place(t)
 }
 
+// Leave takes the named target out until SetTargets names it again.
+func (s *Scheduler) Leave(name string) {
+	if t, ok := s.targets[name]; ok {
+		s.remove(t)
+	}
+}
+
 // remove takes a target out of its pool. Done finds it no more and forgets it.
 func (s *Scheduler) remove(t *target) {
 	p := s.pool(t.Pool)
--- a/request/verdict_test.go
+++ b/request/verdict_test.go
@@ -70,7 +70,7 @@
 	}
 	s := NewScheduler(DefaultPolicy(), rand.New(rand.NewPCG(1, 2)))
 	s.SetServices([]ServiceSpec{{Name: "s", Pool: "p", Weight: 1}})
-	s.SetTargets([]TargetSpec{{Name: "a", Pool: "p", Slots: 4}, {Name: "b", Pool: "p", Slots: 4}})
+	s.SetTargets(verdictTargets)
 	metrics, err := NewMetrics(noop.NewMeterProvider().Meter("test"))
 	if err != nil {
 		m.t.Fatal(err)
@@ -89,9 +89,24 @@
 	})
 }
 
-// Address is part of Hosts: now and then a target has left.
+// verdictTargets are the targets of each entry host.
+var verdictTargets = []TargetSpec{{Name: "a", Pool: "p", Slots: 4}, {Name: "b", Pool: "p", Slots: 4}}
+
+// refresh names all targets again to each entry host, as a new view does.
+func (m *verdictModel) refresh() {
+	for _, s := range m.servers {
+		s.Dispatcher.Update(func(c *Scheduler) { c.SetTargets(verdictTargets) })
+	}
+}
+
+// Address is part of Hosts: now and then a target has left, and is back with the
+// next view.
 func (m *verdictModel) Address(string) (netip.AddrPort, bool) {
-	return netip.MustParseAddrPort("127.0.0.1:1"), rapid.IntRange(0, 9).Draw(m.t, "left") > 0
+	left := rapid.IntRange(0, 9).Draw(m.t, "left") == 0
+	if left {
+		time.AfterFunc(time.Millisecond, m.refresh)
+	}
+	return netip.MustParseAddrPort("127.0.0.1:1"), !left
 }
 
 // Claim is part of Claims: its answer may be lost before or after it counts.
