--- a/request/callerlistener.go
+++ b/request/callerlistener.go
@@ -87,6 +87,6 @@
 func connOf(fd int) (net.Conn, error) {
 	syscall.CloseOnExec(fd)
 	f := os.NewFile(uintptr(fd), "caller")
-	defer f.Close()
+	defer func() { _ = f.Close() }()
 	return net.FileConn(f)
 }
