--- a/tests/slots_test.go
+++ b/tests/slots_test.go
@@ -32,10 +32,9 @@
 	return beyond, all
 }
 
-// TestSlotsAreSharedWithoutBeingExceeded sends more load than the
-// targets can run through three entry
-// hosts, and then kills one of them and starts it again under load.
-func TestSlotsAreSharedWithoutBeingExceeded(t *testing.T) {
+// startSlots runs three entry hosts over two targets.
+func startSlots(t *testing.T) *local.Deployment {
+	t.Helper()
 	ctx := t.Context()
 	d, err := local.Start(ctx, binaries, t.TempDir(), local.Options{
 		DataCentres: []string{"north"}, Entries: 3, Targets: map[string]int{"tint": 2}, Rack: 1,
@@ -46,7 +45,15 @@
 	require.NoError(t, err)
 	require.NoError(t, d.WaitHosts(ctx, 10*time.Second, 2, inService))
 	require.NoError(t, d.WaitReady())
+	return d
+}
 
+// TestSlotsAreSharedWithoutBeingExceeded sends more load than the
+// targets can run through three entry
+// hosts, and then kills one of them and starts it again under load.
+func TestSlotsAreSharedWithoutBeingExceeded(t *testing.T) {
+	ctx := t.Context()
+	d := startSlots(t)
 	s := standin.NewCaller().Run(ctx, saturating(d, 2000))
 	beyond, all := over(t, d)
 	t.Logf("overload: %d of %d runs began beyond the slots; %d of %d in time, the longest after %s",
@@ -67,6 +74,24 @@
 	require.Less(t, beyond, (more-all)/100)
 
 	require.NoError(t, e.Signal(syscall.SIGTERM))
-	_, err = e.Wait(5 * time.Second)
+	_, err := e.Wait(5 * time.Second)
 	require.NoError(t, err)
 }
+
+// TestSlotsOfAPausedEntryHostStayItsOwn pauses one of three entry hosts under
+// more load than the targets can run, for longer than the others need to take
+// it for dead, and lets it go on.
+func TestSlotsOfAPausedEntryHostStayItsOwn(t *testing.T) {
+	d := startSlots(t)
+	e := d.Entries[2]
+	c := make(chan standin.Tally, 1)
+	go func() { c <- standin.NewCaller().Run(t.Context(), saturating(d, 6000)) }()
+	time.Sleep(time.Second)
+	require.NoError(t, e.Signal(syscall.SIGSTOP))
+	time.Sleep(5 * time.Second)
+	require.NoError(t, e.Signal(syscall.SIGCONT))
+	<-c
+	beyond, all := over(t, d)
+	t.Logf("a pause: %d of %d runs began beyond the slots", beyond, all)
+	require.Zero(t, beyond)
+}
