A silent entry host keeps its share of the slots

Silence shrinks what is used. After a pause a process asks every live member of its data centre for its table before it sends anything, as others may have joined.

Weighed: a lease on each share, which its holder renews at all others (rejected: each of n hosts would send n-1 messages a second, which DESIGN.md rules out; and two hosts that are cut off from each other would both stop). The price: the slots of a host that crashed without a refusal of its address stay unused until it is started again or forgotten.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -145,7 +145,7 @@
 
 // work starts what runs besides the listeners.
 func (d *Daemon) work(ctx context.Context) {
-	go d.pulse.Run(ctx, d.view.Relearn)
+	go d.pulse.Run(ctx, d.relearn)
 	go d.follower.Run(ctx)
 	go d.view.Run(ctx)
 	go d.members.Run(ctx)
--- a/commands/routing.go
+++ b/commands/routing.go
@@ -23,7 +23,7 @@
 	defer d.sharesMu.Unlock()
 	c := d.follower.Current()
 	v := d.view.Current()
-	d.shares.Follow(d.deps.Now(), d.members.LiveNames(d.settings.DataCentre))
+	d.shares.Follow(d.deps.Now(), d.members.Holding(d.settings.DataCentre))
 	d.dispatcher.Update(func(s *request.Scheduler) {
 		s.SetServices(servicesOf(c.Document, v.Record.Placement))
 		for _, o := range c.Document.Services {
@@ -87,10 +87,21 @@
 	}
 }
 
+// relearn learns what may have changed in a pause of the process: the fleet, and
+// who the slots are shared with.
+func (d *Daemon) relearn(ctx context.Context) error {
+	d.members.Relearn(ctx)
+	if err := d.view.Relearn(ctx); err != nil {
+		return err
+	}
+	d.refresh()
+	return nil
+}
+
 func (d *Daemon) sharesChanged() bool {
 	d.sharesMu.Lock()
 	defer d.sharesMu.Unlock()
-	return d.shares.Follow(d.deps.Now(), d.members.LiveNames(d.settings.DataCentre))
+	return d.shares.Follow(d.deps.Now(), d.members.Holding(d.settings.DataCentre))
 }
 
 // learnFleet asks one peer of the same data centre for its view.
--- /dev/null
+++ b/peers/holding_test.go
@@ -0,0 +1,83 @@
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/common"
+	"amberway/internal/standin"
+)
+
+func held(name string, peer uint16, dc string, s State) Member {
+	return Member{
+		Name: name, Incarnation: 1, State: s, DataCentre: dc,
+		Peer: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), peer),
+	}
+}
+
+// TestSilentMemberHoldsItsShare shows who counts in what is shared out: a member
+// that is only silent does, one that left, ended or was replaced does not.
+func TestSilentMemberHoldsItsShare(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	self := held("a", 1, "north", Alive)
+	b := NewTable(self, DefaultOptions(), rand.New(rand.NewPCG(1, 2)))
+	merge := func(m Member) {
+		alive := m
+		alive.State = Alive
+		b.Merge(now, []Member{alive, m})
+	}
+	merge(held("b", 2, "north", Alive))
+	merge(held("c", 3, "north", Suspect))
+	merge(held("d", 4, "north", Dead))
+	merge(held("e", 5, "north", Left))
+	merge(held("f", 6, "south", Alive))
+	require.Equal(t, []string{"a", "b", "c", "d"}, b.Holding("north"))
+	require.Equal(t, []Member{held("d", 4, "north", Dead)}, b.Silent("north"))
+
+	b.Ended(held("d", 4, "north", Dead))
+	require.Equal(t, []string{"a", "b", "c"}, b.Holding("north"))
+	require.Empty(t, b.Silent("north"))
+
+	again := held("d", 4, "north", Dead)
+	again.Incarnation = 2
+	merge(again)
+	require.Equal(t, []string{"a", "b", "c", "d"}, b.Holding("north"), "a later process of the same name")
+	b.Ended(held("d", 4, "north", Dead))
+	require.Equal(t, []string{"a", "b", "c", "d"}, b.Holding("north"), "the end of the process before it")
+
+	merge(held("g", 4, "north", Alive))
+	require.Equal(t, []string{"a", "b", "c", "g"}, b.Holding("north"), "another process has its address")
+
+	for range 3 {
+		now = now.Add(DefaultOptions().ForgetAfter)
+		b.Tick(now)
+	}
+	require.NotContains(t, b.Holding("north"), "d")
+}
+
+// TestOnlyARefusedConnectionShowsThatAProcessHasEnded knocks at a silent member
+// whose listener is open and takes nothing, as that of a paused process, and
+// then is closed.
+func TestOnlyARefusedConnectionShowsThatAProcessHasEnded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	m := held("b", 0, "north", Alive)
+	m.Peer = netip.MustParseAddrPort(l.Addr().String())
+	d := NewDialer("token")
+	defer d.Close()
+	s := New(common.Quiet(), Settings{Self: held("a", 1, "north", Alive), Options: DefaultOptions()}, d, standin.NewMemory())
+	s.table.Merge(time.Now(), []Member{m})
+	m.State = Dead
+	s.table.Merge(time.Now(), []Member{m})
+	s.knockAt(context.Background(), m)
+	require.Equal(t, []string{"a", "b"}, s.Holding("north"))
+	require.NoError(t, l.Close())
+	s.knockAt(context.Background(), m)
+	require.Equal(t, []string{"a"}, s.Holding("north"))
+}
--- a/peers/service.go
+++ b/peers/service.go
@@ -123,12 +123,15 @@
 	go s.rejoin(ctx)
 	t := time.NewTicker(s.Options.Period)
 	defer t.Stop()
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		if n%knockEvery == 0 {
+			s.knock(ctx)
+		}
 		if m, ok := s.tick(); ok {
 			go s.probe(ctx, m)
 		}
--- a/peers/table.go
+++ b/peers/table.go
@@ -49,6 +49,8 @@
 	sends int
 	// change numbers the changes of all rows; the newest goes first.
 	change int
+	// gone says that the process is known to have ended, and not only silent.
+	gone bool
 }
 
 // Table is the membership as one process sees it. It has no clock and no I/O.
@@ -137,8 +139,10 @@
 		// time from probing it in the same order.
 		t.order = slices.Insert(t.order, t.random.IntN(len(t.order)+1), m.Name)
 	}
+	old := e.Incarnation
 	e.Member = m
 	t.renew(e)
+	e.gone = e.gone && e.Incarnation == old
 	e.suspectUntil = time.Time{}
 	e.forgetAt = time.Time{}
 	if m.State == Suspect {
