--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -51,6 +51,9 @@
 	Crossed    int `json:"crossed"`
 	// IDs are the ids of requests that may not be repeated, with the verdict.
 	IDs map[string]string `json:"ids"`
+	// Failures tells of the first requests without a whole answer in time, so
+	// that what became of them can be traced.
+	Failures []string `json:"failures,omitempty"`
 	// Longest is the longest time that an answer took.
 	Longest time.Duration `json:"longest_nanoseconds"`
 }
@@ -143,6 +146,9 @@
 	return errors.Is(err, errRefused)
 }
 
+// maxFailures bounds what a Tally tells of.
+const maxFailures = 10
+
 func (c *Caller) count(p Path, id string, body []byte, start time.Time, r reply, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -151,6 +157,11 @@
 	if id != "" {
 		c.tally.IDs[id] = r.verdict
 	}
+	whole := err == nil && r.status == http.StatusOK && took <= p.Within
+	if !whole && len(c.tally.Failures) < maxFailures {
+		c.tally.Failures = append(c.tally.Failures,
+			fmt.Sprintf("%s at %s after %s: %d %s %s %v", p.Path, start.Format(time.StampMilli), took, r.status, r.verdict, r.body, err))
+	}
 	switch {
 	case err != nil:
 		c.tally.Lost++
