Show a cancelled job as cancelled once its mark is acted on

Found by TestCancelledJobStops, 4 of 40 runs beside other load: its runs had ended and another entry host still told of the job as running, for the 15 ms and more until the final state was written.

--- a/job/cancel_test.go
+++ b/job/cancel_test.go
@@ -176,3 +176,16 @@
 	require.LessOrEqual(t, time.Duration(float64(u-slow)/0.98)*time.Millisecond, most)
 	require.GreaterOrEqual(t, time.Duration(u-f.clock)*time.Millisecond, leaseFor/2, "the next look comes at once and extends it")
 }
+
+// The mark is in the store before anybody acts on it: callers need not wait for the
+// write of the final state.
+func TestCancelledJobIsShownAsCancelledAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.holdWrites = true
+	f.submit(idA, "quick", oneTask())
+	f.took(f.starts()[0])
+	f.step(CancelAsked{ID: idA})
+	require.Len(t, f.stops(), 1)
+	require.Equal(t, platform.StateCancelled, f.state())
+}
--- a/job/query.go
+++ b/job/query.go
@@ -6,14 +6,15 @@
 	"amberway/platform"
 )
 
-// StateOf returns the state of a job as callers may see it: a final state is
-// told only once the store holds it.
+// StateOf returns the state of a job as callers may see it: a final state is told
+// only once the store holds it. The store has held a cancelling since its mark was
+// written, so that the next owner would cancel the job as well.
 func (c *Core) StateOf(id ID) (platform.State, bool) {
 	j := c.jobs[id]
 	if j == nil {
 		return "", false
 	}
-	if j.state.Final() && j.kept != j.state {
+	if j.state.Final() && j.state != platform.StateCancelled && j.kept != j.state {
 		return platform.StateRunning, true
 	}
 	return j.state, true
