--- a/request/refuse_test.go
+++ b/request/refuse_test.go
@@ -67,3 +67,26 @@
 		require.Equal(t, http.StatusOK, w.Code, "request %d: %s", n, w.Body.String())
 	}
 }
+
+// backHost is Hosts of which one has left at the first look, and is back since.
+type backHost struct {
+	Hosts
+	looks atomic.Int64
+}
+
+// Address is part of Hosts.
+func (b *backHost) Address(name string) (netip.AddrPort, bool) {
+	if b.looks.Add(1) == 1 {
+		return netip.AddrPort{}, false
+	}
+	return b.Hosts.Address(name)
+}
+
+// TestTargetThatIsBackIsUsed shows that a target is not taken out for having left
+// where the view by which it is back was handed on before.
+func TestTargetThatIsBackIsUsed(t *testing.T) {
+	s := oneSlot(t, &slowTarget{})
+	s.Hosts = &backHost{Hosts: s.Hosts}
+	w := ask(t.Context(), s, 5*time.Second)
+	require.Equal(t, http.StatusOK, w.Code, w.Body.String())
+}
