Take a target out only if it has left still; call ready what has its slots

Whether the target has left is asked once more under the scheduler's lock, so that the view by which it is back is handed on after that. The model of verdicts keeps which targets have left, as the view does, in place of a draw at each look; its checks are the same.

A third cause of a request refused as not run: a process called itself ready before its slots were handed on to the scheduler, and refused what came in between with 'no target serves this service here'. Both now happen under one lock.

--- a/commands/routing.go
+++ b/commands/routing.go
@@ -21,9 +21,30 @@
 	// one must not hand on the older view, or a draining host would get work.
 	d.sharesMu.Lock()
 	defer d.sharesMu.Unlock()
+	d.followShares()
+	d.handOn()
+}
+
+// refreshShares does what refresh does where shares may have changed. A process
+// is ready only once its slots are handed on, as both happen under the lock.
+func (d *Daemon) refreshShares() {
+	d.sharesMu.Lock()
+	defer d.sharesMu.Unlock()
+	if d.followShares() {
+		d.handOn()
+	}
+}
+
+// followShares reports whether shares may have changed. The caller holds
+// sharesMu.
+func (d *Daemon) followShares() bool {
+	return d.shares.Follow(d.deps.Now(), d.members.Holding(d.settings.DataCentre))
+}
+
+// handOn hands what is known on to the request path. The caller holds sharesMu.
+func (d *Daemon) handOn() {
 	c := d.follower.Current()
 	v := d.view.Current()
-	d.shares.Follow(d.deps.Now(), d.members.Holding(d.settings.DataCentre))
 	d.dispatcher.Update(func(s *request.Scheduler) {
 		s.SetServices(servicesOf(c.Document, v.Record.Placement))
 		for _, o := range c.Document.Services {
@@ -76,9 +97,7 @@
 // fleet from a peer while the platform does not tell of it.
 func (d *Daemon) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		if d.sharesChanged() {
-			d.refresh()
-		}
+		d.refreshShares()
 		d.dispatcher.Pump()
 		if d.deps.Now().Sub(d.view.Current().ListedAt) > staleView {
 			d.learnFleet(ctx)
@@ -98,12 +117,6 @@
 	return nil
 }
 
-func (d *Daemon) sharesChanged() bool {
-	d.sharesMu.Lock()
-	defer d.sharesMu.Unlock()
-	return d.shares.Follow(d.deps.Now(), d.members.Holding(d.settings.DataCentre))
-}
-
 // learnFleet asks one peer of the same data centre for its view.
 func (d *Daemon) learnFleet(ctx context.Context) {
 	var l []peers.Member
--- a/request/dispatcher.go
+++ b/request/dispatcher.go
@@ -141,10 +141,14 @@
 }
 
 // Left ends an item that was not sent because its target has left, and gives the
-// target no more work until it is named again: it would be the cheapest.
-func (d *Dispatcher) Left(i *Item) {
+// target no more work until it is named again: it would be the cheapest. Whether
+// it has left is asked once more under the lock: a view by which it is back may
+// have been handed on meanwhile, and no other may follow for long.
+func (d *Dispatcher) Left(i *Item, left func() bool) {
 	d.Update(func(s *Scheduler) {
-		s.Leave(i.Target)
+		if left() {
+			s.Leave(i.Target)
+		}
 		s.Done(d.now(), i, Outcome{Cancelled: true})
 	})
 }
--- a/request/run.go
+++ b/request/run.go
@@ -194,7 +194,10 @@
 	}
 	a, ok := s.Hosts.Address(i.Target)
 	if !ok {
-		s.Dispatcher.Left(i)
+		s.Dispatcher.Left(i, func() bool {
+			_, ok := s.Hosts.Address(i.Target)
+			return !ok
+		})
 		return nil, errLeft
 	}
 	c := q.call
--- a/request/verdict_test.go
+++ b/request/verdict_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -36,6 +37,9 @@
 	depth   int
 	// gone says that the first entry host takes the second for dead.
 	gone bool
+	mu   sync.Mutex
+	// left are the targets that have left by the view.
+	left map[string]bool
 }
 
 // entryAddress is where the second entry host listens for callers.
@@ -44,7 +48,7 @@
 func newVerdictModel(t *rapid.T) *verdictModel {
 	m := &verdictModel{
 		t: t, claimed: map[uuid.UUID]bool{}, runs: map[string]int{},
-		heard: map[string][]common.Verdict{}, once: map[string]bool{},
+		heard: map[string][]common.Verdict{}, once: map[string]bool{}, left: map[string]bool{},
 	}
 	for n := range 2 {
 		m.servers = append(m.servers, m.newServer(n))
@@ -92,21 +96,26 @@
 // verdictTargets are the targets of each entry host.
 var verdictTargets = []TargetSpec{{Name: "a", Pool: "p", Slots: 4}, {Name: "b", Pool: "p", Slots: 4}}
 
-// refresh names all targets again to each entry host, as a new view does.
-func (m *verdictModel) refresh() {
-	for _, s := range m.servers {
-		s.Dispatcher.Update(func(c *Scheduler) { c.SetTargets(verdictTargets) })
+// Address is part of Hosts: now and then a target has left, and is back with the
+// next view.
+func (m *verdictModel) Address(name string) (netip.AddrPort, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.left[name] && rapid.IntRange(0, 9).Draw(m.t, "left") == 0 {
+		m.left[name] = true
+		time.AfterFunc(time.Millisecond, func() { m.back(name) })
 	}
+	return netip.MustParseAddrPort("127.0.0.1:1"), !m.left[name]
 }
 
-// Address is part of Hosts: now and then a target has left, and is back with the
-// next view.
-func (m *verdictModel) Address(string) (netip.AddrPort, bool) {
-	left := rapid.IntRange(0, 9).Draw(m.t, "left") == 0
-	if left {
-		time.AfterFunc(time.Millisecond, m.refresh)
+// back has the view by which the target is back handed on.
+func (m *verdictModel) back(name string) {
+	m.mu.Lock()
+	delete(m.left, name)
+	m.mu.Unlock()
+	for _, s := range m.servers {
+		s.Dispatcher.Update(func(c *Scheduler) { c.SetTargets(verdictTargets) })
 	}
-	return netip.MustParseAddrPort("127.0.0.1:1"), !left
 }
 
 // Claim is part of Claims: its answer may be lost before or after it counts.
