Let a look wait while runs of ended jobs are being stopped

Cause: a look at a worker with a run that is not to be there did not wait for an end, so that looks followed each other without a pause for the 0.2 to 0.9 s that a stop takes; each is priced. Orders to stop are repeated beside looks, and an end ends the wait, so that the worker's room is known to be free as soon.

The test was seen to fail before the change.

--- a/job/cancel_test.go
+++ b/job/cancel_test.go
@@ -176,3 +176,18 @@
 	require.LessOrEqual(t, time.Duration(float64(u-slow)/0.98)*time.Millisecond, most)
 	require.GreaterOrEqual(t, time.Duration(u-f.clock)*time.Millisecond, leaseFor/2, "the next look comes at once and extends it")
 }
+
+// Looks that do not wait would follow each other for as long as the stop takes.
+func TestLookWaitsForTheEndOfARunThatIsStopped(t *testing.T) {
+	f := newOwnerFixture(t, 200)
+	f.step(Inherited{Config: testConfig(), Workers: []platform.Worker{testWorker("w1")}})
+	late := StartRun{Worker: testWorker("w1"), Order: platform.StartOrder{Task: taskKey{id: idA}.String(), Run: 7}}
+	f.answer("w1", platform.Look{Running: []platform.RunningRow{runningRow(late, 100)}})
+	f.step(Stopped{Worker: "w1", Run: 7, Task: late.Order.Task, Clock: f.clock})
+	f.pass(2 * tickEvery)
+	require.Equal(t, lookWait, f.looks["w1"].Order.Wait)
+	f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, late, platform.EndStopped)}})
+	require.Empty(t, f.core.workers["w1"].strays)
+	f.submit(idB, "quick", oneTask())
+	require.Len(t, f.starts(), 1, "its room is free at once")
+}
--- a/job/looks.go
+++ b/job/looks.go
@@ -57,7 +57,7 @@
 		// A silent worker's lease is left to lapse.
 		o.Until = w.lease(c.now)
 	}
-	if w.met && w.silent == 0 && w.seen == w.kept && len(w.runs) > 0 && len(w.strays) == 0 {
+	if w.met && w.silent == 0 && w.seen == w.kept && len(w.runs)+len(w.strays) > 0 {
 		o.Wait = c.lookWait(w)
 	}
 	w.looking = true
