Tell a cancelled job as cancelled from its mark on

Cause: a final state was told only once the owner had written it, so that a caller whose DELETE had been answered could still be told running, for the 15 ms before that write and as long as the store takes. The mark is in the store before the DELETE is answered, and stays until the final state is there, so that any owner comes to the same state: waiting for the write protects nothing.

The unit test was seen to fail before the change.

--- a/job/cancel_test.go
+++ b/job/cancel_test.go
@@ -191,3 +191,13 @@
 	f.submit(idB, "quick", oneTask())
 	require.Len(t, f.starts(), 1, "its room is free at once")
 }
+
+// The mark is in the store, so that any owner comes to the same state.
+func TestCancelledJobIsToldAsThatBeforeItsStateIsWritten(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idA, "quick", lastingTask())
+	f.holdWrites = true
+	f.step(CancelAsked{ID: idA})
+	require.Equal(t, platform.StateCancelled, f.state())
+}
--- a/job/query.go
+++ b/job/query.go
@@ -7,13 +7,13 @@
 )
 
 // StateOf returns the state of a job as callers may see it: a final state is
-// told only once the store holds it.
+// told only once the store holds it. Of a cancelled job it holds the mark.
 func (c *Core) StateOf(id ID) (platform.State, bool) {
 	j := c.jobs[id]
 	if j == nil {
 		return "", false
 	}
-	if j.state.Final() && j.kept != j.state {
+	if j.state.Final() && j.kept != j.state && j.state != platform.StateCancelled {
 		return platform.StateRunning, true
 	}
 	return j.state, true
