--- a/commands/tool_jobs.go
+++ b/commands/tool_jobs.go
@@ -120,7 +120,7 @@
 func ask(ctx context.Context, at netip.AddrPort, path string, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, jobsTimeout)
 	defer cancel()
-	r, err := common.NewExchange(1, 1).Call(ctx, common.Request{Method: http.MethodGet, At: at, Path: path})
+	r, err := common.NewExchange(common.Limits{PerAddress: 1, Total: 1}).Call(ctx, common.Request{Method: http.MethodGet, At: at, Path: path})
 	if err != nil {
 		return fmt.Errorf("entry host %s: %w", at, err)
 	}
--- /dev/null
+++ b/common/attempt.go
@@ -0,0 +1,92 @@
+package common
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptrace"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// attempt is one call on its way.
+type attempt struct {
+	Usage
+	Request
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	conns  *Connections
+	// began is when the call had its connection, the zero time before.
+	began time.Time
+	// kept says that the connection has served earlier calls.
+	kept bool
+	// stream says that the answer goes on for as long as the connection stands.
+	stream bool
+	timer  atomic.Pointer[time.Timer]
+}
+
+func newAttempt(ctx context.Context, o *Connections, q Request) *attempt {
+	a := &attempt{Request: q, conns: o}
+	ctx, a.cancel = context.WithCancelCause(ctx)
+	a.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.got, GotFirstResponseByte: a.stopTimer})
+	return a
+}
+
+// got begins the call on a connection. It is called again where that turned out to
+// be closed before anything was sent.
+func (a *attempt) got(i httptrace.GotConnInfo) {
+	a.stopTimer()
+	a.began, a.kept = time.Now(), i.Reused
+	var giveUp func()
+	if a.stream || (i.Reused && a.again) {
+		giveUp = func() { a.cancel(errDistrusted) }
+	}
+	a.conns.Begin(&a.Usage, i.Conn, giveUp)
+	end, bounded := a.ctx.Deadline()
+	if p := a.patience(end.Sub(a.began)); i.Reused && bounded && p > 0 {
+		a.timer.Store(time.AfterFunc(p, func() { a.cancel(ErrSilent) }))
+	}
+}
+
+func (a *attempt) stopTimer() {
+	if t := a.timer.Swap(nil); t != nil {
+		t.Stop()
+	}
+}
+
+func (a *attempt) end() {
+	a.stopTimer()
+	a.conns.End(&a.Usage)
+	a.cancel(nil)
+}
+
+// failed returns the error of a call without an answer, and gives up what is not
+// newer than its connection where that was silent.
+func (a *attempt) failed(err error) error {
+	kind := ErrUnknown
+	if a.began.IsZero() || errors.Is(err, syscall.ECONNREFUSED) {
+		kind = ErrNotSent
+	} else if silent := a.silence(); silent != nil {
+		kind = silent
+	}
+	return fmt.Errorf("%w: %s: %w", kind, a.Path, err)
+}
+
+// silence returns why the call's connection counts as silent, or nil.
+func (a *attempt) silence() error {
+	why := context.Cause(a.ctx)
+	if errors.Is(why, errDistrusted) {
+		return errDistrusted
+	}
+	due := a.began.Add(a.Wait)
+	overdue := !a.stream && errors.Is(why, context.DeadlineExceeded) && time.Since(due) >= leastSilence
+	if !overdue && !errors.Is(why, ErrSilent) {
+		return nil
+	}
+	a.conns.Distrust(&a.Usage, due.Add(answerWithin), a.kept)
+	if !a.kept {
+		return nil
+	}
+	return ErrSilent
+}
--- a/common/connections.go
+++ b/common/connections.go
@@ -96,9 +96,12 @@
 }
 
 // Begin notes that the call is on its way over the connection, which Dial has
-// opened, and no longer over an earlier one. A call that may be repeated is ended by
+// opened, plain or below TLS, and no longer over an earlier one. A call that may be repeated is ended by
 // giveUp once the connection is no longer trusted; others have none.
 func (o *Connections) Begin(u *Usage, n net.Conn, giveUp func()) {
+	if t, ok := n.(interface{ NetConn() net.Conn }); ok {
+		n = t.NetConn()
+	}
 	c, ok := n.(*connection)
 	if !ok {
 		return
@@ -124,26 +127,34 @@
 	}
 }
 
-// Distrust closes the idle connections to the address that have brought nothing
-// since the time, and gives up the calls on others that may be repeated: one
-// connection was silent at that time. Other calls go on, and their connections are
-// kept if they still answer.
-func (o *Connections) Distrust(address string, since time.Time) {
-	idle, calls := o.suspects(address, since)
+// Distrust closes the idle connections to the address of a call that was not
+// answered, but for those that have brought something since the time. Where its own
+// connection was kept, it has gone silent, and so may have those of other calls: the
+// ones that may be repeated are given up. Other calls go on, and their connections
+// are kept if they still answer.
+func (o *Connections) Distrust(u *Usage, since time.Time, kept bool) {
+	idle, calls := o.suspects(u, since)
 	for _, c := range idle {
 		_ = c.Close()
 	}
+	if !kept {
+		// The other side may be slow, and no more calls are to be put to it.
+		return
+	}
 	for _, f := range calls {
 		f()
 	}
 }
 
-func (o *Connections) suspects(address string, since time.Time) ([]*connection, []func()) {
+func (o *Connections) suspects(of *Usage, since time.Time) ([]*connection, []func()) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if of.on == nil {
+		return nil, nil
+	}
 	var idle []*connection
 	var calls []func()
-	for c := range o.open[address] {
+	for c := range o.open[of.on.address] {
 		if c.heardSince(since) {
 			continue
 		}
--- a/common/exchange.go
+++ b/common/exchange.go
@@ -1,7 +1,7 @@
 package common
 
 import (
-	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,10 +9,7 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
-	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -24,7 +21,7 @@
 	// maxReply bounds the body of one answer, in bytes: a page of the platform's
 	// store is at most one megabyte of values, which base64 makes a third
 	// longer.
-	maxReply = 4 << 20
+	maxReply int64 = 4 << 20
 	// idleTimeout closes connections that carry nothing.
 	idleTimeout = 30 * time.Second
 	// answerWithin is what an answer takes at most when all goes well, beyond the
@@ -56,17 +53,30 @@
 	conns  *Connections
 }
 
-// NewExchange returns an Exchange that keeps at most conns idle connections to
-// one address, and total to all; 0 is no bound.
-func NewExchange(conns, total int) Exchange {
-	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+// Limits bound the connections of an Exchange.
+type Limits struct {
+	// PerAddress is the most idle connections kept to one address.
+	PerAddress int
+	// Total is the most kept to all; zero is no bound.
+	Total int
+	// KeepAlive is the time between TCP's own probes; zero is none. They end
+	// connections to a host that is gone while nothing is sent to it.
+	KeepAlive time.Duration
+}
+
+// NewExchange returns an Exchange without connections yet.
+func NewExchange(l Limits) Exchange {
+	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: l.KeepAlive}
+	if l.KeepAlive == 0 {
+		d.KeepAlive = -1
+	}
 	o := NewConnections(func(ctx context.Context, network, address string) (net.Conn, error) {
 		return dialAbrupt(ctx, d, network, address)
 	})
 	t := &http.Transport{
 		DialContext:         o.Dial,
-		MaxIdleConnsPerHost: conns,
-		MaxIdleConns:        total,
+		MaxIdleConnsPerHost: l.PerAddress,
+		MaxIdleConns:        l.Total,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		WriteBufferSize:     2 << 10,
@@ -95,6 +105,9 @@
 type Request struct {
 	Method string
 	At     netip.AddrPort
+	// Base is the scheme and host where the other side is known by these; it goes
+	// before At.
+	Base string
 	// Path is the path and query.
 	Path string
 	// Body is sent as JSON; nil is none.
@@ -105,6 +118,8 @@
 	// Settled says that the caller finds out what became of a call without an
 	// answer, and goes on: such a call is given up early on a kept connection.
 	Settled bool
+	// Most is the most bytes of an answer; zero is maxReply.
+	Most int64
 	// again says that the call is repeated if its connection is not trusted.
 	again bool
 }
@@ -122,6 +137,7 @@
 // Reply is one whole answer.
 type Reply struct {
 	Status int
+	Header http.Header
 	Body   []byte
 }
 
@@ -159,110 +175,9 @@
 		return Reply{}, a.failed(err)
 	}
 	defer res.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxReply))
+	b, err := io.ReadAll(io.LimitReader(res.Body, cmp.Or(q.Most, maxReply)))
 	if err != nil {
 		return Reply{}, a.failed(err)
 	}
-	return Reply{Status: res.StatusCode, Body: b}, nil
-}
-
-func (q Request) request(ctx context.Context) (*http.Request, error) {
-	var body io.Reader
-	if q.Body != nil {
-		b, err := json.Marshal(q.Body)
-		if err != nil {
-			return nil, err
-		}
-		body = bytes.NewReader(b)
-	}
-	r, err := http.NewRequestWithContext(ctx, q.Method, "http://"+q.At.String()+q.Path, body)
-	if err != nil {
-		return nil, err
-	}
-	for k, v := range q.Header {
-		r.Header[k] = v
-	}
-	if q.Body != nil {
-		r.Header.Set("Content-Type", "application/json")
-	}
-	return r, nil
-}
-
-// attempt is one call on its way.
-type attempt struct {
-	Usage
-	Request
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	conns  *Connections
-	// began is when the call had its connection, the zero time before.
-	began time.Time
-	// kept says that the connection has served earlier calls.
-	kept  bool
-	timer atomic.Pointer[time.Timer]
-}
-
-func newAttempt(ctx context.Context, o *Connections, q Request) *attempt {
-	a := &attempt{Request: q, conns: o}
-	ctx, a.cancel = context.WithCancelCause(ctx)
-	a.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.got, GotFirstResponseByte: a.stopTimer})
-	return a
-}
-
-// got begins the call on a connection. It is called again where that turned out to
-// be closed before anything was sent.
-func (a *attempt) got(i httptrace.GotConnInfo) {
-	a.stopTimer()
-	a.began, a.kept = time.Now(), i.Reused
-	var giveUp func()
-	if i.Reused && a.again {
-		giveUp = func() { a.cancel(errDistrusted) }
-	}
-	a.conns.Begin(&a.Usage, i.Conn, giveUp)
-	end, bounded := a.ctx.Deadline()
-	if p := a.patience(end.Sub(a.began)); i.Reused && bounded && p > 0 {
-		a.timer.Store(time.AfterFunc(p, func() { a.cancel(ErrSilent) }))
-	}
-}
-
-func (a *attempt) stopTimer() {
-	if t := a.timer.Swap(nil); t != nil {
-		t.Stop()
-	}
-}
-
-func (a *attempt) end() {
-	a.stopTimer()
-	a.conns.End(&a.Usage)
-	a.cancel(nil)
-}
-
-// failed returns the error of a call without an answer, and gives up what is not
-// newer than its connection where that was silent.
-func (a *attempt) failed(err error) error {
-	kind := ErrUnknown
-	if a.began.IsZero() || errors.Is(err, syscall.ECONNREFUSED) {
-		kind = ErrNotSent
-	} else if silent := a.silence(); silent != nil {
-		kind = silent
-	}
-	return fmt.Errorf("%w: %s: %w", kind, a.Path, err)
-}
-
-// silence returns why the call's connection counts as silent, or nil.
-func (a *attempt) silence() error {
-	why := context.Cause(a.ctx)
-	if errors.Is(why, errDistrusted) {
-		return errDistrusted
-	}
-	due := a.began.Add(a.Wait)
-	overdue := errors.Is(why, context.DeadlineExceeded) && time.Since(due) >= leastSilence
-	if !overdue && !errors.Is(why, ErrSilent) {
-		return nil
-	}
-	a.conns.Distrust(a.At.String(), due.Add(answerWithin))
-	if !a.kept {
-		return nil
-	}
-	return ErrSilent
+	return Reply{Status: res.StatusCode, Header: res.Header, Body: b}, nil
 }
--- a/common/exchange_test.go
+++ b/common/exchange_test.go
@@ -32,7 +32,7 @@
 	s.Start()
 	defer s.Close()
 	at := netip.MustParseAddrPort(s.Listener.Addr().String())
-	x := NewExchange(burst, burst)
+	x := NewExchange(Limits{PerAddress: burst, Total: burst})
 	for range 3 {
 		arrived.Add(burst)
 		var done sync.WaitGroup
--- a/common/silence_test.go
+++ b/common/silence_test.go
@@ -26,7 +26,7 @@
 }
 
 func newSilentFixture(t *testing.T, conns int) *silentFixture {
-	f := &silentFixture{x: NewExchange(conns, conns)}
+	f := &silentFixture{x: NewExchange(Limits{PerAddress: conns, Total: conns})}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.calls.Add(1)
 		switch r.URL.Path {
@@ -35,6 +35,10 @@
 			f.together.Wait()
 		case "/never":
 			<-r.Context().Done()
+		case "/stream":
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
 		}
 		w.WriteHeader(http.StatusOK)
 	}))
@@ -167,7 +171,7 @@
 
 func TestNewConnectionWithoutAnAnswerIsNotSilent(t *testing.T) {
 	f := newSilentFixture(t, 1)
-	x := NewExchange(1, 1)
+	x := NewExchange(Limits{PerAddress: 1, Total: 1})
 	ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
 	defer cancel()
 	f.calls.Store(0)
@@ -176,3 +180,41 @@
 	require.NotErrorIs(t, err, ErrSilent)
 	require.Equal(t, int64(1), f.calls.Load(), "a service that does not answer is not asked twice")
 }
+
+func TestStreamBreaksOffWhenACallShowsSilence(t *testing.T) {
+	f := newSilentFixture(t, 2)
+	s, err := f.x.Stream(t.Context(), f.request("/stream"))
+	require.NoError(t, err)
+	defer s.Close()
+	require.Equal(t, 2, f.Silence(proxy.Answers))
+	broke := make(chan error, 1)
+	go func() {
+		_, err := s.Read(make([]byte, 1))
+		broke <- err
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err = f.x.Repeat(ctx, f.request("/"), f.request("/"))
+	require.NoError(t, err)
+	select {
+	case err := <-broke:
+		require.ErrorIs(t, err, ErrUnknown)
+	case <-time.After(time.Second):
+		t.Fatal("the stream stays on a connection that is no newer than the silent one")
+	}
+}
+
+func TestEndOfAStreamsTimeShowsNoSilence(t *testing.T) {
+	f := newSilentFixture(t, 2)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*leastSilence)
+	defer cancel()
+	s, err := f.x.Stream(ctx, f.request("/stream"))
+	require.NoError(t, err)
+	defer s.Close()
+	_, err = s.Read(make([]byte, 1))
+	require.ErrorIs(t, err, ErrUnknown)
+	opened := f.Opened()
+	_, err = f.x.Call(t.Context(), f.request("/"))
+	require.NoError(t, err)
+	require.Equal(t, opened, f.Opened(), "the other connection is still trusted")
+}
--- /dev/null
+++ b/common/stream.go
@@ -0,0 +1,76 @@
+package common
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// Stream is an answer that goes on for as long as its connection stands.
+type Stream struct {
+	Status int
+	body   io.ReadCloser
+	of     *attempt
+}
+
+// Stream sends one request and returns the answer once it has begun. The answer
+// breaks off when a call to the same address shows that its connection may have gone
+// silent. A stream has to be closed.
+func (x Exchange) Stream(ctx context.Context, q Request) (*Stream, error) {
+	a := newAttempt(ctx, x.conns, q)
+	a.stream = true
+	req, err := q.request(a.ctx)
+	if err != nil {
+		a.end()
+		return nil, fmt.Errorf("%w: %s: %w", ErrNotSent, q.Path, err)
+	}
+	res, err := x.client.Do(req) //nolint:bodyclose // the Stream closes it
+	if err != nil {
+		defer a.end()
+		return nil, a.failed(err)
+	}
+	return &Stream{Status: res.StatusCode, body: res.Body, of: a}, nil
+}
+
+// Read reads from the answer.
+func (s *Stream) Read(b []byte) (int, error) {
+	n, err := s.body.Read(b)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = s.of.failed(err)
+	}
+	return n, err
+}
+
+// Close ends the call.
+func (s *Stream) Close() error {
+	s.of.end()
+	return s.body.Close()
+}
+
+func (q Request) request(ctx context.Context) (*http.Request, error) {
+	var body io.Reader
+	if q.Body != nil {
+		b, err := json.Marshal(q.Body)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(b)
+	}
+	base := cmp.Or(q.Base, "http://"+q.At.String())
+	r, err := http.NewRequestWithContext(ctx, q.Method, base+q.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	for k, v := range q.Header {
+		r.Header[k] = v
+	}
+	if q.Body != nil {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	return r, nil
+}
--- a/job/peer.go
+++ b/job/peer.go
@@ -38,7 +38,7 @@
 }
 
 func newPeers() *peers {
-	return &peers{x: common.NewExchange(peerConns, 0)}
+	return &peers{x: common.NewExchange(common.Limits{PerAddress: peerConns})}
 }
 
 // state asks the owner for a job's state.
