Replace a connection between entry hosts that has gone silent

Cause: calls between entry hosts share one gRPC connection to each peer. Once that had gone silent, every probe, claim and fetch on it failed until gRPC's keepalive ended it, which takes 11 s, and the peer was suspected meanwhile.

A connection that has answered before has half of a call's time. If it brings nothing, nor answers any other call meanwhile, a new one takes its place, and the call goes again on that; the calls under way on the old one do the same, and the last closes it. All calls between entry hosts read, or name what they do, so that they may be done twice. A peer that does not answer on a new connection is not dialled again for it.

Ruled out: keepalive in less than 10 s, which gRPC does not take.

--- /dev/null
+++ b/peers/conn.go
@@ -0,0 +1,140 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// Conn is the way to one peer. All calls share one connection, which is replaced
+// once it has gone silent. All calls between entry hosts may be done twice: they
+// read, or what they name tells them apart.
+type Conn struct {
+	open func() (*grpc.ClientConn, error)
+	mu   sync.Mutex
+	link *link
+}
+
+// link is one connection. Its counts are guarded by the Conn's mutex.
+type link struct {
+	*grpc.ClientConn
+	// calls counts those under way.
+	calls int
+	// answers counts those that were answered.
+	answers int
+}
+
+// errSilent says that a connection that has answered before does not any more.
+var errSilent = errors.New("peers: connection has gone silent")
+
+func newConn(open func() (*grpc.ClientConn, error)) (*Conn, error) {
+	g, err := open()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{open: open, link: &link{ClientConn: g}}, nil
+}
+
+// Invoke makes one call. A connection that has answered before and brings nothing for
+// half of the call's time is replaced, and the call goes again on the new one.
+func (c *Conn) Invoke(ctx context.Context, method string, args, reply any, opts ...grpc.CallOption) error {
+	f := func(ctx context.Context, l *link) error { return l.Invoke(ctx, method, args, reply, opts...) }
+	err := c.try(ctx, f)
+	if errors.Is(err, errSilent) {
+		return c.last(ctx, f)
+	}
+	return err
+}
+
+// NewStream opens a stream on the connection of the moment.
+func (c *Conn) NewStream(ctx context.Context, d *grpc.StreamDesc, method string, opts ...grpc.CallOption) (grpc.ClientStream, error) {
+	c.mu.Lock()
+	l := c.link
+	c.mu.Unlock()
+	return l.NewStream(ctx, d, method, opts...)
+}
+
+// try makes the call within half of its time where the connection has answered
+// before. It returns errSilent where that brought nothing.
+func (c *Conn) try(ctx context.Context, f func(context.Context, *link) error) error {
+	l, answers := c.begin()
+	end, bounded := ctx.Deadline()
+	if answers == 0 || !bounded {
+		return c.end(l, f(ctx, l))
+	}
+	half, cancel := context.WithDeadline(ctx, end.Add(-time.Until(end)/2))
+	defer cancel()
+	err := c.end(l, f(half, l))
+	if answered(err) || half.Err() == nil || ctx.Err() != nil {
+		return err
+	}
+	c.replace(l, answers)
+	return errSilent
+}
+
+// last makes the call within all of its time.
+func (c *Conn) last(ctx context.Context, f func(context.Context, *link) error) error {
+	l, _ := c.begin()
+	return c.end(l, f(ctx, l))
+}
+
+func (c *Conn) begin() (*link, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.link.calls++
+	return c.link, c.link.answers
+}
+
+// end notes the end of a call and closes a connection that was replaced with the last
+// call on it.
+func (c *Conn) end(l *link, err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l.calls--
+	if answered(err) {
+		l.answers++
+	}
+	c.retire(l)
+	return err
+}
+
+// replace opens a new connection, unless another call has done so or has been
+// answered on the old one meanwhile.
+func (c *Conn) replace(l *link, answers int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link != l || l.answers != answers {
+		return
+	}
+	if g, err := c.open(); err == nil {
+		c.link = &link{ClientConn: g}
+		c.retire(l)
+	}
+}
+
+func (c *Conn) retire(l *link) {
+	if l != c.link && l.calls == 0 {
+		_ = l.Close()
+	}
+}
+
+func (c *Conn) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.link.Close()
+}
+
+// answered reports whether the peer has answered a call that ended so.
+func answered(err error) bool {
+	switch status.Code(err) {
+	case codes.DeadlineExceeded, codes.Canceled, codes.Unavailable:
+		return false
+	default:
+		return true
+	}
+}
--- a/peers/dialer.go
+++ b/peers/dialer.go
@@ -21,38 +21,49 @@
 
 // Times of a connection between entry hosts.
 const (
-	dialTimeout   = 500 * time.Millisecond
-	redialAtMost  = time.Second
+	dialTimeout  = 500 * time.Millisecond
+	redialAtMost = time.Second
+	// keepaliveTime ends a connection to a host that is gone while no call is made;
+	// gRPC takes no less. Calls show silence sooner.
 	keepaliveTime = 10 * time.Second
 	// bufferBytes is the size of each buffer of a connection. Messages are
 	// small, and each process holds a connection to every other.
 	bufferBytes = 2 << 10
 )
 
-// Dialer holds one connection to each peer.
+// Dialer holds one way to each peer.
 type Dialer struct {
 	token string
 	mu    sync.Mutex
-	conns map[netip.AddrPort]*grpc.ClientConn
+	conns map[netip.AddrPort]*Conn
 }
 
 // NewDialer returns a dialer that shows the token to each peer.
 func NewDialer(token string) *Dialer {
-	return &Dialer{token: token, conns: map[netip.AddrPort]*grpc.ClientConn{}}
+	return &Dialer{token: token, conns: map[netip.AddrPort]*Conn{}}
 }
 
-// Conn returns the connection to the peer at the address. It is opened on
+// Conn returns the way to the peer at the address. Its connection is opened on
 // first use.
-func (d *Dialer) Conn(a netip.AddrPort) (*grpc.ClientConn, error) {
+func (d *Dialer) Conn(a netip.AddrPort) (*Conn, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if c, ok := d.conns[a]; ok {
 		return c, nil
 	}
+	c, err := newConn(func() (*grpc.ClientConn, error) { return d.open(a) })
+	if err != nil {
+		return nil, err
+	}
+	d.conns[a] = c
+	return c, nil
+}
+
+func (d *Dialer) open(a netip.AddrPort) (*grpc.ClientConn, error) {
 	b := backoff.DefaultConfig
 	b.BaseDelay = 100 * time.Millisecond
 	b.MaxDelay = redialAtMost
-	c, err := grpc.NewClient("passthrough:///"+a.String(),
+	return grpc.NewClient("passthrough:///"+a.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: b, MinConnectTimeout: dialTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: time.Second}),
@@ -60,11 +71,6 @@
 		grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithUnaryInterceptor(d.addToken),
 	)
-	if err != nil {
-		return nil, err
-	}
-	d.conns[a] = c
-	return c, nil
 }
 
 // Keep closes the connections to all other addresses.
@@ -73,7 +79,7 @@
 	defer d.mu.Unlock()
 	for a, c := range d.conns {
 		if !l[a] {
-			_ = c.Close()
+			c.close()
 			delete(d.conns, a)
 		}
 	}
