Let one deadline at a target be paid for all its silent connections

Cause: a request on a kept connection that had gone silent ran into its deadline, and the next request to the target was handed another such connection.

How long a target works is not known, and silence from it is no reason to end an answer sooner, so that the deadline stays what shows silence. When it passes on a kept connection, the idle ones to the target that have brought nothing since the request was sent are closed. Requests that run at most once have a connection of their own each, as before.

TestOneDeadlineIsPaidForAllSilentConnectionsToATarget failed before, both ways. TestConnectionOfAnAnswerThatIsPassedOnIsNotGivenUp is for the mend itself.

--- a/request/forward.go
+++ b/request/forward.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -69,6 +69,7 @@
 
 // Forwarder runs requests on targets over HTTP/1.1.
 type Forwarder struct {
+	conns  *common.Connections
 	shared *http.Transport
 	// single opens a connection for each request: net/http sends a request a
 	// second time only on a connection that it has used before.
@@ -78,43 +79,97 @@
 // NewForwarder returns a forwarder with at most so many idle connections to
 // each target.
 func NewForwarder(idle int) *Forwarder {
-	d := &net.Dialer{Timeout: dialTimeout}
+	o := common.NewConnections((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	t := &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext:         o.Dial,
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
 	s := t.Clone()
 	s.DisableKeepAlives = true
-	return &Forwarder{shared: t, single: s}
+	return &Forwarder{conns: o, shared: t, single: s}
 }
 
 // Run sends the call to the target once and reads the start of its answer. The
 // error, if any, is an *AttemptError.
 func (f *Forwarder) Run(ctx context.Context, a netip.AddrPort, c Call) (*Reply, error) {
-	var got atomic.Bool
-	t := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }}
+	s := &sending{conns: f.conns}
+	t := &httptrace.ClientTrace{GotConn: s.got}
 	req, err := f.request(httptrace.WithClientTrace(ctx, t), a, c)
 	if err != nil {
 		return nil, &AttemptError{Cause: err}
 	}
+	r, err := f.send(req, c)
+	if err != nil {
+		s.failed(ctx)
+		return nil, &AttemptError{Sent: !s.began.IsZero(), Cause: err}
+	}
+	if r.Rest == nil {
+		s.end()
+		return r, nil
+	}
+	r.Rest = &rest{ReadCloser: r.Rest, of: s}
+	return r, nil
+}
+
+func (f *Forwarder) send(req *http.Request, c Call) (*Reply, error) {
 	res, err := f.transport(c).RoundTrip(req)
 	if err != nil {
-		return nil, &AttemptError{Sent: got.Load(), Cause: err}
+		return nil, err
 	}
 	r, err := readHead(res)
-	if err != nil {
-		_ = res.Body.Close()
-		return nil, &AttemptError{Sent: true, Cause: err}
+	if id := res.Header.Get(common.HeaderID); err == nil && id != "" && id != c.ID {
+		err = merry.Errorf("answer is for request %s", id)
 	}
-	if id := res.Header.Get(common.HeaderID); id != "" && id != c.ID {
+	if err != nil {
 		_ = res.Body.Close()
-		return nil, &AttemptError{Sent: true, Cause: merry.Errorf("answer is for request %s", id)}
+		return nil, err
 	}
 	return r, nil
 }
 
+// sending is one request's use of a connection.
+type sending struct {
+	common.Usage
+	conns *common.Connections
+	// began is when the request had its connection, the zero time before.
+	began time.Time
+	// kept says that the connection has served earlier requests.
+	kept bool
+}
+
+func (s *sending) got(i httptrace.GotConnInfo) {
+	s.began, s.kept = time.Now(), i.Reused
+	s.conns.Begin(&s.Usage, i.Conn, nil)
+}
+
+func (s *sending) end() {
+	s.conns.End(&s.Usage)
+}
+
+// failed notes a request without an answer. Only its deadline tells silence from
+// work; no request is sent a second time for it, but those after it do not meet
+// another connection that has brought nothing since this one was sent.
+func (s *sending) failed(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && s.kept {
+		s.conns.Distrust(&s.Usage, s.began, true)
+	}
+	s.end()
+}
+
+// rest is the part of an answer that is passed on as it comes.
+type rest struct {
+	io.ReadCloser
+	of *sending
+}
+
+// Close ends the use of the connection.
+func (r *rest) Close() error {
+	r.of.end()
+	return r.ReadCloser.Close()
+}
+
 func (f *Forwarder) transport(c Call) *http.Transport {
 	if c.Once {
 		return f.single
