--- a/commands/settings.go
+++ b/commands/settings.go
@@ -151,9 +151,9 @@
 }
 
 // leastConfigWithin is the least time in which a configuration can be in force: a
-// slow store takes a quarter of a second, which a watch on a silent connection and the
-// one after it both have.
-const leastConfigWithin = time.Second
+// watch on a silent connection and the one after it have a fifth of it each, and a slow
+// store takes a quarter of a second.
+const leastConfigWithin = 1250 * time.Millisecond
 
 // checkJobs reads the settings that only jobs need.
 func (s *Settings) checkJobs(c *checked, fault faultFunc) {
--- a/job/follow.go
+++ b/job/follow.go
@@ -11,9 +11,11 @@
 
 // Times of following the store.
 const (
-	// watchLongest is the longest that one watch waits: a node that hears nothing of
-	// the store for readyWithout calls itself not ready.
-	watchLongest = 2 * time.Second
+	// watchLongest is the longest that one watch waits, and watchKnown the longest
+	// until it is known whether the store answers: a node that hears nothing of it for
+	// readyWithout calls itself not ready.
+	watchLongest = 2 * readyWithout / 3
+	watchKnown   = 9 * readyWithout / 10
 	// followRetry is the pause after a list or watch that failed.
 	followRetry = 150 * time.Millisecond
 )
@@ -42,7 +44,7 @@
 // configWatch is for the configuration, which has to be in force within a time of
 // its acknowledgement. A tenth of that is left for taking it in.
 func configWatch(inForce time.Duration) watchTimes {
-	return watchTimes{wait: min(inForce/2, watchLongest), within: inForce - inForce/10}
+	return watchTimes{wait: min(inForce/2, watchLongest), within: min(9*inForce/10, watchKnown)}
 }
 
 // follower keeps up with all keys under a prefix.
--- a/job/node.go
+++ b/job/node.go
@@ -14,7 +14,7 @@
 )
 
 // readyWithout is how long a node stays ready without answers of the store. A
-// watch answers at least every watchLongest.
+// watch answers well within it, also where its connection has gone silent.
 const readyWithout = 3 * time.Second
 
 // Settings are what a node is told at its start.
--- a/job/silence_test.go
+++ b/job/silence_test.go
@@ -162,3 +162,17 @@
 		})
 	}
 }
+
+// Whatever the platform allows: a watch on a silent connection and the one after it
+// leave time for taking the configuration in, a slow store has time to answer each, and
+// a host does not call itself not ready for it.
+func TestWatchOfTheConfigurationFollowsFromItsBound(t *testing.T) {
+	const slow = 250 * time.Millisecond
+	for _, c := range []time.Duration{1250 * time.Millisecond, 2 * time.Second, 4 * time.Second, time.Minute} {
+		w := configWatch(c)
+		require.Less(t, w.within, c)
+		require.Less(t, w.within, readyWithout)
+		require.GreaterOrEqual(t, w.within-w.wait, 2*slow)
+	}
+	require.Greater(t, configWatch(4*time.Second).wait, configWatch(2*time.Second).wait)
+}
