Give up writes too beside a connection that has gone silent

A write that its caller settles was left on a connection that another call had shown to be no newer than the silent one, and paid its own 0.75 s. It is given up with it now and repeated by whoever writes, as after its own time-out.

TestSettledCallIsGivenUpWithASilentOneBesideIt failed before.

--- a/common/attempt.go
+++ b/common/attempt.go
@@ -39,7 +39,7 @@
 	a.stopTimer()
 	a.began, a.kept = time.Now(), i.Reused
 	var giveUp func()
-	if a.stream || (i.Reused && a.again) {
+	if a.stream || (i.Reused && a.early()) {
 		giveUp = func() { a.cancel(errDistrusted) }
 	}
 	a.conns.Begin(&a.Usage, i.Conn, giveUp)
--- a/common/connections.go
+++ b/common/connections.go
@@ -96,8 +96,9 @@
 }
 
 // Begin notes that the call is on its way over the connection, which Dial has
-// opened, plain or below TLS, and no longer over an earlier one. A call that may be repeated is ended by
-// giveUp once the connection is no longer trusted; others have none.
+// opened, plain or below TLS, and no longer over an earlier one. A call that can be
+// made again is ended by giveUp once the connection is no longer trusted; others have
+// none.
 func (o *Connections) Begin(u *Usage, n net.Conn, giveUp func()) {
 	if t, ok := n.(interface{ NetConn() net.Conn }); ok {
 		n = t.NetConn()
@@ -130,7 +131,7 @@
 // Distrust closes the idle connections to the address of a call that was not
 // answered, but for those that have brought something since the time. Where its own
 // connection was kept, it has gone silent, and so may have those of other calls: the
-// ones that may be repeated are given up. Other calls go on, and their connections
+// ones that can be made again are given up. Other calls go on, and their connections
 // are kept if they still answer.
 func (o *Connections) Distrust(u *Usage, since time.Time, kept bool) {
 	idle, calls := o.suspects(u, since)
--- a/common/exchange.go
+++ b/common/exchange.go
@@ -120,15 +120,21 @@
 	Settled bool
 	// Most is the most bytes of an answer; zero is maxReply.
 	Most int64
-	// again says that the call is repeated if its connection is not trusted.
+	// again says that the exchange repeats the call if its connection is not trusted.
 	again bool
 }
 
+// early reports whether the call is given up on a kept connection before its time:
+// it is made again, or settled by the caller.
+func (q Request) early() bool {
+	return q.again || q.Settled
+}
+
 // patience returns how long a kept connection may bring nothing: beyond the wait,
 // half of the time that is left, so that a new one has the other half. It is zero
 // where only the context ends the call.
 func (q Request) patience(left time.Duration) time.Duration {
-	if !q.again && !q.Settled {
+	if !q.early() {
 		return 0
 	}
 	return q.Wait + max(0, left-q.Wait)/2
--- a/common/silence_test.go
+++ b/common/silence_test.go
@@ -218,3 +218,28 @@
 	require.NoError(t, err)
 	require.Equal(t, opened, f.Opened(), "the other connection is still trusted")
 }
+
+func TestSettledCallIsGivenUpWithASilentOneBesideIt(t *testing.T) {
+	f := newSilentFixture(t, 2)
+	f.Silence(proxy.Both)
+	settled := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		q := f.request("/")
+		q.Settled = true
+		_, err := f.x.Call(ctx, q)
+		settled <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := f.x.Repeat(ctx, f.request("/"), f.request("/"))
+	require.NoError(t, err)
+	select {
+	case err := <-settled:
+		require.ErrorIs(t, err, ErrSilent)
+	case <-time.After(time.Second):
+		t.Fatal("the call stays on a connection that is no newer than the silent one")
+	}
+}
