Soak: an entry host that stays behind by several configurations is seen, and each breach told once

The check asked for the newest configuration and the one before only, and was due for the newest alone, so that changes that came within two seconds of each other hid a host that followed none of them. Now a host is asked from the newest down to the one before that which is due.

--- a/internal/soak/configs.go
+++ b/internal/soak/configs.go
@@ -23,11 +23,14 @@
 
 // version is a configuration with a queue that no other one has.
 type version struct {
-	queue string
 	// acceptedAt is zero until the store has it.
 	acceptedAt time.Time
 }
 
+func queueOf(version int) string {
+	return fmt.Sprintf("extra-%03d", version)
+}
+
 // configure writes the next configuration. It drops the queue that the last one
 // added, and adds one.
 func (r *Run) configure() {
@@ -35,108 +38,108 @@
 	defer r.configuring.Unlock()
 	r.mu.Lock()
 	n := len(r.versions)
-	v := version{queue: fmt.Sprintf("extra-%03d", n)}
-	r.versions = append(r.versions, v)
+	r.versions = append(r.versions, version{})
 	r.mu.Unlock()
-	r.fail(r.jobs.Configure(v.queue))
+	r.fail(r.jobs.Configure(queueOf(n)))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.versions[n].acceptedAt = time.Now()
 }
 
-// accepted returns the last configuration that the store has, and how many there
-// are with those that are being written.
-func (r *Run) accepted() (newest, all int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	all = len(r.versions)
-	newest = all - 1
-	if newest >= 0 && r.versions[newest].acceptedAt.IsZero() {
-		newest--
-	}
-	return newest, all
+// standing is what was accepted and begun at a time.
+type standing struct {
+	at time.Time
+	// due is the newest configuration that has to be in force by now, newest the
+	// last that was accepted; -1 is none. All counts those that were begun.
+	due, newest, all int
 }
 
-// watchConfigs asks an entry host, by the queue that was added last and the one
-// that was dropped for it, which configuration is in force there.
-func (r *Run) watchConfigs(entry int) {
-	highest, life := -1, process{}
-	for !r.settled() && !r.watched() {
-		time.Sleep(askEvery)
-		x := r.entry(entry)
-		if p := r.process(x.Name); p != life {
-			highest, life = -1, p
+func (r *Run) standing() standing {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := standing{at: time.Now(), due: -1, newest: -1, all: len(r.versions)}
+	for i, v := range r.versions {
+		if v.acceptedAt.IsZero() {
+			break
 		}
-		n, all := r.accepted()
-		for _, i := range []int{n, n - 1} {
-			if i < 0 {
-				continue
-			}
-			q := question{entry: x, version: i, newest: n, all: all, sentAt: time.Now()}
-			a := q.ask(r.versionOf(i).queue)
-			if r.process(x.Name) != life || a == unknown {
-				break
-			}
-			r.checkForce(q, a, highest)
-			if a == there {
-				highest = max(highest, i)
-			}
+		s.newest = i
+		if s.at.Sub(v.acceptedAt) > configuredWithin {
+			s.due = i
 		}
 	}
+	return s
 }
 
-func (r *Run) versionOf(i int) version {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.versions[i]
+// follower asks one entry host which configuration is in force there, by the
+// queues that only one has.
+type follower struct {
+	run   *Run
+	index int
+	life  process
+	// highest is the newest that was seen in this life, missed how often in a row
+	// none was found that may be in force; told is the last that was told of.
+	highest, missed, told int
 }
 
-// presence is what an entry host says of a queue.
-type presence int
-
-const (
-	unknown presence = iota
-	there
-	absent
-)
+// missedMost is how often none may be found in a row: one that changes between
+// two questions hides from both.
+const missedMost = 3
 
-// question is one about a queue that only one configuration has.
-type question struct {
-	entry *local.JobsEntry
-	// version is that configuration; newest the last that was accepted and all
-	// how many were begun when the question was sent.
-	version, newest, all int
-	sentAt               time.Time
+// watch asks until what lasts was watched for long enough.
+func (f *follower) watch() {
+	for !f.run.watched() {
+		time.Sleep(askEvery)
+		x := f.run.entry(f.index)
+		if p := f.run.process(x.Name); p != f.life {
+			f.life, f.highest, f.missed = p, -1, 0
+		}
+		s := f.run.standing()
+		in, ok := f.ask(x, s)
+		if ok && f.run.process(x.Name) == f.life {
+			f.check(x, s, in)
+		}
+	}
 }
 
-func (q question) ask(queue string) presence {
-	code, body, err := q.entry.Call(http.MethodGet, queue, "", nil)
-	switch {
-	case err != nil, strings.Contains(body, "no configuration yet"):
-		return unknown
-	case code == http.StatusNotFound:
-		return absent
+// ask returns the newest configuration that is in force, down to the one before
+// that which is due; -1 is none of them.
+func (f *follower) ask(x *local.JobsEntry, s standing) (int, bool) {
+	for i := s.newest; i >= max(0, s.due-1); i-- {
+		code, body, err := x.Call(http.MethodGet, queueOf(i), "", nil)
+		switch {
+		case err != nil, strings.Contains(body, "no configuration yet"):
+			return 0, false
+		case code != http.StatusNotFound:
+			return i, true
+		}
 	}
-	return there
+	return -1, true
 }
 
-// checkForce checks an answer: no older configuration after a newer one, and none
-// older than the newest once that has had its time, at an entry host in touch.
-func (r *Run) checkForce(q question, a presence, highest int) {
-	_, all := r.accepted()
-	newest := r.versionOf(q.newest)
-	touches := func(scope string) bool { return scope == q.entry.Name || scope == scopeStore || scope == scopeAll }
-	switch {
-	case a == there && q.version < highest, a == absent && q.version == highest && q.version == q.newest && all == q.all:
-		r.brokef("%s went back from configuration %d: queue of %d is %s", q.entry.Name, highest, q.version, a)
-	case q.sentAt.Sub(newest.acceptedAt) < configuredWithin, q.sentAt.Sub(r.disturbedAt(touches)) < contactFor:
-	case a == absent && q.version == q.newest && all == q.all, a == there && q.version < q.newest:
-		r.brokef("%s does not have configuration %d in force %.1f s after it was accepted: queue of %d is %s",
-			q.entry.Name, q.newest, q.sentAt.Sub(newest.acceptedAt).Seconds(), q.version, a)
+// check checks what was found: nothing older than what was seen, and nothing older
+// than what is due at an entry host in touch.
+func (f *follower) check(x *local.JobsEntry, s standing, in int) {
+	if in >= 0 && in < f.highest || in < f.highest && f.highest == s.newest && f.run.standing().all == s.all {
+		f.run.brokef("%s went back from configuration %d to %d", x.Name, f.highest, in)
+		f.highest = in
 	}
+	f.highest = max(f.highest, in)
+	f.missed++
+	if in >= s.due || f.run.standing().all != s.all {
+		f.missed = 0
+		return
+	}
+	touches := func(scope string) bool { return scope == x.Name || scope == scopeStore || scope == scopeAll }
+	if f.missed < missedMost && in < 0 || f.told == s.due || s.at.Sub(f.run.disturbedAt(touches)) < contactFor {
+		return
+	}
+	f.told = s.due
+	f.run.brokef("%s has configuration %d in force, and %d was accepted %.1f s ago", x.Name, in, s.due,
+		s.at.Sub(f.run.versionOf(s.due).acceptedAt).Seconds())
 }
 
-// String returns the presence as messages tell it.
-func (p presence) String() string {
-	return [...]string{"unknown", "there", "absent"}[p]
+func (r *Run) versionOf(i int) version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.versions[i]
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -107,11 +107,13 @@
 	}
 }
 
-// postpone has a worker carry orders out late: most within the lease that they
+// postpone has workers carry orders out late: most within the lease that they
 // name, some after it.
 func (r *Run) postpone(e Event) {
 	d := rand.New(rand.NewPCG(r.Seed, uint64(e.At)))
-	r.jobs.Fleet.Postpone(e.For, func() time.Duration {
+	r.jobs.Fleet.Postpone(e.Entry, e.For, func() time.Duration {
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		return between(d, 2*time.Second, time.Duration(4+8*d.IntN(2))*time.Second)
 	})
 	time.Sleep(e.For)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -28,7 +28,7 @@
 	Wave      Kind = "wave"      // upkeep of half of the machines
 	KillAll   Kind = "kill all"  // SIGKILL of all entry hosts at once
 	Remove    Kind = "remove"    // a machine drains for For and is taken away for good
-	Postpone  Kind = "postpone"  // a worker carries orders out late
+	Postpone  Kind = "postpone"  // workers carry orders out late
 	Replace   Kind = "replace"   // an entry host is removed for good, another comes in its place
 	Stale     Kind = "stale"     // open connections fall silent for good
 )
@@ -152,7 +152,7 @@
 func strays(r *rand.Rand, entries int, from, to time.Duration) []Event {
 	var l []Event
 	for at := max(from+time.Second, to-between(r, time.Second, 3*time.Second)); at > from; at -= between(r, 3*time.Second, 7*time.Second) {
-		e := Event{At: at, Kind: Postpone, For: between(r, 500*time.Millisecond, 2500*time.Millisecond)}
+		e := Event{At: at, Kind: Postpone, Entry: r.IntN(entries), For: between(r, 500*time.Millisecond, 2500*time.Millisecond)}
 		l = append(l, e)
 		if r.IntN(3) == 0 {
 			at := at + between(r, 100*time.Millisecond, e.For)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -72,7 +72,8 @@
 	wg.Go(func() { r.watchLasting(l) })
 	wg.Go(r.watchCancelled)
 	for i := range o.Entries {
-		wg.Go(func() { r.watchConfigs(i) })
+		f := &follower{run: r, index: i, told: -1}
+		wg.Go(f.watch)
 	}
 	wg.Go(func() { r.disturb(&wg) })
 	for n := 0; time.Until(r.endsAt) > settle; n++ {
--- a/internal/standin/fleet/guard.go
+++ b/internal/standin/fleet/guard.go
@@ -11,20 +11,24 @@
 // lateHeader marks an order that is carried out late.
 const lateHeader = "Late"
 
-// Postpone has the worker of a busy machine leave orders to start and to stop
-// without an answer for a time, and carry each out late by what late returns. It
-// answers looks. It returns its id; none if no machine is busy.
-func (f *Fleet) Postpone(d time.Duration, late func() time.Duration) string {
+// Postpone has every second worker, from the first or the second on, leave orders
+// to start and to stop without an answer for a time, and carry each out late by
+// what late returns, which has to bear being called from several at once. They
+// answer looks. It returns how many workers those are.
+func (f *Fleet) Postpone(from int, d time.Duration, late func() time.Duration) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, m := range f.machines {
-		if w := m.worker; w != nil && !m.leaving && w.busy() {
-			w.postpone(late)
-			time.AfterFunc(d, func() { w.postpone(nil) })
-			return w.id
+	n := 0
+	for i, m := range f.machines {
+		w := m.worker
+		if w == nil || m.leaving || i%2 != from%2 {
+			continue
 		}
+		n++
+		w.postpone(late)
+		time.AfterFunc(d, func() { w.postpone(nil) })
 	}
-	return ""
+	return n
 }
 
 func (w *worker) postpone(late func() time.Duration) {
--- a/internal/standin/fleet/guard_test.go
+++ b/internal/standin/fleet/guard_test.go
@@ -15,10 +15,9 @@
 	require.NoError(t, f.Add("blue", 1, Capacity{CPU: 1000}))
 	w := f.machines[0].worker
 	c := &http.Client{Transport: &http.Transport{}}
-	require.Empty(t, f.Postpone(time.Second, nil), "no machine is busy")
+	require.Zero(t, f.Postpone(1, time.Second, nil), "there is one only")
 	require.NoError(t, post(c, w, "a.0.0.0", time.Second))
-	id := f.Postpone(200*time.Millisecond, func() time.Duration { return 300 * time.Millisecond })
-	require.Equal(t, w.id, id)
+	require.Equal(t, 1, f.Postpone(0, 200*time.Millisecond, func() time.Duration { return 300 * time.Millisecond }))
 	begun := time.Now()
 	require.ErrorIs(t, post(c, w, "a.0.0.1", 100*time.Millisecond), context.DeadlineExceeded)
 	require.False(t, f.Books.Runs("a.0.0.1"))
