--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -19,6 +19,7 @@
 	cause string
 }{
 	{1, 8 * time.Second, "a worker whose first clock is zero was taken for lapsed, in one of 16 plays"},
+	{2, 8 * time.Second, "a next owner waited for a host that was removed for good and started no lasting task for 10.5 s"},
 }
 
 func TestPromisesHoldInTheSoak(t *testing.T) {
