--- a/request/slot_test.go
+++ b/request/slot_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -44,6 +45,13 @@
 	s.runs += max(n, 0)
 }
 
+// begun returns how many runs have begun.
+func (s *slowTarget) begun() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs
+}
+
 // oneSlot returns a callers' interface over one target with one slot, whose
 // job is declared to be quicker than it is.
 func oneSlot(t *testing.T, h http.Handler) *Server {
@@ -111,3 +119,37 @@
 		})
 	}
 }
+
+// TestCutDuringSetUpIsKnown ends the caller's context at the moment in which the
+// connection to the target is there: either the target does not run the request,
+// or the error says when it is over.
+func TestCutDuringSetUpIsKnown(t *testing.T) {
+	v := &slowTarget{took: 5 * time.Millisecond}
+	target := httptest.NewServer(v)
+	defer target.Close()
+	a := netip.MustParseAddrPort(strings.TrimPrefix(target.URL, "http://"))
+	for n := range 500 {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := NewForwarder(8)
+		f.shared.DialContext = func(c context.Context, network, at string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(context.WithoutCancel(c), network, at)
+			cancel()
+			return conn, err
+		}
+		before := v.begun()
+		_, err := f.Run(ctx, a, Call{ID: "x", Method: http.MethodPost, Path: "/", Header: http.Header{}, Body: []byte("body"), RunsOn: true})
+		var e *AttemptError
+		if err != nil {
+			require.ErrorAs(t, err, &e)
+		}
+		if e != nil && e.Over == nil {
+			time.Sleep(2 * time.Millisecond)
+			require.Equal(t, before, v.begun(), "attempt %d was given up and runs", n)
+		}
+		if e != nil && e.Over != nil {
+			<-e.Over
+		}
+		f.shared.CloseIdleConnections()
+		cancel()
+	}
+}
