Settle at one point whether a request is written or given up

A request is given up only before its body is read, and its body cannot be read after that: the target then has its headers at most and does not run it. One without a body counts as written from the start. The test's target now reads the whole request before it runs it, as one that is asked to run a body has to; the first form ran on the headers alone.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -19,17 +20,70 @@
 	cancel context.CancelFunc
 	// sent says that the target may have got some of the request.
 	sent atomic.Bool
+	// phase settles once whether the request is written or given up.
+	phase atomic.Int32
 	// over closes once reply or err is there.
 	over  chan struct{}
 	reply *Reply
 	err   error
 }
 
+// Phases of an attempt.
+const (
+	waiting int32 = iota
+	writing
+	givenUp
+)
+
 // trace notes when the request has a connection.
 func (t *attempt) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.sent.Store(true) }}
 }
 
+// write reports whether the request may be written.
+func (t *attempt) write() bool {
+	return t.phase.CompareAndSwap(waiting, writing) || t.phase.Load() == writing
+}
+
+// giveUp reports whether the request will not be written: a target gets no more
+// than its headers, and does not run it.
+func (t *attempt) giveUp() bool {
+	return t.phase.CompareAndSwap(waiting, givenUp) || t.phase.Load() == givenUp
+}
+
+// errGivenUp ends the writing of a request whose caller has gone.
+var errGivenUp = merry.New("given up before it was written")
+
+// body is the body of a request. net/http writes a request to a connection that
+// comes at the very end of its context, so that the body asks whether it may.
+type body struct {
+	*bytes.Reader
+	attempt *attempt
+}
+
+// Read is part of io.Reader.
+func (b body) Read(p []byte) (int, error) {
+	if !b.attempt.write() {
+		return 0, errGivenUp
+	}
+	return b.Reader.Read(p)
+}
+
+// Close is part of io.Closer.
+func (b body) Close() error {
+	return nil
+}
+
+// bodyOf returns a new reader of the request's body. One without any is written
+// with its headers, and so counts as written.
+func (t *attempt) bodyOf(b []byte) io.ReadCloser {
+	if len(b) == 0 {
+		t.write()
+		return http.NoBody
+	}
+	return body{Reader: bytes.NewReader(b), attempt: t}
+}
+
 // run sends the request and reads the start of the answer.
 func (t *attempt) run(r http.RoundTripper, req *http.Request, id string) {
 	defer close(t.over)
--- a/request/forward.go
+++ b/request/forward.go
@@ -1,7 +1,6 @@
 package request
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -100,7 +99,7 @@
 func (f *Forwarder) Run(ctx context.Context, a netip.AddrPort, c Call) (*Reply, error) {
 	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	t := &attempt{cancel: cancel, over: make(chan struct{})}
-	req, err := f.request(httptrace.WithClientTrace(own, t.trace()), a, c)
+	req, err := t.request(own, a, c)
 	if err != nil {
 		cancel()
 		return nil, &AttemptError{Cause: err}
@@ -111,7 +110,7 @@
 		return t.outcome(ctx)
 	case <-ctx.Done():
 	}
-	if !c.RunsOn || !t.sent.Load() {
+	if !c.RunsOn || t.giveUp() {
 		cancel()
 		<-t.over
 		return t.outcome(ctx)
@@ -126,15 +125,19 @@
 	return f.shared
 }
 
-func (f *Forwarder) request(ctx context.Context, a netip.AddrPort, c Call) (*http.Request, error) {
+// request returns the request that the attempt sends.
+func (t *attempt) request(ctx context.Context, a netip.AddrPort, c Call) (*http.Request, error) {
 	u := "http://" + a.String() + c.Path
 	//nolint:gosec // The address is the host list's; the caller chooses the path only.
-	req, err := http.NewRequestWithContext(ctx, c.Method, u, bytes.NewReader(c.Body))
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, t.trace()), c.Method, u, http.NoBody)
 	if err != nil {
 		return nil, err
 	}
 	copyHeader(req.Header, c.Header)
 	req.Header.Set(common.HeaderID, c.ID)
+	req.ContentLength = int64(len(c.Body))
+	req.Body = t.bodyOf(c.Body)
+	req.GetBody = func() (io.ReadCloser, error) { return t.bodyOf(c.Body), nil }
 	return req, nil
 }
 
--- a/request/slot_test.go
+++ b/request/slot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -30,8 +31,11 @@
 	took   time.Duration
 }
 
-// ServeHTTP runs one request.
-func (s *slowTarget) ServeHTTP(http.ResponseWriter, *http.Request) {
+// ServeHTTP runs one request, if all of it comes.
+func (s *slowTarget) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	if _, err := io.ReadAll(r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	s.count(1)
 	time.Sleep(s.took)
 	s.count(-1)
