--- a/commands/routing.go
+++ b/commands/routing.go
@@ -109,8 +109,14 @@
 // relearn learns what may have changed in a pause of the process: the fleet, and
 // who the slots are shared with.
 func (d *Daemon) relearn(ctx context.Context) error {
-	d.members.Relearn(ctx)
-	if err := d.view.Relearn(ctx); err != nil {
+	joined := make(chan struct{})
+	go func() {
+		defer close(joined)
+		d.members.Relearn(ctx)
+	}()
+	err := d.view.Relearn(ctx)
+	<-joined
+	if err != nil {
 		return err
 	}
 	d.refresh()
