--- a/request/attempt.go
+++ b/request/attempt.go
@@ -30,9 +30,9 @@
 
 // Phases of an attempt.
 const (
-	waiting int32 = iota
-	writing
-	givenUp
+	phaseWaiting int32 = iota
+	phaseWriting
+	phaseGivenUp
 )
 
 // trace notes when the request has a connection.
@@ -42,13 +42,13 @@
 
 // write reports whether the request may be written.
 func (t *attempt) write() bool {
-	return t.phase.CompareAndSwap(waiting, writing) || t.phase.Load() == writing
+	return t.phase.CompareAndSwap(phaseWaiting, phaseWriting) || t.phase.Load() == phaseWriting
 }
 
 // giveUp reports whether the request will not be written: a target gets no more
 // than its headers, and does not run it.
 func (t *attempt) giveUp() bool {
-	return t.phase.CompareAndSwap(waiting, givenUp) || t.phase.Load() == givenUp
+	return t.phase.CompareAndSwap(phaseWaiting, phaseGivenUp) || t.phase.Load() == phaseGivenUp
 }
 
 // errGivenUp ends the writing of a request whose caller has gone.
--- a/request/scheduler_test.go
+++ b/request/scheduler_test.go
@@ -398,6 +398,29 @@
 	})
 }
 
+// TestMoreMembersGiveNoLargerShare proves that an entry host which still counts
+// others that have gone uses no more than it could without them, so that hosts
+// which count different members stay within the slots as long as each of them
+// counts all that use some.
+func TestMoreMembersGiveNoLargerShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		few := []string{"a"}
+		many := []string{"a"}
+		for _, n := range []string{"b", "c", "d", "e", "f", "g"} {
+			switch rapid.IntRange(0, 2).Draw(t, n) {
+			case 1:
+				many = append(many, n)
+			case 2:
+				few = append(few, n)
+				many = append(many, n)
+			}
+		}
+		target := rapid.StringMatching("[a-z]{1,4}").Draw(t, "target")
+		slots := rapid.IntRange(0, 20).Draw(t, "slots")
+		require.LessOrEqual(t, ShareOf(target, slots, many, "a"), ShareOf(target, slots, few, "a"))
+	})
+}
+
 // sharesModel is entry hosts that come and go.
 type sharesModel struct {
 	now  time.Time
--- a/request/share.go
+++ b/request/share.go
@@ -8,10 +8,10 @@
 )
 
 // ShareOf returns how many of a target's slots one process may use. The slots
-// are divided over the live entry hosts of the data centre, and what is left
-// over goes to those that rank first for the target, which differ from target
-// to target. Where all processes see the same members, their shares sum up to
-// the slots exactly.
+// are divided over the entry hosts of the data centre that hold a share, and what
+// is left over goes to those that rank first for the target, which differ from
+// target to target. Where all processes see the same members, their shares sum
+// up to the slots exactly; one that sees more members has no larger share.
 func ShareOf(target string, slots int, members []string, self string) int {
 	if len(members) == 0 {
 		return slots
@@ -45,7 +45,7 @@
 	return &Shares{self: self, usableAt: now.Add(ShareHold)}
 }
 
-// Follow takes in who is alive. It reports whether shares may have changed.
+// Follow takes in who holds a share. It reports whether shares may have changed.
 func (s *Shares) Follow(now time.Time, names []string) bool {
 	began := !s.usable && !now.Before(s.usableAt)
 	s.usable = s.usable || began
