Take silence at two addresses for silence at all

Cause: a host's open connections go silent together, but each address showed that for itself: a worker's only once its look was overdue, 0.35 to 1.35 s after, and until then starts went out on connections that were as dead, each of which cost 0.8 s and a stop.

A kept connection that was silent where a new one to the address answers shows that the connection was at fault, and not the other side. Where two addresses show that within 1.5 s, the connections of all clients of the process are given up that have brought nothing since. One address alone tells of itself only: its request may have been lost.

Ruled out: one address as enough (writes of the store that lose their answer would make the owner dial all workers anew, several times in one such spell).

TestTwoSilentAddressesShowThatAllMayBe failed without it.

--- a/common/attempt.go
+++ b/common/attempt.go
@@ -45,7 +45,7 @@
 	a.conns.Begin(&a.Usage, i.Conn, giveUp)
 	end, bounded := a.ctx.Deadline()
 	if p := a.patience(end.Sub(a.began)); i.Reused && bounded && p > 0 {
-		a.timer.Store(time.AfterFunc(p, func() { a.cancel(ErrSilent) }))
+		a.timer.Store(time.AfterFunc(p, func() { a.cancel(errOverdue) }))
 	}
 }
 
@@ -73,18 +73,22 @@
 	return fmt.Errorf("%w: %s: %w", kind, a.Path, err)
 }
 
+// due is when the answer should have come.
+func (a *attempt) due() time.Time {
+	return a.began.Add(a.Wait)
+}
+
 // silence returns why the call's connection counts as silent, or nil.
 func (a *attempt) silence() error {
 	why := context.Cause(a.ctx)
 	if errors.Is(why, errDistrusted) {
 		return errDistrusted
 	}
-	due := a.began.Add(a.Wait)
-	overdue := !a.stream && errors.Is(why, context.DeadlineExceeded) && time.Since(due) >= leastSilence
-	if !overdue && !errors.Is(why, ErrSilent) {
+	overdue := !a.stream && errors.Is(why, context.DeadlineExceeded) && time.Since(a.due()) >= leastSilence
+	if !overdue && !errors.Is(why, errOverdue) {
 		return nil
 	}
-	a.conns.Distrust(&a.Usage, due.Add(answerWithin), a.kept)
+	a.conns.Distrust(&a.Usage, a.due().Add(answerWithin), a.kept)
 	if !a.kept {
 		return nil
 	}
--- a/common/connections.go
+++ b/common/connections.go
@@ -15,8 +15,10 @@
 type Connections struct {
 	dial  func(ctx context.Context, network, address string) (net.Conn, error)
 	epoch time.Time
-	mu    sync.Mutex
-	open  map[string]map[*connection]bool
+	// silences is nil where no other client's connections are joined.
+	silences *Silences
+	mu       sync.Mutex
+	open     map[string]map[*connection]bool
 }
 
 // NewConnections returns none yet. They are opened by dial.
@@ -135,12 +137,29 @@
 // are kept if they still answer.
 func (o *Connections) Distrust(u *Usage, since time.Time, kept bool) {
 	idle, calls := o.suspects(u, since)
-	for _, c := range idle {
-		_ = c.Close()
-	}
 	if !kept {
 		// The other side may be slow, and no more calls are to be put to it.
-		return
+		calls = nil
+	}
+	giveUp(idle, calls)
+}
+
+// distrustAll does the same for every address.
+func (o *Connections) distrustAll(since time.Time) {
+	o.mu.Lock()
+	var idle []*connection
+	var calls []func()
+	for _, l := range o.open {
+		i, c := silentSince(l, since)
+		idle, calls = append(idle, i...), append(calls, c...)
+	}
+	o.mu.Unlock()
+	giveUp(idle, calls)
+}
+
+func giveUp(idle []*connection, calls []func()) {
+	for _, c := range idle {
+		_ = c.Close()
 	}
 	for _, f := range calls {
 		f()
@@ -153,9 +172,15 @@
 	if of.on == nil {
 		return nil, nil
 	}
+	return silentSince(o.open[of.on.address], since)
+}
+
+// silentSince returns those of the connections that are idle and have brought nothing
+// since the time, and what ends the calls on the others.
+func silentSince(l map[*connection]bool, since time.Time) ([]*connection, []func()) {
 	var idle []*connection
 	var calls []func()
-	for c := range o.open[of.on.address] {
+	for c := range l {
 		if c.heardSince(since) {
 			continue
 		}
--- a/common/exchange.go
+++ b/common/exchange.go
@@ -42,6 +42,8 @@
 	// ErrSilent is an ErrUnknown of a connection that was kept from earlier calls
 	// and brought no answer in time. The next call goes on a new one.
 	ErrSilent = fmt.Errorf("%w: kept connection is silent", ErrUnknown)
+	// errOverdue ends a call whose own connection has brought nothing in time.
+	errOverdue = fmt.Errorf("%w: answer overdue", ErrSilent)
 	// errDistrusted ends a call whose connection is no newer than a silent one.
 	errDistrusted = fmt.Errorf("%w, as another to its address is", ErrSilent)
 )
@@ -85,6 +87,11 @@
 	return Exchange{client: &http.Client{Transport: t}, conns: o}
 }
 
+// Connections returns the exchange's connections, to be joined with others.
+func (x Exchange) Connections() *Connections {
+	return x.conns
+}
+
 // dialAbrupt opens a connection that is reset when it is closed: what a cut has
 // held up must not arrive after its call was given up.
 func dialAbrupt(ctx context.Context, d *net.Dialer, network, address string) (net.Conn, error) {
@@ -160,9 +167,16 @@
 // once on a new one, within the time of the context.
 func (x Exchange) Repeat(ctx context.Context, first, second Request) (Reply, error) {
 	first.again, second.again = true, true
-	r, err := x.Call(ctx, first)
+	a := newAttempt(ctx, x.conns, first)
+	r, err := x.do(a)
+	if !errors.Is(err, ErrSilent) {
+		return r, err
+	}
 	for errors.Is(err, ErrSilent) && ctx.Err() == nil {
-		r, err = x.Call(ctx, second)
+		r, err = x.do(newAttempt(ctx, x.conns, second))
+	}
+	if err == nil && errors.Is(context.Cause(a.ctx), errOverdue) {
+		x.conns.silences.show(first.At.String(), a.due(), time.Now())
 	}
 	return r, err
 }
@@ -170,8 +184,12 @@
 // Call sends one request. Its error is ErrNotSent where the request cannot have
 // arrived, and ErrUnknown where it may have.
 func (x Exchange) Call(ctx context.Context, q Request) (Reply, error) {
-	a := newAttempt(ctx, x.conns, q)
+	return x.do(newAttempt(ctx, x.conns, q))
+}
+
+func (x Exchange) do(a *attempt) (Reply, error) {
 	defer a.end()
+	q := a.Request
 	req, err := q.request(a.ctx)
 	if err != nil {
 		return Reply{}, fmt.Errorf("%w: %s: %w", ErrNotSent, q.Path, err)
--- a/common/silence_test.go
+++ b/common/silence_test.go
@@ -243,3 +243,49 @@
 		t.Fatal("the call stays on a connection that is no newer than the silent one")
 	}
 }
+
+// silentTogether are three services, each with kept connections of a client of its
+// own, which are silent.
+func silentTogether(t *testing.T) []*silentFixture {
+	var l []*silentFixture
+	var o []*Connections
+	for range 3 {
+		f := newSilentFixture(t, 3)
+		l, o = append(l, f), append(o, f.x.Connections())
+	}
+	Join(o...)
+	for _, f := range l {
+		f.Silence(proxy.Both)
+	}
+	return l
+}
+
+func (f *silentFixture) repeat(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
+	defer cancel()
+	_, err := f.x.Repeat(ctx, f.request("/"), f.request("/"))
+	require.NoError(t, err)
+}
+
+func TestTwoSilentAddressesShowThatAllMayBe(t *testing.T) {
+	l := silentTogether(t)
+	l[0].repeat(t)
+	l[1].repeat(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+	defer cancel()
+	_, err := l[2].x.Call(ctx, l[2].request("/"))
+	require.NoError(t, err, "a call that may have run meets no silence")
+}
+
+func TestOneSilentAddressTellsOfItselfOnly(t *testing.T) {
+	l := silentTogether(t)
+	l[0].repeat(t)
+	time.Sleep(shownWithin)
+	l[1].repeat(t)
+	opened := l[2].Opened()
+	ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
+	defer cancel()
+	_, err := l[2].x.Call(ctx, l[2].request("/"))
+	require.ErrorIs(t, err, ErrSilent)
+	require.Equal(t, opened, l[2].Opened())
+}
--- a/job/owner.go
+++ b/job/owner.go
@@ -42,6 +42,24 @@
 	Advice   *platform.Advice
 }
 
+// connections returns those of the clients that there are.
+func (p Clients) connections() []*common.Connections {
+	var l []*common.Connections
+	if p.KV != nil {
+		l = append(l, p.KV.Connections())
+	}
+	if p.Workers != nil {
+		l = append(l, p.Workers.Connections())
+	}
+	if p.Machines != nil {
+		l = append(l, p.Machines.Connections())
+	}
+	if p.Advice != nil {
+		l = append(l, p.Advice.Connections())
+	}
+	return l
+}
+
 // owner runs a Core: it feeds it events and does what it says.
 type owner struct {
 	Clients
