--- a/internal/soak/configs.go
+++ b/internal/soak/configs.go
@@ -94,6 +94,10 @@
 			f.life, f.highest, f.missed = p, -1, 0
 		}
 		s := f.run.standing()
+		if s.newest+1 < s.all {
+			// One that is being written may be in force already.
+			continue
+		}
 		in, ok := f.ask(x, s)
 		if ok && f.run.process(x.Name) == f.life {
 			f.check(x, s, in)
