--- a/request/attempt.go
+++ b/request/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -13,21 +14,58 @@
 	"amberway/common"
 )
 
-// attempt is one request on its way to one target. It has a context of its own,
-// so that it can outlast its caller.
+// attempt is one request on its way to one target, and its use of a connection. It
+// has a context of its own, so that it can outlast its caller.
 type attempt struct {
+	common.Usage
+	conns  *common.Connections
 	cancel context.CancelFunc
-	// sent says that the target may have got some of the request.
-	sent atomic.Bool
+	// on tells of the connection, nil before there is one.
+	on atomic.Pointer[connected]
 	// over closes once reply or err is there.
 	over  chan struct{}
 	reply *Reply
 	err   error
 }
 
+// connected is how a request got its connection.
+type connected struct {
+	at time.Time
+	// kept says that the connection has served earlier requests.
+	kept bool
+}
+
+func newAttempt(o *common.Connections, cancel context.CancelFunc) *attempt {
+	return &attempt{conns: o, cancel: cancel, over: make(chan struct{})}
+}
+
 // trace notes when the request has a connection.
 func (t *attempt) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.sent.Store(true) }}
+	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		t.conns.Begin(&t.Usage, i.Conn, nil)
+		t.on.Store(&connected{at: time.Now(), kept: i.Reused})
+	}}
+}
+
+// sent reports whether the target may have got some of the request.
+func (t *attempt) sent() bool {
+	return t.on.Load() != nil
+}
+
+// doubt notes that the caller's time has ended without an answer. Only that tells
+// silence from work; the request is not sent a second time for it, but those after it do
+// not meet another connection that has brought nothing since this one was sent.
+func (t *attempt) doubt(ctx context.Context) {
+	c := t.on.Load()
+	if c != nil && c.kept && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		t.conns.Distrust(&t.Usage, c.at, true)
+	}
+}
+
+// release ends the use of the connection and the attempt's context.
+func (t *attempt) release() {
+	t.conns.End(&t.Usage)
+	t.cancel()
 }
 
 // run sends the request and reads the start of the answer.
@@ -35,7 +73,7 @@
 	defer close(t.over)
 	res, err := r.RoundTrip(req)
 	if err != nil {
-		t.err = &AttemptError{Sent: t.sent.Load(), Cause: err}
+		t.err = &AttemptError{Sent: t.sent(), Cause: err}
 		return
 	}
 	t.reply, err = readHead(res)
@@ -60,15 +98,15 @@
 // off at the end of the caller's context.
 func (t *attempt) outcome(ctx context.Context) (*Reply, error) {
 	if t.err != nil {
-		t.cancel()
+		t.release()
 		return nil, t.err
 	}
 	if t.reply.Rest == nil {
-		t.cancel()
+		t.release()
 		return t.reply, nil
 	}
 	stop := context.AfterFunc(ctx, t.cancel)
-	t.reply.Rest = &rest{ReadCloser: t.reply.Rest, done: func() { stop(); t.cancel() }}
+	t.reply.Rest = &rest{ReadCloser: t.reply.Rest, done: func() { stop(); t.release() }}
 	return t.reply, nil
 }
 
@@ -82,7 +120,7 @@
 		<-t.over
 		t.discard()
 		end.Stop()
-		t.cancel()
+		t.release()
 	}()
 	return &AttemptError{Sent: true, Cause: context.Cause(ctx), Over: over}
 }
--- a/request/forward.go
+++ b/request/forward.go
@@ -74,6 +74,7 @@
 
 // Forwarder runs requests on targets over HTTP/1.1.
 type Forwarder struct {
+	conns  *common.Connections
 	shared *http.Transport
 	// single opens a connection for each request: net/http sends a request a
 	// second time only on a connection that it has used before.
@@ -83,23 +84,23 @@
 // NewForwarder returns a forwarder with at most so many idle connections to
 // each target.
 func NewForwarder(idle int) *Forwarder {
-	d := &net.Dialer{Timeout: dialTimeout}
+	o := common.NewConnections((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	t := &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext:         o.Dial,
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
 	s := t.Clone()
 	s.DisableKeepAlives = true
-	return &Forwarder{shared: t, single: s}
+	return &Forwarder{conns: o, shared: t, single: s}
 }
 
 // Run sends the call to the target once and reads the start of its answer. The
 // error, if any, is an *AttemptError.
 func (f *Forwarder) Run(ctx context.Context, a netip.AddrPort, c Call) (*Reply, error) {
 	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	t := &attempt{cancel: cancel, over: make(chan struct{})}
+	t := newAttempt(f.conns, cancel)
 	req, err := f.request(httptrace.WithClientTrace(own, t.trace()), a, c)
 	if err != nil {
 		cancel()
@@ -111,7 +112,8 @@
 		return t.outcome(ctx)
 	case <-ctx.Done():
 	}
-	if !c.RunsOn || !t.sent.Load() {
+	t.doubt(ctx)
+	if !c.RunsOn || !t.sent() {
 		cancel()
 		<-t.over
 		return t.outcome(ctx)
