--- /dev/null
+++ b/internal/soak/series.go
@@ -0,0 +1,69 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// between draws a time, in whole milliseconds.
+func between(r *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(r.Int64N(max(1, (to-from).Milliseconds())))*time.Millisecond
+}
+
+// removals returns series of machines removed for good and kills of the owner: one
+// at any time of the burst, and one at its end, so that calm follows.
+func removals(r *rand.Rand, from, to time.Duration) []Event {
+	at := []time.Duration{between(r, from+time.Second, to), between(r, max(from, to-4*time.Second), to)}
+	var l []Event
+	for _, t := range at {
+		e := Event{At: t, Kind: Remove, Hangs: r.IntN(2) == 0}
+		if r.IntN(4) > 0 {
+			e.For = between(r, 200*time.Millisecond, 1500*time.Millisecond)
+		}
+		l = append(l, e)
+		t += e.For
+		for range 1 + r.IntN(2) {
+			t += between(r, 200*time.Millisecond, 3500*time.Millisecond)
+			l = append(l, Event{At: t, Kind: Kill, Owner: true, For: between(r, 200*time.Millisecond, 2*time.Second)})
+		}
+	}
+	return l
+}
+
+// stales returns a series of connections that fall silent: of some entry hosts,
+// then of all.
+func stales(r *rand.Rand, entries int, from, to time.Duration) []Event {
+	var l []Event
+	ways := []Way{wayStore, wayStore, wayMachines, wayWorkers}
+	for at := between(r, from+time.Second, to); at < to; at += between(r, 500*time.Millisecond, 6*time.Second) {
+		e := Event{At: at, Kind: Stale, Entry: r.IntN(entries), Owner: r.IntN(2) == 0, All: r.IntN(2) == 0, OneWay: r.IntN(3) == 0}
+		e.Way = ways[r.IntN(len(ways))]
+		l = append(l, e)
+	}
+	return l
+}
+
+// strays returns what leaves runs behind that nobody expects: orders that are
+// carried out late, the last of them at the end of the burst, and owners that are
+// removed for good after some.
+func strays(r *rand.Rand, entries int, from, to time.Duration) []Event {
+	var l []Event
+	for at := max(from+time.Second, to-between(r, time.Second, 3*time.Second)); at > from; at -= between(r, 3*time.Second, 7*time.Second) {
+		e := Event{At: at, Kind: Postpone, Entry: r.IntN(entries), For: between(r, 500*time.Millisecond, 2500*time.Millisecond)}
+		l = append(l, e)
+		if r.IntN(3) == 0 {
+			at := at + between(r, 100*time.Millisecond, e.For)
+			l = append(l, Event{At: at, Kind: Replace, Entry: r.IntN(entries), Owner: r.IntN(3) > 0, Hangs: r.IntN(2) == 0})
+		}
+	}
+	return l
+}
+
+// configurations returns changes of the configuration, in calm as well.
+func configurations(r *rand.Rand, until time.Duration) []Event {
+	var l []Event
+	for at := time.Second; at < until+pause; at += between(r, 300*time.Millisecond, 4*time.Second) {
+		l = append(l, Event{At: at, Kind: Configure})
+	}
+	return l
+}
