--- a/internal/soak/cancels.go
+++ b/internal/soak/cancels.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"amberway/internal/standin/fleet"
@@ -116,3 +117,16 @@
 	r.brokef("%s run %d runs on %s, begun %.1f s ago (late: %t), %.1f s after its job was cancelled", g.Task, g.Number, g.Worker,
 		now.Sub(g.Since).Seconds(), g.Late, now.Sub(c.at).Seconds())
 }
+
+// countLate counts the starts that were carried out late, and those of jobs whose
+// cancelling had been acknowledged before.
+func (r *Run) countLate() {
+	for _, g := range r.jobs.Fleet.Books.Late() {
+		r.count("late")
+		for _, c := range r.cancels {
+			if strings.HasPrefix(g.Task, c.id+".") && g.Since.After(c.at) {
+				r.count("late and cancelled")
+			}
+		}
+	}
+}
--- a/internal/soak/cmd/main.go
+++ b/internal/soak/cmd/main.go
@@ -81,9 +81,9 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %-12d accepted %4d  succeeded %4d  refused %3d  not known %3d  cancelled %2d  removed %d  replaced %d  runs %5d  broken %d\n",
+	fmt.Printf("seed %-12d accepted %4d  succeeded %4d  refused %3d  not known %3d  cancelled %2d  late starts %3d, of cancelled %2d  removed %d  replaced %d  runs %5d  broken %d\n",
 		seed, r.Counts["accepted"], r.Counts["succeeded"], r.Counts["refused"], r.Counts["not known"],
-		r.Counts["cancelled"], r.Counts["removed"], r.Counts["replaced"], r.Starts, len(r.Broken))
+		r.Counts["cancelled"], r.Counts["late"], r.Counts["late and cancelled"], r.Counts["removed"], r.Counts["replaced"], r.Starts, len(r.Broken))
 	for _, b := range r.Broken {
 		fmt.Println("  broken:", b)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -136,6 +136,7 @@
 
 func (r *Run) report() Report {
 	b := r.jobs.Fleet.Books
+	r.countLate()
 	for _, id := range r.refused {
 		if b.Started(id) {
 			r.brokef("%s was refused each time and has run", id)
--- a/internal/standin/fleet/books.go
+++ b/internal/standin/fleet/books.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,6 +15,8 @@
 	done   map[string]bool
 	broken []string
 	starts int
+	// late are the starts whose orders were carried out late.
+	late []Going
 	// started are the jobs of which a task began.
 	started map[string]bool
 	// noted are the tasks of which a good end was taken note of.
@@ -50,7 +53,11 @@
 	b.checkOrder(task)
 	job, _, _ := strings.Cut(task, ".")
 	b.started[job] = true
-	b.going[task] = Going{Task: task, Worker: worker, Number: number, Since: time.Now(), Late: late}
+	g := Going{Task: task, Worker: worker, Number: number, Since: time.Now(), Late: late}
+	if late {
+		b.late = append(b.late, g)
+	}
+	b.going[task] = g
 }
 
 // checkOrder checks that a task of the second step begins after the first step.
@@ -142,6 +149,13 @@
 	return l
 }
 
+// Late returns the starts whose orders were carried out late.
+func (b *Books) Late() []Going {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.late)
+}
+
 // Running returns how many tasks run.
 func (b *Books) Running() int {
 	b.mu.Lock()
--- a/internal/standin/fleet/guard_test.go
+++ b/internal/standin/fleet/guard_test.go
@@ -29,4 +29,5 @@
 		late[g.Task] = g.Late
 	}
 	require.Equal(t, map[string]bool{"a.0.0.0": false, "a.0.0.1": true, "a.0.0.2": false}, late)
+	require.Len(t, f.Books.Late(), 1)
 }
