Let the model's owner learn of a cancelling up to a second late

An owner's watch brings a mark at once, or within a second where it has gone silent; the model told it at once.

--- a/job/world_cancel_test.go
+++ b/job/world_cancel_test.go
@@ -28,6 +28,8 @@
 type worldCancels struct {
 	// cancels are when callers were told that their jobs are cancelled.
 	cancels map[ID]time.Time
+	// told is when an owner first learned of them.
+	told map[ID]time.Time
 	// lateUntil is until when half of the orders to workers are carried out late.
 	lateUntil time.Time
 	// disturbed is when the owner of now and a worker were last out of touch.
@@ -35,7 +37,7 @@
 }
 
 func newWorldCancels() worldCancels {
-	return worldCancels{cancels: map[ID]time.Time{}, disturbed: map[platform.WorkerID]time.Time{}}
+	return worldCancels{cancels: map[ID]time.Time{}, told: map[ID]time.Time{}, disturbed: map[platform.WorkerID]time.Time{}}
 }
 
 // owner returns the owner that the store knows.
@@ -65,14 +67,14 @@
 		}
 		for _, r := range v.runs {
 			k, _ := parseTaskKey(r.task)
-			at, cancelled := w.cancels[k.id]
-			if !cancelled {
+			told, known := w.told[k.id]
+			if !known {
 				continue
 			}
-			since := latest(latest(at, r.began), w.disturbed[v.ID])
+			since := latest(latest(told, r.began), w.disturbed[v.ID])
 			if w.now.Sub(since) > goneWithin+stopTakes {
-				w.t.Fatalf("%s runs on on %s: cancelled %s ago, begun %s ago, in touch for %s",
-					r.task, v.ID, w.now.Sub(at), w.now.Sub(r.began), w.now.Sub(w.disturbed[v.ID]))
+				w.t.Fatalf("%s runs on on %s: known as cancelled for %s, begun %s ago, in touch for %s",
+					r.task, v.ID, w.now.Sub(told), w.now.Sub(r.began), w.now.Sub(w.disturbed[v.ID]))
 			}
 		}
 	}
@@ -81,7 +83,7 @@
 // checkStart fails if the owner starts a task of a job that it knows is cancelled.
 func (w *world) checkStart(o *worldOwner, a StartRun) {
 	k, _ := parseTaskKey(a.Order.Task)
-	if _, cancelled := w.cancels[k.id]; cancelled && o == w.owner() {
+	if _, known := w.told[k.id]; known && o == w.owner() {
 		w.t.Fatalf("%s is started after its job was cancelled", a.Order.Task)
 	}
 }
@@ -108,7 +110,8 @@
 	return w.submitSteps(s)
 }
 
-// cancel writes the mark of a job and tells the owner, if there is one.
+// cancel writes the mark of a job. The owner, if there is one, learns of it at once,
+// or up to a second later where its watch has gone silent.
 func (w *world) cancel(id ID) {
 	if _, ok := w.store.records[id]; !ok {
 		return
@@ -117,8 +120,20 @@
 	if w.cancels[id].IsZero() {
 		w.cancels[id] = w.now
 	}
-	if o := w.owner(); o.fence == w.store.fence {
-		w.tell(o, CancelAsked{ID: id})
+	o := w.owner()
+	lag := time.Duration(rapid.SampledFrom([]int{0, 0, 20, 300, 1000}).Draw(w.t, "lag_ms")) * time.Millisecond
+	w.after(lag, func() {
+		if o == w.owner() && !o.dead {
+			w.learn(id)
+			w.tell(o, CancelAsked{ID: id})
+		}
+	})
+}
+
+// learn notes that an owner learns of a cancelling now.
+func (w *world) learn(id ID) {
+	if _, known := w.told[id]; !known {
+		w.told[id] = w.now
 	}
 }
 
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -133,6 +133,7 @@
 	}
 	for id := range w.store.cancels {
 		e.Cancels = append(e.Cancels, id)
+		w.learn(id)
 	}
 	for _, v := range w.workers {
 		if v.alive {
