--- a/job/world_test.go
+++ b/job/world_test.go
@@ -140,6 +140,7 @@
 	}
 	for id := range w.store.cancels {
 		e.Cancels = append(e.Cancels, id)
+		w.learn(id)
 	}
 	for _, v := range w.workers {
 		if v.alive && !v.unlisted {
