--- a/commands/settings.go
+++ b/commands/settings.go
@@ -150,10 +150,10 @@
 	}
 }
 
-// leastConfigWithin is the least time in which a configuration can be in force: a
-// watch on a silent connection and the one after it have a fifth of it each, and a slow
-// store takes a quarter of a second.
-const leastConfigWithin = 1250 * time.Millisecond
+// leastConfigWithin is the least time in which a configuration can be in force. A
+// watch waits half of it: a shorter one is a call more than four times a second, and
+// the fifth that it has beyond its wait is too short for most answers.
+const leastConfigWithin = 500 * time.Millisecond
 
 // checkJobs reads the settings that only jobs need.
 func (s *Settings) checkJobs(c *checked, fault faultFunc) {
@@ -167,7 +167,7 @@
 		fault("--store and --platform exclude each other: a daemon serves jobs or requests")
 	}
 	if s.ConfigWithin < leastConfigWithin {
-		fault("--config-within: %s is below %s, in which a slow store can't tell of a configuration", s.ConfigWithin, leastConfigWithin)
+		fault("--config-within: %s is below %s, in which no configuration is sure to be in force", s.ConfigWithin, leastConfigWithin)
 	}
 	if s.Cores <= 0 {
 		fault("--cores: %g is not above zero", s.Cores)
