An entry host that starts uses slots only once all have answered it

A process that starts waited two seconds for the others to learn of it, however long the news took. It now asks every live member of its data centre until each has answered, and so counts it, and waits the two seconds after that. One that stays silent is waited for 8 s: without a bound, a single paused host would keep all that start out.

--- a/commands/routing.go
+++ b/commands/routing.go
@@ -25,6 +25,18 @@
 	d.handOn()
 }
 
+// meet asks the members that have not answered yet, so that all know of a process
+// that starts before it uses slots.
+func (d *Daemon) meet(ctx context.Context) {
+	met := d.members.Met(d.settings.DataCentre)
+	d.sharesMu.Lock()
+	defer d.sharesMu.Unlock()
+	d.shares.Meet(d.deps.Now(), met)
+	if !met && !d.shares.Usable() {
+		go d.members.Relearn(ctx)
+	}
+}
+
 // refreshShares does what refresh does where shares may have changed. A process
 // is ready only once its slots are handed on, as both happen under the lock.
 func (d *Daemon) refreshShares() {
@@ -97,6 +109,7 @@
 // fleet from a peer while the platform does not tell of it.
 func (d *Daemon) follow(ctx context.Context) {
 	for ctx.Err() == nil {
+		d.meet(ctx)
 		d.refreshShares()
 		d.dispatcher.Pump()
 		if d.deps.Now().Sub(d.view.Current().ListedAt) > staleView {
--- a/peers/holding.go
+++ b/peers/holding.go
@@ -111,3 +111,16 @@
 	}
 	g.Wait()
 }
+
+// Met reports whether every live member of the data centre has answered this
+// process since its start, and so knows of it.
+func (s *Service) Met(dc string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.table.Live() {
+		if m.DataCentre == dc && m.Name != s.Self.Name && s.met[m.Name] != m.Incarnation {
+			return false
+		}
+	}
+	return true
+}
--- a/peers/holding_test.go
+++ b/peers/holding_test.go
@@ -15,10 +15,8 @@
 )
 
 func held(name string, peer uint16, dc string, s State) Member {
-	return Member{
-		Name: name, Incarnation: 1, State: s, DataCentre: dc,
-		Peer: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), peer),
-	}
+	a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), peer)
+	return Member{Name: name, Incarnation: 1, State: s, DataCentre: dc, Peer: a, Caller: a}
 }
 
 // TestSilentMemberHoldsItsShare shows who counts in what is shared out: a member
@@ -81,3 +79,36 @@
 	s.knockAt(context.Background(), m)
 	require.Equal(t, []string{"a"}, s.Holding("north"))
 }
+
+// TestMemberIsMetOnceItAnswers shows that a member counts as met by its answer,
+// and a later process of its name does not.
+func TestMemberIsMetOnceItAnswers(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	other := held("b", 0, "north", Alive)
+	other.Peer = netip.MustParseAddrPort(l.Addr().String())
+	d := NewDialer("token")
+	defer d.Close()
+	service := func(m Member) *Service {
+		return New(common.Quiet(), Settings{Self: m, Options: DefaultOptions(), Generation: func() int64 { return 0 }}, d, standin.NewMemory())
+	}
+	g := NewServer("token")
+	b := service(other)
+	b.Register(g)
+	go func() { _ = g.Serve(l) }()
+	defer g.Stop()
+
+	a := service(held("a", 1, "north", Alive))
+	require.True(t, a.Met("north"), "nobody else is there")
+	a.table.Merge(time.Now(), []Member{other})
+	a.publish()
+	require.False(t, a.Met("north"))
+	require.True(t, a.Met("south"))
+	a.Relearn(t.Context())
+	require.True(t, a.Met("north"))
+	require.Contains(t, b.Holding("north"), "a", "what it means to be met")
+
+	other.Incarnation++
+	a.table.Merge(time.Now(), []Member{other})
+	require.False(t, a.Met("north"))
+}
--- a/peers/service.go
+++ b/peers/service.go
@@ -53,6 +53,8 @@
 	live   atomic.Pointer[[]Member]
 	// Sent counts the probes sent.
 	Sent atomic.Int64
+	// met holds the incarnations of members that have answered.
+	met map[string]uint64
 	// unseen counts for each address in the platform the reads in a row that
 	// found no live member with it. Only the search for members uses it.
 	unseen map[string]int
@@ -69,6 +71,7 @@
 		store:    store,
 		log:      d.Log("peers"),
 		now:      d.Now,
+		met:      map[string]uint64{},
 		unseen:   map[string]int{},
 		table:    NewTable(s.Self, s.Options, r),
 	}
@@ -186,6 +189,9 @@
 		return false
 	}
 	s.takeIn(ctx, r.GetFrom(), r.GetNews(), r.GetGeneration())
+	s.mu.Lock()
+	s.met[r.GetFrom().GetName()] = r.GetFrom().GetIncarnation()
+	s.mu.Unlock()
 	return q.GetVia() == "" || r.GetAlive()
 }
 
--- a/request/scheduler_test.go
+++ b/request/scheduler_test.go
@@ -398,6 +398,41 @@
 	})
 }
 
+// TestSharesWaitForNewsThatIsLate proves the same where news of a process that
+// starts takes longer than ShareHold: it uses slots only after all have answered
+// it, and so know of it.
+func TestSharesWaitForNewsThatIsLate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &sharesModel{now: time.Unix(1e9, 0), live: []string{"a"}, all: map[string]*Shares{}}
+		m.all["a"] = NewShares(m.now.Add(-meetWithin-ShareHold), "a")
+		for range rapid.IntRange(1, 6).Draw(t, "changes") {
+			m.change(t)
+			m.unmet = true
+			m.learn(t, meetWithin/5)
+			m.unmet = false
+			m.now = m.now.Add(ShareHold)
+			m.learn(t, 0)
+		}
+	})
+}
+
+// TestStartDoesNotWaitForOneThatIsSilentForEver bounds the wait of a process that
+// starts while another one does not answer.
+func TestStartDoesNotWaitForOneThatIsSilentForEver(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	s := NewShares(now, "a")
+	for range 100 {
+		s.Meet(now, false)
+		s.Follow(now, []string{"a", "b"})
+		now = now.Add(500 * time.Millisecond)
+		if s.Usable() {
+			break
+		}
+	}
+	require.True(t, s.Usable())
+	require.LessOrEqual(t, now.Sub(time.Unix(1e9, 0)), meetWithin+ShareHold+time.Second)
+}
+
 // TestMoreMembersGiveNoLargerShare proves that an entry host which still counts
 // others that have gone uses no more than it could without them, so that hosts
 // which count different members stay within the slots as long as each of them
@@ -426,6 +461,8 @@
 	now  time.Time
 	live []string
 	all  map[string]*Shares
+	// unmet says that not all have answered those that start.
+	unmet bool
 }
 
 // change lets one entry host come or go.
@@ -443,6 +480,7 @@
 func (m *sharesModel) learn(t *rapid.T, apart time.Duration) {
 	for _, n := range rapid.Permutation(m.live).Draw(t, "order") {
 		m.now = m.now.Add(time.Duration(rapid.Int64Range(0, int64(apart)).Draw(t, "apart")))
+		m.all[n].Meet(m.now, !m.unmet)
 		m.all[n].Follow(m.now, m.live)
 		requireShares(t, m.all)
 	}
--- a/request/share.go
+++ b/request/share.go
@@ -30,6 +30,11 @@
 // as it does so only when another process has gone.
 const ShareHold = 2 * time.Second
 
+// meetWithin is how long a process that has just started waits for an answer of
+// every live member before it takes one that gives none for silent: twice the
+// time in which a silent member is taken for dead.
+const meetWithin = 8 * time.Second
+
 // Shares works out how many slots of each target one process may use while
 // members come and go.
 type Shares struct {
@@ -38,11 +43,21 @@
 	// usableAt is when a process that has just started may use slots.
 	usableAt time.Time
 	usable   bool
+	// meetBy is when it no longer waits for members that have not answered.
+	meetBy time.Time
 }
 
 // NewShares returns the shares of a process that starts now.
 func NewShares(now time.Time, self string) *Shares {
-	return &Shares{self: self, usableAt: now.Add(ShareHold)}
+	return &Shares{self: self, usableAt: now.Add(ShareHold), meetBy: now.Add(meetWithin)}
+}
+
+// Meet takes in whether every live member has answered the process since its
+// start, and so knows of it. Until then its wait begins anew.
+func (s *Shares) Meet(now time.Time, all bool) {
+	if !all && !s.usable && now.Before(s.meetBy) {
+		s.usableAt = now.Add(ShareHold)
+	}
 }
 
 // Follow takes in who holds a share. It reports whether shares may have changed.
