--- a/request/callerlistener.go
+++ b/request/callerlistener.go
@@ -8,7 +8,6 @@
 	"os"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -18,9 +17,7 @@
 // requests that are on them already.
 type CallerListener struct {
 	*net.TCPListener
-	// accepting is held while a connection is waited for.
-	accepting sync.Mutex
-	mu        sync.Mutex
+	mu sync.Mutex
 	// left are the connections that were set up before the close.
 	left []net.Conn
 }
@@ -42,7 +39,7 @@
 // Accept returns the next connection. After the close it returns those that were
 // set up before, and only then an error.
 func (l *CallerListener) Accept() (net.Conn, error) {
-	c, err := l.accept()
+	c, err := l.TCPListener.Accept()
 	if err == nil {
 		return c, nil
 	}
@@ -56,45 +53,19 @@
 	return c, nil
 }
 
-func (l *CallerListener) accept() (net.Conn, error) {
-	l.accepting.Lock()
-	defer l.accepting.Unlock()
-	return l.TCPListener.Accept()
-}
-
-// setUpWithin is how long connections that are being set up may take for it:
-// several round trips within a data centre.
-const setUpWithin = 20 * time.Millisecond
-
-// Close has the kernel set up no more connections, takes those that are set up
-// off it and closes the listener. A caller that connects meanwhile is refused
-// when it tries again after a second, and goes elsewhere. The goroutine that accepts is got out of its wait before:
-// the kernel closes a listener only once nobody uses it, and on a busy host that
-// goroutine may run much later.
+// Close takes the connections that are set up off the kernel and closes the
+// listener right after.
 func (l *CallerListener) Close() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err := l.SetDeadline(past); err != nil {
-		return err
-	}
-	l.accepting.Lock()
-	defer l.accepting.Unlock()
 	r, err := l.SyscallConn()
 	if err != nil {
 		return err
 	}
-	var dropped error
-	err = r.Control(func(fd uintptr) {
-		dropped = dropSYN(int(fd))
-		time.Sleep(setUpWithin)
-		l.left = append(l.left, acceptAll(int(fd))...)
-	})
-	return errors.Join(err, dropped, l.TCPListener.Close())
+	err = r.Control(func(fd uintptr) { l.left = append(l.left, acceptAll(int(fd))...) })
+	return errors.Join(err, l.TCPListener.Close())
 }
 
-// past is a deadline that has passed.
-var past = time.Unix(1, 0)
-
 // acceptAll accepts until no connection waits.
 func acceptAll(fd int) []net.Conn {
 	var l []net.Conn
