--- a/internal/soak/cancels.go
+++ b/internal/soak/cancels.go
@@ -13,7 +13,7 @@
 const (
 	// cancelEvery is how many callers come to one that cancels its job, at most
 	// cancelAfter after it was accepted.
-	cancelEvery = 4
+	cancelEvery = 2
 	cancelAfter = 2500 * time.Millisecond
 	// cancelIDs begins the ids of such jobs, and cancelTasks is how many tasks
 	// each has.
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -43,18 +43,19 @@
 	return l
 }
 
-// strays returns what leaves runs behind that nobody expects: orders that are
-// carried out late, the last of them at the end of the burst, and owners that are
-// removed for good after some.
+// strays returns what leaves runs behind that nobody expects: orders to stop and to
+// start that are carried out late, the last of them at the end of the burst, and the
+// loss of the owner that gave them, for good or not.
 func strays(r *rand.Rand, entries int, from, to time.Duration) []Event {
 	var l []Event
 	for at := max(from+time.Second, to-between(r, time.Second, 3*time.Second)); at > from; at -= between(r, 3*time.Second, 7*time.Second) {
-		e := Event{At: at, Kind: Postpone, Entry: r.IntN(entries), For: between(r, 500*time.Millisecond, 2500*time.Millisecond)}
+		e := Event{At: at, Kind: Postpone, Entry: r.IntN(entries), For: between(r, 1500*time.Millisecond, 4500*time.Millisecond)}
 		l = append(l, e)
-		if r.IntN(3) == 0 {
-			at := at + between(r, 100*time.Millisecond, e.For)
-			l = append(l, Event{At: at, Kind: Replace, Entry: r.IntN(entries), Owner: r.IntN(3) > 0, Hangs: r.IntN(2) == 0})
+		gone := Event{At: at + between(r, 300*time.Millisecond, 2*time.Second), Kind: Kill, Owner: true, For: between(r, 200*time.Millisecond, 2*time.Second)}
+		if r.IntN(2) == 0 {
+			gone = Event{At: gone.At, Kind: Replace, Entry: r.IntN(entries), Owner: r.IntN(3) > 0, Hangs: r.IntN(2) == 0}
 		}
+		l = append(l, gone)
 	}
 	return l
 }
