A planned stop of a jobs' host serves the connections that callers keep

Cause: the daemon that serves jobs stopped with http.Server.Shutdown, which closes idle connections at once, and did not tell callers of the stop before: a request on its way to such a connection was lost. Both daemons have the same callers' side now, which also asks for the end of each connection; its waits take at most a quarter each of the time that is left for the stop.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -165,7 +165,7 @@
 func (d *Daemon) stop(callers *request.Callers, l net.Listener, operators *http.Server, g *grpc.Server) error {
 	d.log.Infof("stopping")
 	d.stopping.Store(true)
-	d.server.Stopping()
+	callers.Leave()
 	within, cancel := context.WithTimeout(context.Background(), d.settings.StopWithin)
 	defer cancel()
 	common.Sleep(within, d.settings.StopDelay)
--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -19,6 +19,7 @@
 	"amberway/common"
 	"amberway/job"
 	"amberway/platform"
+	"amberway/request"
 )
 
 // Figures of a daemon that serves jobs.
@@ -28,10 +29,11 @@
 	jobsGCPercent = 400
 	// jobsMemory is the soft limit of the heap, in bytes.
 	jobsMemory = 120 << 20
-	// headerTimeout bounds the reading of a caller's headers.
+	// headerTimeout bounds the reading of a request's headers, idleTimeout closes
+	// connections that carry nothing: the balancer and other entry hosts ask again
+	// within seconds.
 	headerTimeout = 5 * time.Second
-	// idleTimeout closes callers' connections that carry nothing.
-	idleTimeout = 60 * time.Second
+	idleTimeout   = 60 * time.Second
 	// settingsEvery is how often the settings file is looked at for a change
 	// that no signal tells of.
 	settingsEvery = 2 * time.Second
@@ -87,10 +89,16 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 3)
-	callers, err := serve(work, d.checked.callers, d.node.Callers(), failed)
+	l, err := request.ListenForCallers(work, d.checked.callers)
 	if err != nil {
 		return err
 	}
+	callers := request.NewCallers(d.node.Callers())
+	go func() {
+		if err := callers.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			failed <- err
+		}
+	}()
 	ready, err := serve(work, d.checked.ready, http.HandlerFunc(d.serveReady), failed)
 	if err != nil {
 		return err
@@ -107,7 +115,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	return d.stop(callers, ready, peers)
+	return d.stop(callers, l, ready, peers)
 }
 
 // serve serves the handler at the address, beside the caller.
@@ -138,13 +146,14 @@
 
 // stop hands ownership on, has callers sent elsewhere, and ends once nothing is
 // in flight.
-func (d *jobsDaemon) stop(callers, ready, peers *http.Server) error {
+func (d *jobsDaemon) stop(callers *request.Callers, l net.Listener, ready, peers *http.Server) error {
 	d.log.Write(job.Note{What: "stopping"})
 	d.node.Leave()
+	callers.Leave()
 	within, cancel := context.WithTimeout(context.Background(), d.settings.StopWithin)
 	defer cancel()
 	common.Sleep(within, d.settings.StopDelay)
-	err := callers.Shutdown(within)
+	err := callers.Stop(within, l)
 	_ = ready.Close()
 	_ = peers.Shutdown(within)
 	d.log.Write(job.Note{What: "stopped"})
--- a/request/callers.go
+++ b/request/callers.go
@@ -27,6 +27,12 @@
 	// keptWithin bounds the wait for callers that go on using open connections.
 	// Each of them is closed by its next answer.
 	keptWithin = 5 * time.Second
+	// waitShare is the part of the time left that one of these waits may take: half
+	// of it stays for what is in flight.
+	waitShare = 4
+	// callerIdle closes connections that carry nothing: callers ask again within
+	// seconds or not at all.
+	callerIdle = time.Minute
 )
 
 // Callers is the listener's side of the callers' interface. Its stop loses no
@@ -34,18 +40,34 @@
 // to be closed, so that one is closed only after no caller has used any for a
 // while.
 type Callers struct {
-	server *http.Server
+	handler http.Handler
+	server  *http.Server
+	// leaving says that each further answer closes its connection.
+	leaving atomic.Bool
 	// begun counts connections and requests that began.
 	begun atomic.Int64
 }
 
 // NewCallers returns the listener's side of the handler.
 func NewCallers(h http.Handler) *Callers {
-	c := &Callers{}
-	c.server = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnState: c.note}
+	c := &Callers{handler: h}
+	c.server = &http.Server{Handler: c, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ConnState: c.note}
 	return c
 }
 
+// Leave makes every further answer close its connection.
+func (c *Callers) Leave() {
+	c.leaving.Store(true)
+}
+
+// ServeHTTP answers one caller.
+func (c *Callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c.handler.ServeHTTP(w, r)
+}
+
 // note counts what a caller begins.
 func (c *Callers) note(_ net.Conn, s http.ConnState) {
 	if s == http.StateNew || s == http.StateActive {
@@ -59,9 +81,9 @@
 }
 
 // Stop takes requests until callers have stopped sending them or the waits for
-// that have passed, and returns once none is in flight or the context ends. The
-// handler has to ask for the end of each connection by then.
+// that have passed, and returns once none is in flight or the context ends.
 func (c *Callers) Stop(ctx context.Context, l net.Listener) error {
+	c.Leave()
 	c.waitQuiet(ctx, quietWithin)
 	_ = l.Close()
 	c.waitQuiet(ctx, keptWithin)
@@ -70,6 +92,9 @@
 
 // waitQuiet waits until no caller has begun anything for a while.
 func (c *Callers) waitQuiet(ctx context.Context, within time.Duration) {
+	if end, bounded := ctx.Deadline(); bounded {
+		within = min(within, time.Until(end)/waitShare)
+	}
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	seen := c.begun.Load()
--- a/request/server.go
+++ b/request/server.go
@@ -10,7 +10,6 @@
 	"path"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -73,8 +72,6 @@
 	mux    *http.ServeMux
 	budget *RetryBudget
 	held   *semaphore.Weighted
-	// stopping asks callers to open their next connection elsewhere.
-	stopping atomic.Bool
 	// running are the runs that go on although their callers have their answers.
 	running sync.WaitGroup
 }
@@ -117,20 +114,12 @@
 	}
 }
 
-// Stopping makes every further answer close its connection.
-func (s *Server) Stopping() {
-	s.stopping.Store(true)
-}
-
 func (s *Server) hopToken(v string) bool {
 	return subtle.ConstantTimeCompare([]byte(v), []byte(s.HopToken)) == 1
 }
 
 // ServeHTTP answers one caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if path.Clean(r.URL.Path) != r.URL.Path {
 		// The mux would redirect it, without a verdict.
 		s.take(w, r)
--- a/tests/stop_test.go
+++ b/tests/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"syscall"
 	"testing"
@@ -13,7 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"amberway/internal/local"
+	"amberway/internal/standin/fleet"
 )
 
 // keptConn is a connection to an entry host that its caller keeps open.
@@ -22,21 +23,25 @@
 	answers *bufio.Reader
 }
 
-func keep(t *testing.T, e *local.Entry) *keptConn {
+func keep(t *testing.T, at netip.AddrPort) *keptConn {
 	t.Helper()
-	c, err := net.Dial("tcp", e.Callers.String())
+	c, err := net.Dial("tcp", at.String())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
 	return &keptConn{Conn: c, answers: bufio.NewReader(c)}
 }
 
-// ask sends one request and reads its answer to the end. It does not look
-// whether the host has closed the connection meanwhile, as a caller does not
-// whose request and the host's close cross each other.
+// ask sends one request and reads its answer to the end.
 func (k *keptConn) ask() error {
-	_, err := fmt.Fprint(k, "POST /tint/quick HTTP/1.1\r\nHost: entry\r\nContent-Length: 4\r\n\r\nbody")
-	if err != nil {
+	return k.send("POST /tint/quick HTTP/1.1\r\nHost: entry\r\nContent-Length: 4\r\n\r\nbody", "/tint/quick ")
+}
+
+// send sends a request and reads its answer, which has to begin with a text, to the
+// end. It does not look whether the host has closed the connection meanwhile, as a
+// caller does not whose request and the host's close cross each other.
+func (k *keptConn) send(request, begins string) error {
+	if _, err := fmt.Fprint(k, request); err != nil {
 		return err
 	}
 	res, err := http.ReadResponse(k.answers, nil)
@@ -48,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	if res.StatusCode != http.StatusOK || !strings.HasPrefix(string(b), "/tint/quick ") {
+	if res.StatusCode != http.StatusOK || !strings.HasPrefix(string(b), begins) {
 		return fmt.Errorf("status %d: %s", res.StatusCode, b)
 	}
 	return nil
@@ -62,7 +67,7 @@
 	e := d.Entries[1]
 	var l []*keptConn
 	for range 60 {
-		k := keep(t, e)
+		k := keep(t, e.Callers)
 		require.NoError(t, k.ask())
 		l = append(l, k)
 	}
@@ -75,3 +80,25 @@
 	require.NoError(t, err)
 	require.Zero(t, code)
 }
+
+// TestPlannedStopOfAJobsHostServesConnectionsThatAreKept is the same for an entry host
+// that serves jobs.
+func TestPlannedStopOfAJobsHostServesConnectionsThatAreKept(t *testing.T) {
+	j := startJobs(t)
+	e := j.Entries[1]
+	waiting := fmt.Sprintf("GET %sblue/ HTTP/1.1\r\nHost: %s\r\n\r\n", fleet.QueuePrefix, fleet.JobsHost)
+	var l []*keptConn
+	for range 40 {
+		k := keep(t, e.Callers)
+		require.NoError(t, k.send(waiting, "{"))
+		l = append(l, k)
+	}
+	require.NoError(t, e.Signal(syscall.SIGTERM))
+	for i, k := range l {
+		time.Sleep(20 * time.Millisecond)
+		require.NoError(t, k.send(waiting, "{"), "connection %d", i)
+	}
+	code, err := e.Wait(10 * time.Second)
+	require.NoError(t, err)
+	require.Zero(t, code)
+}
