Soak: no data race of its own

The race detector told of names of entry hosts that were read beside a restart, in five places of one run. An entry host keeps its name beside its process now, and SIGHUP leaves alone one that is being restarted.

--- a/internal/local/jobs.go
+++ b/internal/local/jobs.go
@@ -35,7 +35,9 @@
 
 // JobsEntry is one entry host that serves jobs.
 type JobsEntry struct {
+	// Process is another one after each restart.
 	*Process
+	Name    string
 	Callers netip.AddrPort
 	Peers   netip.AddrPort
 	ready   netip.AddrPort
@@ -118,7 +120,7 @@
 }
 
 func (j *Jobs) newEntry(name string) (*JobsEntry, error) {
-	e := &JobsEntry{Process: &Process{Name: name}, file: filepath.Join(j.dir, name+".yaml")}
+	e := &JobsEntry{Name: name, Process: &Process{Name: name}, file: filepath.Join(j.dir, name+".yaml")}
 	for _, a := range []*netip.AddrPort{&e.Callers, &e.ready, &e.Peers} {
 		p, err := freePort()
 		if err != nil {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -36,7 +36,7 @@
 	case Freeze:
 		r.freeze(x, e.For)
 	case Hup:
-		_ = x.Signal(syscall.SIGHUP)
+		r.hangUp(x)
 	case LinkFault:
 		r.troubleLinks(x.Name, e.Trouble, e.For)
 	case Refuse:
@@ -168,6 +168,14 @@
 	r.fail(r.jobs.Launch(x))
 }
 
+// hangUp tells an entry host that its settings have changed.
+func (r *Run) hangUp(x *local.JobsEntry) {
+	if r.take(x.Name) {
+		_ = x.Signal(syscall.SIGHUP)
+		r.release(x.Name)
+	}
+}
+
 func (r *Run) freeze(x *local.JobsEntry, d time.Duration) {
 	if !r.take(x.Name) {
 		return
