--- a/tests/removal_test.go
+++ b/tests/removal_test.go
@@ -13,14 +13,17 @@
 	"amberway/internal/standin/fleet"
 )
 
-// lastingJob has so many tasks that run until they are cancelled.
-func lastingJob(tasks int) fleet.Job {
-	return fleet.Job{Spec: "lasts", Steps: []fleet.Step{{Count: tasks, CPU: 500, MemMB: 10, Daemon: true}}}
+// lastingJob has tasks that run until they are cancelled.
+func lastingJob() fleet.Job {
+	return fleet.Job{Spec: "lasts", Steps: []fleet.Step{{Count: lastingTasks, CPU: 500, MemMB: 10, Daemon: true}}}
 }
 
-// allRun reports whether all tasks of a job with one step run.
-func allRun(j *local.Jobs, id string, tasks int) bool {
-	for x := range tasks {
+// lastingTasks is how many tasks the lasting job of a test has.
+const lastingTasks = 4
+
+// allRun reports whether all tasks of a lasting job run.
+func allRun(j *local.Jobs, id string) bool {
+	for x := range lastingTasks {
 		if !j.Fleet.Books.Runs(fmt.Sprintf("%s.0.0.%d", id, x)) {
 			return false
 		}
@@ -49,23 +52,23 @@
 		"connections hang":        {Hangs: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			const tasks = 4
 			j := startJobs(t)
-			code, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), lastingJob(tasks))
+			code, _, err := j.Entries[0].Call(http.MethodPost, "blue", jobID(1), lastingJob())
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, code)
-			require.Eventually(t, func() bool { return allRun(j, jobID(1), tasks) }, jobsTime, tick)
+			require.Eventually(t, func() bool { return allRun(j, jobID(1)) }, jobsTime, tick)
 			id, _ := j.Fleet.MostLasting()
 			require.Eventually(t, func() bool { return rostered(j, id) }, jobsTime, tick)
 
 			require.NoError(t, j.Fleet.Remove(id, r))
-			require.False(t, allRun(j, jobID(1), tasks))
+			require.False(t, allRun(j, jobID(1)))
 			time.Sleep(killedAfter)
+			require.False(t, allRun(j, jobID(1)), "the next owner is to start them")
 			o := j.Owner()
 			require.NotNil(t, o)
 			o.Kill()
 			begun := time.Now()
-			require.Eventually(t, func() bool { return allRun(j, jobID(1), tasks) }, jobsTime, tick)
+			require.Eventually(t, func() bool { return allRun(j, jobID(1)) }, jobsTime, tick)
 			took := time.Since(begun)
 			t.Logf("at work %s after the owner's kill", took.Round(time.Millisecond))
 			require.Less(t, took, restartedWithin)
