Ask for the next list of machines in one way

Read again: listSoon stood beside two copies of it, in the outcome of an order and in the taking in of a list. The second set the time without a look at what was there: where an order was under way, a list that a worker's silence had asked for within 0.1 s came 0.6 s later instead. TestListFollowsSilenceSoonBesideAnOrder failed before. The other copy is replaced without a change of what it does.

--- a/job/machine_orders.go
+++ b/job/machine_orders.go
@@ -34,7 +34,7 @@
 		return
 	}
 	o := m.order
-	c.listAt = earliest(c.listAt, c.now.Add(listEvery))
+	c.listSoon()
 	c.do(Note{What: "machine ordered", Why: string(e.Verdict) + errorText(e.Err), Inputs: []any{"machine", e.Machine, "pool", o.pool, "wave", o.wave.name()}})
 	switch {
 	case e.Err == nil && e.Verdict == platform.OrderTaken:
--- a/job/machines.go
+++ b/job/machines.go
@@ -162,7 +162,7 @@
 		c.settleOrder(m, e.SentAt)
 		c.compareLife(m, e.SentAt)
 		if m.order != nil {
-			c.listAt = c.now.Add(listEvery)
+			c.listSoon()
 		}
 	}
 	e.countMissing(c)
--- a/job/removed.go
+++ b/job/removed.go
@@ -79,7 +79,7 @@
 }
 
 // listSoon has the list of machines read again before its time, as another list
-// settles what one leaves open.
+// settles what one or an order leaves open.
 func (c *Core) listSoon() {
 	c.listAt = earliest(c.listAt, c.now.Add(listEvery))
 }
--- a/job/removed_review_test.go
+++ b/job/removed_review_test.go
@@ -158,3 +158,20 @@
 		require.False(t, w.leaving && f.core.byName[w.Host].order == nil, "%s", w.ID)
 	}
 }
+
+// A worker that falls silent while a list is under way has the next one follow soon,
+// also where an order to another machine waits for its outcome.
+func TestListFollowsSilenceSoonBesideAnOrder(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1", "w2")
+	up := []platform.Machine{machineOf("w1", "blue"), machineOf("w2", "blue")}
+	f.machinesAre(up...)
+	f.pass(2 * time.Second)
+	require.NotEmpty(t, f.moves())
+	sent := f.now
+	f.pass(tickEvery)
+	f.step(WorkerListed{Worker: testWorker("w3")})
+	f.fail("w3", common.ErrUnknown)
+	f.step(MachinesListed{SentAt: sent, Machines: up})
+	require.False(t, f.core.listAt.After(f.now.Add(listSilent)))
+}
