An owner paces what it sends by its link and by how long answers take

Cause: one owner speaks to every worker, and put starts on their way as fast as they were placed. Renewals of its own lease, looks and stops stood in one line with them: at 6 Mbit/s renewals failed from 20 s on, a hundred workers fell silent in a second, the owner took itself for cut off, and each owner after it fell in 2 to 6 s.

Starts now wait in the owner, most urgent first over all services, until a budget of bytes allows them; the rate begins at three quarters of link-mbps (new setting), falls when the middle answer takes over 150 ms, grows when starts were held back and answers came in time. Looks go ahead of starts, and come less often where the rate is short.

--- a/job/core.go
+++ b/job/core.go
@@ -34,6 +34,7 @@
 	keeping
 	machines
 	waitlists
+	flow     flow
 	forgetAt time.Time
 	// cutOffSince is when most workers fell silent.
 	cutOffSince time.Time
@@ -44,8 +45,9 @@
 // this, plus a counter.
 const runsPerFence = 1 << 24
 
-// New returns the state of an owner with the fence, which knows nothing yet.
-func New(f platform.Fence, holder string, now time.Time) *Core {
+// New returns the state of an owner with the fence, which knows nothing yet. Its host's
+// link carries so many megabits a second; zero is DefaultLink.
+func New(f platform.Fence, holder string, megabits float64, now time.Time) *Core {
 	return &Core{
 		now:        now,
 		fence:      f,
@@ -64,6 +66,7 @@
 		keeping:    newKeeping(),
 		machines:   newMachines(holder, now),
 		waitlists:  newWaitlists(),
+		flow:       newFlow(megabits, now),
 	}
 }
 
@@ -72,6 +75,7 @@
 	if now.After(c.now) {
 		c.now = now
 	}
+	c.flow.pass(c.now)
 	e.apply(c)
 	c.sortPools()
 	c.place()
@@ -90,8 +94,12 @@
 	for _, j := range c.live {
 		c.openDue(j)
 	}
+	c.flow.busy = 0
 	for _, w := range c.workers {
 		c.tend(w)
+		if len(w.runs) > 0 {
+			c.flow.busy++
+		}
 	}
 	c.sortPools()
 	c.checkReach()
--- /dev/null
+++ b/job/flow.go
@@ -0,0 +1,174 @@
+package job
+
+import "time"
+
+// Figures of pacing. An owner speaks to every worker itself, and what it puts on its way
+// beyond what its link or its processor carries waits in sockets, before the renewals of
+// its own lease: at 6 Mbit/s these came too late within seconds, the owner took itself
+// for cut off, and so did each owner after it.
+const (
+	// lateAnswer is the middle answer time of a moment that says that too much is on
+	// its way. Workers answer in some milliseconds, in up to 80 where a processor's
+	// share is a quota of each tenth of a second; a renewal has 600 ms on a kept
+	// connection.
+	lateAnswer = 150 * time.Millisecond
+	// judgeEvery is the time between two looks at the answers, fewestAnswers the
+	// fewest that say anything: some workers are slow, or behind a cut.
+	judgeEvery    = 150 * time.Millisecond
+	fewestAnswers = 5
+	// slowDown is what remains of the rate that was sent when answers came late,
+	// slowMost of the rate that was allowed; speedUp is what it grows by when it held
+	// starts back and answers came in time.
+	slowDown = 0.8
+	slowMost = 0.25
+	speedUp  = 1.15
+	// firstShare is the share of the link that an owner begins with, the rest being for
+	// the store, and mostShare the most of it.
+	firstShare = 0.75
+	mostShare  = 0.95
+	// leastRate is the least that an owner sends, in bytes a second: the looks at a
+	// hundred workers.
+	leastRate = 25e3
+	// burstFor is how long what is not sent is saved up, and debtFor how much of what
+	// could not wait is made up for.
+	burstFor = 50 * time.Millisecond
+	debtFor  = 200 * time.Millisecond
+	// lookShare is the share of the rate that looks may take where it is short, and
+	// longestGap the longest pause that they make for it: a lease of leaseFor has to
+	// outlast two looks.
+	lookShare  = 0.4
+	longestGap = 800 * time.Millisecond
+	// listShare is the share of the link that lists of machines may take.
+	listShare = 0.05
+)
+
+// Bytes of calls with their headers, as counted on a quiet day of 372 workers; values
+// and specifications come on top.
+const (
+	startBytes   = 300
+	orderBytes   = 235
+	lookBytes    = 230
+	firstBytes   = 1200
+	keepBytes    = 400
+	machineBytes = 150
+)
+
+// Links that the settings say nothing of, in megabits a second: what they are taken to
+// carry at most, and what an owner begins with, some two thousand starts a second.
+const (
+	DefaultLink = 1000
+	firstLink   = 20
+)
+
+// bytesPerMegabit turns megabits a second into bytes a second.
+const bytesPerMegabit = 1e6 / 8
+
+// flow paces what an owner sends to workers, by what its link carries and by how long
+// answers take. Starts wait for their turn here; looks go ahead of them.
+type flow struct {
+	// link is what the link carries, and rate what the owner may send, in bytes a
+	// second.
+	link, rate float64
+	// budget is how many bytes may be sent now. What cannot wait takes it below zero.
+	budget   float64
+	filledAt time.Time
+	// held says that starts have been held back since the last judgement, sent is what
+	// was sent since.
+	held bool
+	sent float64
+	// took are the answer times since then.
+	took     []time.Duration
+	judgedAt time.Time
+	// busy is how many workers are looked at all the time.
+	busy int
+}
+
+// newFlow returns the pace of an owner whose link carries so many megabits a second.
+func newFlow(megabits float64, now time.Time) flow {
+	first := megabits
+	if megabits <= 0 {
+		megabits, first = DefaultLink, firstLink
+	}
+	f := flow{link: megabits * bytesPerMegabit, rate: firstShare * first * bytesPerMegabit, filledAt: now, judgedAt: now}
+	f.budget = f.burst()
+	return f
+}
+
+func (f *flow) burst() float64 {
+	return f.rate * burstFor.Seconds()
+}
+
+// pass lets time pass.
+func (f *flow) pass(now time.Time) {
+	if d := now.Sub(f.filledAt); d > 0 {
+		f.budget = min(f.burst(), f.budget+f.rate*d.Seconds())
+		f.filledAt = now
+	}
+	if now.Sub(f.judgedAt) >= judgeEvery {
+		f.judge(now)
+	}
+}
+
+// judge sets the rate by what the answers since the last time say.
+func (f *flow) judge(now time.Time) {
+	sent := f.sent / now.Sub(f.judgedAt).Seconds()
+	late := len(f.took) > 0 && median(f.took) > lateAnswer
+	switch {
+	case late && len(f.took) >= fewestAnswers:
+		f.rate = max(leastRate, slowMost*f.rate, slowDown*min(f.rate, sent))
+	case f.held && !late:
+		f.rate = min(mostShare*f.link, speedUp*f.rate)
+	}
+	f.took = f.took[:0]
+	f.sent = 0
+	f.held = false
+	f.judgedAt = now
+}
+
+// answered takes in how long a worker took to answer at once.
+func (f *flow) answered(took time.Duration) {
+	f.took = append(f.took, took)
+}
+
+// take counts what is sent.
+func (f *flow) take(bytes int) {
+	f.budget = max(f.budget-float64(bytes), -f.rate*debtFor.Seconds())
+	f.sent += float64(bytes)
+}
+
+// may reports whether a start may be sent now.
+func (f *flow) may() bool {
+	if f.budget > 0 {
+		return true
+	}
+	f.held = true
+	return false
+}
+
+// mayAt returns when the next start may be sent.
+func (f *flow) mayAt(now time.Time) time.Time {
+	return now.Add(time.Duration((1 - f.budget) / f.rate * float64(time.Second)))
+}
+
+// mayLook reports whether a worker may be looked at that was last asked at a time.
+// Looks keep leases alive: where the rate is short they come less often, and the first
+// ones one after the other.
+func (f *flow) mayLook(met bool, askedAt, now time.Time) bool {
+	switch {
+	case f.budget > 0:
+		return true
+	case !met:
+		return f.budget > -f.burst()
+	}
+	return !now.Before(askedAt.Add(f.gap()))
+}
+
+// gap is the least time between two looks at a worker where the rate is short.
+func (f *flow) gap() time.Duration {
+	return min(longestGap, time.Duration(float64(f.busy*lookBytes)/(lookShare*f.rate)*float64(time.Second)))
+}
+
+// listGap is the least time between two lists of so many machines.
+func (f *flow) listGap(machines int) time.Duration {
+	return time.Duration(float64(machines*machineBytes) / (listShare * f.link) * float64(time.Second))
+}
--- /dev/null
+++ b/job/flow_test.go
@@ -0,0 +1,100 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// narrowLink is a link that carries a rate, behind which answers wait in line.
+type narrowLink struct {
+	flow
+	now     time.Time
+	carries float64
+	queued  float64
+}
+
+// run sends starts of a size as they may be for a time, and returns how many went out
+// and the longest that an answer took after the first second.
+func (l *narrowLink) run(size int, d time.Duration) (sent int, longest time.Duration) {
+	const step = 5 * time.Millisecond
+	begun := l.now
+	for end := l.now.Add(d); l.now.Before(end); l.now = l.now.Add(step) {
+		l.queued = max(0, l.queued-l.carries*step.Seconds())
+		l.pass(l.now)
+		for l.may() {
+			l.take(size)
+			l.queued += float64(size)
+			sent++
+			took := 4*time.Millisecond + time.Duration(l.queued/l.carries*float64(time.Second))
+			l.answered(took)
+			if l.now.Sub(begun) > time.Second {
+				longest = max(longest, took)
+			}
+		}
+	}
+	return sent, longest
+}
+
+// TestFlowKeepsToWhatALinkCarries sends all the time over links of 2 to 100 Mbit/s that
+// are told rightly, told ten times too wide, or not told at all.
+func TestFlowKeepsToWhatALinkCarries(t *testing.T) {
+	for _, carries := range []float64{2, 6, 20, 100} {
+		for name, told := range map[string]float64{"told": carries, "ten times": 10 * carries, "not told": 0} {
+			now := time.Unix(1e9, 0)
+			l := narrowLink{flow: newFlow(told, now), now: now, carries: carries * bytesPerMegabit}
+			l.run(800, 5*time.Second)
+			sent, longest := l.run(800, 10*time.Second)
+			require.Less(t, longest, 3*lateAnswer, "%g Mbit/s, %s", carries, name)
+			require.Greater(t, float64(sent*800), 0.6*10*l.carries, "%g Mbit/s, %s", carries, name)
+		}
+	}
+}
+
+// TestFlowRecoversFromItsLeast has answers late for a while, as in a burst of other calls.
+func TestFlowRecoversFromItsLeast(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	l := narrowLink{flow: newFlow(4, now), now: now, carries: 4 * bytesPerMegabit}
+	for range 40 {
+		l.now = l.now.Add(judgeEvery)
+		for range fewestAnswers {
+			l.answered(time.Second)
+		}
+		l.pass(l.now)
+	}
+	require.LessOrEqual(t, l.rate, 2*leastRate)
+	l.run(800, 5*time.Second)
+	require.Greater(t, l.rate, 0.5*l.link)
+}
+
+// TestFlowIsNotSlowedByAFewSlowWorkers has one worker in six behind a cut or slow.
+func TestFlowIsNotSlowedByAFewSlowWorkers(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	f := newFlow(20, now)
+	rate := f.rate
+	for i := range 2000 {
+		now = now.Add(5 * time.Millisecond)
+		f.pass(now)
+		f.take(800)
+		took := 5 * time.Millisecond
+		if i%6 == 0 {
+			took = time.Second
+		}
+		f.answered(took)
+	}
+	require.GreaterOrEqual(t, f.rate, rate)
+}
+
+// TestLooksComeLessOftenWhereTheRateIsShort keeps leases alive all the same.
+func TestLooksComeLessOftenWhereTheRateIsShort(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	f := newFlow(2, now)
+	f.busy = 400
+	require.True(t, f.mayLook(true, now, now), "there is room")
+	f.take(100000)
+	require.False(t, f.mayLook(true, now, now))
+	require.False(t, f.mayLook(false, now, now))
+	require.True(t, f.mayLook(true, now, now.Add(longestGap)))
+	require.Less(t, longestGap+lookWait+lookSlack, leaseFor)
+}
--- a/job/keep.go
+++ b/job/keep.go
@@ -117,6 +117,7 @@
 	}
 	c.number++
 	c.pending = k
+	c.flow.take(k.bytes())
 	c.do(Keep{Number: c.number, Puts: k.puts, Deletes: k.deletes})
 }
 
@@ -147,6 +148,15 @@
 	return platform.MaxTxn - entriesOfKeeper - len(k.puts) - len(k.deletes)
 }
 
+// bytes returns what the write takes on its way; values travel as base64.
+func (k *kept) bytes() int {
+	n := keepBytes
+	for _, p := range k.puts {
+		n += len(p.Key) + len(p.Value)*4/3
+	}
+	return n
+}
+
 func (c *Core) keepExtra(k *kept) {
 	n := min(k.room(), len(c.extraPuts))
 	k.puts = append(k.puts, c.extraPuts[:n]...)
--- a/job/looks.go
+++ b/job/looks.go
@@ -20,7 +20,7 @@
 	if c.leaves(w) && w.met && w.silent == 0 {
 		c.evacuate(w)
 	}
-	if !w.looking && !c.now.Before(c.nextLook(w)) {
+	if !w.looking && !c.now.Before(c.nextLook(w)) && c.flow.mayLook(w.met, w.lookSentAt, c.now) {
 		c.look(w)
 	}
 }
@@ -60,8 +60,13 @@
 	if w.met && w.silent == 0 && w.seen == w.kept && len(w.runs)+len(w.strays) > 0 && !w.unsettled() {
 		o.Wait = c.lookWait(w)
 	}
-	w.looking = true
+	w.looking, w.lookWaits = true, o.Wait > 0
 	w.lookSentAt = c.now
+	if w.met {
+		c.flow.take(lookBytes)
+	} else {
+		c.flow.take(firstBytes)
+	}
 	c.do(LookAt{Worker: w.Worker, Order: o})
 }
 
@@ -109,6 +114,9 @@
 		c.do(StepDown{Why: "a worker has seen a higher fence"})
 		return
 	}
+	if !w.lookWaits {
+		c.flow.answered(c.now.Sub(w.lookSentAt))
+	}
 	news := w.silent > 0 || !w.met || len(e.Look.Ended) > 0 || len(w.strays) > 0
 	if w.silent > 0 {
 		c.do(Note{What: "worker answers again", Worker: w.ID, Inputs: []any{"looks", w.silent}})
--- a/job/node.go
+++ b/job/node.go
@@ -24,6 +24,8 @@
 	Peer netip.AddrPort
 	// Cores is how much of a core the host has.
 	Cores float64
+	// Link is what the host's link carries, in megabits a second; zero is DefaultLink.
+	Link float64
 	// ConfigWithin is the time from the acknowledgement of a configuration until it
 	// has to be in force here; zero is DefaultConfigWithin.
 	ConfigWithin time.Duration
@@ -188,7 +190,7 @@
 func (n *Node) serveTenure(ctx context.Context, t tenure) {
 	own, cancel := context.WithCancel(ctx)
 	defer cancel()
-	o := newOwner(n.Clients, n.log, n.now, n.settings.Name, t, n.speed, n.metrics)
+	o := newOwner(n.Clients, n.log, n.now, n.settings, t, n.speed, n.metrics)
 	n.mu.Lock()
 	n.owner, n.resign = o, cancel
 	n.mu.Unlock()
--- a/job/orders.go
+++ b/job/orders.go
@@ -39,6 +39,7 @@
 		Ticket:   ticket,
 	}
 	c.do(Note{What: "start", Job: n.job.id, Task: o.Task, Run: number, Worker: w.ID, Inputs: []any{"waited_ms", c.now.Sub(n.due).Milliseconds(), "used", w.used.MilliCores, "failures", len(t.failed)}})
+	c.flow.take(startBytes + len(o.Spec) + len(o.Snapshot) + len(o.Ticket))
 	c.do(StartRun{Worker: w.Worker, Order: o})
 }
 
@@ -66,6 +67,7 @@
 		return
 	}
 	r.stopSent = true
+	c.flow.take(orderBytes)
 	c.do(StopRun{Worker: r.at.Worker, Task: r.task.key().String(), Run: r.number, Fence: c.fence})
 }
 
@@ -82,6 +84,7 @@
 	for id, s := range w.strays {
 		if !s.sent {
 			s.sent = true
+			c.flow.take(orderBytes)
 			c.do(StopRun{Worker: w.Worker, Task: id.task, Run: id.number, Fence: c.fence})
 		}
 	}
@@ -117,6 +120,9 @@
 		return
 	}
 	r.knownAt = c.now
+	if e.Err == nil {
+		c.flow.answered(c.now.Sub(r.sentAt))
+	}
 	switch {
 	case e.Err == nil && e.Rejection == platform.Accepted:
 		c.startTaken(r)
--- a/job/owner.go
+++ b/job/owner.go
@@ -89,7 +89,7 @@
 	since time.Time
 }
 
-func newOwner(p Clients, log *Journal, now func() time.Time, name string, t tenure, speed *speedometer, m *metrics) *owner {
+func newOwner(p Clients, log *Journal, now func() time.Time, s Settings, t tenure, speed *speedometer, m *metrics) *owner {
 	o := &owner{
 		Clients: p,
 		log:     log,
@@ -99,7 +99,7 @@
 		keeper:  keeper{kv: p.KV, fence: t.fence},
 		speed:   speed,
 		metrics: m,
-		core:    New(t.fence, name, now()),
+		core:    New(t.fence, s.Name, s.Link, now()),
 	}
 	o.renewedAt.Set(t.since)
 	return o
--- a/job/owner_test.go
+++ b/job/owner_test.go
@@ -36,7 +36,7 @@
 	require.NoError(t, err)
 	m, err := newMetrics(common.Quiet().Meter)
 	require.NoError(t, err)
-	return newOwner(Clients{KV: s.kv}, nil, time.Now, name, n, newSpeedometer(time.Now), m)
+	return newOwner(Clients{KV: s.kv}, nil, time.Now, Settings{Name: name}, n, newSpeedometer(time.Now), m)
 }
 
 func fixtureSubmission() platform.Submission {
--- a/job/place.go
+++ b/job/place.go
@@ -44,18 +44,21 @@
 }
 
 // placeAll starts waiting tasks of the listed steps where there is room, the
-// most urgent first.
-func (c *Core) placeAll(pool []*worker, l []candidate) {
+// most urgent first. It reports false where starts have to wait until they can be sent.
+func (c *Core) placeAll(pool []*worker, l []candidate) bool {
 	free := make([]*worker, 0, len(pool))
 	for _, w := range pool {
 		if w.takes(c.now) {
 			free = append(free, w)
 		}
 	}
+	if !c.flow.may() {
+		return false
+	}
 	var full needs
 	for _, s := range l {
 		if len(free) == 0 {
-			return
+			return true
 		}
 		switch {
 		case s.idle == 0:
@@ -65,7 +68,11 @@
 		case !c.placeStep(free, s.step):
 			full = append(full, s.Resources)
 		}
+		if s.idle > 0 && !c.flow.may() {
+			return false
+		}
 	}
+	return true
 }
 
 // needs are what found no room on any worker in this pass.
@@ -96,6 +103,9 @@
 		if c.now.Before(t.notBefore) {
 			continue
 		}
+		if !c.flow.may() {
+			return true
+		}
 		w := c.choose(free, t)
 		if w == nil && s.plain() {
 			return false
--- a/job/waitlist.go
+++ b/job/waitlist.go
@@ -18,7 +18,8 @@
 
 // waitlist is what waits for the workers of one service.
 type waitlist struct {
-	jobs map[ID]*job
+	service string
+	jobs    map[ID]*job
 	// steps are the open steps, the most urgent first. They are collected anew
 	// when reorder is set.
 	steps   []candidate
@@ -42,7 +43,7 @@
 func (l *waitlists) listOf(service string) *waitlist {
 	w := l.byService[service]
 	if w == nil {
-		w = &waitlist{jobs: map[ID]*job{}}
+		w = &waitlist{service: service, jobs: map[ID]*job{}}
 		l.byService[service] = w
 	}
 	return w
@@ -93,7 +94,8 @@
 // place starts waiting tasks where there is room, the most urgent first.
 func (c *Core) place() {
 	counted := false
-	for service, l := range c.byService {
+	var due []*waitlist
+	for _, l := range c.byService {
 		if !l.replan {
 			continue
 		}
@@ -106,9 +108,27 @@
 			l.reorder = false
 			c.collect(l)
 		}
-		c.placeAll(c.pools[service], l.steps)
-		c.noteDemand(service, l.steps)
+		due = append(due, l)
+	}
+	// Where not all can be sent now, what is most urgent of any service goes first.
+	slices.SortFunc(due, func(a, b *waitlist) int { return compareCandidates(a.first(), b.first()) })
+	for _, l := range due {
+		if !c.placeAll(c.pools[l.service], l.steps) {
+			l.replan = true
+			c.wake(c.flow.mayAt(c.now))
+		}
+		c.noteDemand(l.service, l.steps)
+	}
+}
+
+// first returns the most urgent step with tasks that wait, or the zero candidate.
+func (l *waitlist) first() candidate {
+	for _, s := range l.steps {
+		if s.idle > 0 {
+			return s
+		}
 	}
+	return candidate{}
 }
 
 // collect lists the open steps of the jobs that may run.
@@ -142,14 +162,20 @@
 }
 
 func sortCandidates(l []candidate) {
-	slices.SortFunc(l, func(a, b candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.priority, b.priority),
-			compareBool(a.late, b.late),
-			a.latest.Compare(b.latest),
-			cmp.Compare(a.of.job.id, b.of.job.id),
-			cmp.Compare(a.of.k, b.of.k),
-			cmp.Compare(a.index, b.index),
-		)
-	})
+	slices.SortFunc(l, compareCandidates)
+}
+
+// compareCandidates orders the more urgent step first, and the zero candidate last.
+func compareCandidates(a, b candidate) int {
+	if a.step == nil || b.step == nil {
+		return compareBool(a.step == nil, b.step == nil)
+	}
+	return cmp.Or(
+		cmp.Compare(a.priority, b.priority),
+		compareBool(a.late, b.late),
+		a.latest.Compare(b.latest),
+		cmp.Compare(a.of.job.id, b.of.job.id),
+		cmp.Compare(a.of.k, b.of.k),
+		cmp.Compare(a.index, b.index),
+	)
 }
--- a/job/worker.go
+++ b/job/worker.go
@@ -81,7 +81,10 @@
 	// tainted says that there is a barrier: the worker gets no more starts, and
 	// its machine a new life.
 	tainted    bool
-	looking    bool
+	// looking says that a look is under way, lookWaits that the worker may wait for
+	// an end before it answers.
+	looking, lookWaits bool
+
 	lookAt     time.Time
 	lookSentAt time.Time
 	// heardAt is when it last answered, lookedAt when it last answered a look.
