The pace counts what is on its way, and judges only answers to what was sent since

In a model of a narrow link whose answers come late by what waits before them (2 to 100 Mbit/s, told rightly, ten times too wide, not at all) answers take at most half of a renewal's time; the form before left the queue to grow. Renewals have 0.6 s on a kept connection (0.3 before).

--- a/job/flow.go
+++ b/job/flow.go
@@ -17,7 +17,8 @@
 	judgeEvery    = 150 * time.Millisecond
 	fewestAnswers = 5
 	// slowDown is what remains of the rate that was sent when answers came late,
-	// slowMost of the rate that was allowed; speedUp is what it grows by when it held
+	// slowMost of the rate that was allowed, where little may have been sent by chance;
+	// speedUp is what it grows by when it held
 	// starts back and answers came in time.
 	slowDown = 0.8
 	slowMost = 0.25
@@ -26,6 +27,12 @@
 	// the store, and mostShare the most of it.
 	firstShare = 0.75
 	mostShare  = 0.95
+	// onWayFor is how long the rate may be ahead of the answers to starts: what has not
+	// been answered tells of a full link before the first late answer does. A sixth of
+	// the workers behind a cut holds half of that for as long as an order takes.
+	onWayFor = 300 * time.Millisecond
+	// leastOnWay is the fewest starts that may be on their way.
+	leastOnWay = 8
 	// leastRate is the least that an owner sends, in bytes a second: the looks at a
 	// hundred workers.
 	leastRate = 25e3
@@ -46,6 +53,7 @@
 // and specifications come on top.
 const (
 	startBytes   = 300
+	wholeStart   = 800
 	orderBytes   = 235
 	lookBytes    = 230
 	firstBytes   = 1200
@@ -72,13 +80,19 @@
 	// budget is how many bytes may be sent now. What cannot wait takes it below zero.
 	budget   float64
 	filledAt time.Time
+	// onWay counts the starts that have not been answered.
+	onWay int
 	// held says that starts have been held back since the last judgement, sent is what
 	// was sent since.
 	held bool
 	sent float64
+	// full says that as many starts were on their way as may be.
+	full bool
 	// took are the answer times since then.
 	took     []time.Duration
 	judgedAt time.Time
+	// slowedAt is when the rate last fell.
+	slowedAt time.Time
 	// busy is how many workers are looked at all the time.
 	busy int
 }
@@ -114,20 +128,28 @@
 	sent := f.sent / now.Sub(f.judgedAt).Seconds()
 	late := len(f.took) > 0 && median(f.took) > lateAnswer
 	switch {
+	case late && f.full:
+		f.rate = max(leastRate, slowDown*min(f.rate, sent))
+		f.slowedAt = now
 	case late && len(f.took) >= fewestAnswers:
 		f.rate = max(leastRate, slowMost*f.rate, slowDown*min(f.rate, sent))
-	case f.held && !late:
+		f.slowedAt = now
+	case f.held && !late && (len(f.took) > 0 || f.onWay == 0):
 		f.rate = min(mostShare*f.link, speedUp*f.rate)
 	}
 	f.took = f.took[:0]
 	f.sent = 0
-	f.held = false
+	f.held, f.full = false, false
 	f.judgedAt = now
 }
 
-// answered takes in how long a worker took to answer at once.
-func (f *flow) answered(took time.Duration) {
-	f.took = append(f.took, took)
+// answered takes in that a worker has answered at once what was sent at a time. What
+// was on its way when the rate last fell says nothing of the rate since.
+func (f *flow) answered(sentAt, now time.Time) {
+	if sentAt.Before(f.slowedAt) {
+		return
+	}
+	f.took = append(f.took, now.Sub(sentAt))
 }
 
 // take counts what is sent.
@@ -138,16 +160,29 @@
 
 // may reports whether a start may be sent now.
 func (f *flow) may() bool {
-	if f.budget > 0 {
+	full := f.onWay >= max(leastOnWay, int(f.rate*onWayFor.Seconds()/wholeStart))
+	if f.budget > 0 && !full {
 		return true
 	}
 	f.held = true
+	f.full = f.full || full
 	return false
 }
 
-// mayAt returns when the next start may be sent.
+// mayAt returns when the next start may be sent, if not by an answer.
 func (f *flow) mayAt(now time.Time) time.Time {
-	return now.Add(time.Duration((1 - f.budget) / f.rate * float64(time.Second)))
+	d := time.Duration((1 - f.budget) / f.rate * float64(time.Second))
+	return now.Add(max(d, stepEvery))
+}
+
+// start counts a start that is sent, and started that it was answered, or never will be.
+func (f *flow) start(bytes int) {
+	f.take(startBytes + bytes)
+	f.onWay++
+}
+
+func (f *flow) started() {
+	f.onWay--
 }
 
 // mayLook reports whether a worker may be looked at that was last asked at a time.
--- a/job/flow_test.go
+++ b/job/flow_test.go
@@ -13,6 +13,21 @@
 	now     time.Time
 	carries float64
 	queued  float64
+	// answers are those to come.
+	answers []onItsWay
+}
+
+type onItsWay struct {
+	sentAt, at time.Time
+}
+
+// deliver takes in the answers that have come.
+func (l *narrowLink) deliver() {
+	for len(l.answers) > 0 && !l.answers[0].at.After(l.now) {
+		l.answered(l.answers[0].sentAt, l.now)
+		l.started()
+		l.answers = l.answers[1:]
+	}
 }
 
 // run sends starts of a size as they may be for a time, and returns how many went out
@@ -22,13 +37,14 @@
 	begun := l.now
 	for end := l.now.Add(d); l.now.Before(end); l.now = l.now.Add(step) {
 		l.queued = max(0, l.queued-l.carries*step.Seconds())
+		l.deliver()
 		l.pass(l.now)
 		for l.may() {
-			l.take(size)
+			l.start(size - startBytes)
 			l.queued += float64(size)
 			sent++
 			took := 4*time.Millisecond + time.Duration(l.queued/l.carries*float64(time.Second))
-			l.answered(took)
+			l.answers = append(l.answers, onItsWay{sentAt: l.now, at: l.now.Add(took)})
 			if l.now.Sub(begun) > time.Second {
 				longest = max(longest, took)
 			}
@@ -48,7 +64,7 @@
 			l := narrowLink{flow: newFlow(c.told, now), now: now, carries: carries * bytesPerMegabit}
 			l.run(800, 5*time.Second)
 			sent, longest := l.run(800, 10*time.Second)
-			require.Less(t, longest, 3*lateAnswer, "%g Mbit/s, told %g", carries, c.told)
+			require.Less(t, longest, renewTimeout/2, "%g Mbit/s, told %g", carries, c.told)
 			require.Greater(t, float64(sent*800), c.uses*10*l.carries, "%g Mbit/s, told %g", carries, c.told)
 		}
 	}
@@ -61,7 +77,7 @@
 	for range 40 {
 		l.now = l.now.Add(judgeEvery)
 		for range fewestAnswers {
-			l.answered(time.Second)
+			l.answered(l.now, l.now.Add(time.Second))
 		}
 		l.pass(l.now)
 	}
@@ -83,7 +99,7 @@
 		if i%6 == 0 {
 			took = time.Second
 		}
-		f.answered(took)
+		f.answered(now.Add(-took), now)
 	}
 	require.GreaterOrEqual(t, f.rate, rate)
 }
--- a/job/looks.go
+++ b/job/looks.go
@@ -115,7 +115,7 @@
 		return
 	}
 	if !w.lookWaits {
-		c.flow.answered(c.now.Sub(w.lookSentAt))
+		c.flow.answered(w.lookSentAt, c.now)
 	}
 	news := w.silent > 0 || !w.met || len(e.Look.Ended) > 0 || len(w.strays) > 0
 	if w.silent > 0 {
--- a/job/orders.go
+++ b/job/orders.go
@@ -39,7 +39,7 @@
 		Ticket:   ticket,
 	}
 	c.do(Note{What: "start", Job: n.job.id, Task: o.Task, Run: number, Worker: w.ID, Inputs: []any{"waited_ms", c.now.Sub(n.due).Milliseconds(), "used", w.used.MilliCores, "failures", len(t.failed)}})
-	c.flow.take(startBytes + len(o.Spec) + len(o.Snapshot) + len(o.Ticket))
+	c.flow.start(len(o.Spec) + len(o.Snapshot) + len(o.Ticket))
 	c.do(StartRun{Worker: w.Worker, Order: o})
 }
 
@@ -100,6 +100,7 @@
 
 // apply takes in the answer to a start.
 func (e Started) apply(c *Core) {
+	c.flow.started()
 	w := c.workers[e.Worker]
 	if w == nil {
 		return
@@ -121,7 +122,7 @@
 	}
 	r.knownAt = c.now
 	if e.Err == nil {
-		c.flow.answered(c.now.Sub(r.sentAt))
+		c.flow.answered(r.sentAt, c.now)
 	}
 	switch {
 	case e.Err == nil && e.Rejection == platform.Accepted:
--- a/job/owner.go
+++ b/job/owner.go
@@ -18,11 +18,13 @@
 	// renewEvery is how often the owner's lease is renewed: four times in its
 	// time to live.
 	renewEvery = ownerTTL / 4
-	// renewTimeout bounds one renewal. Half of it goes to a kept connection, which is
-	// less than renewEvery, so that the next renewal does not meet the same silence;
-	// the rest goes to a new one. The store answers within a quarter of a second
-	// while it is slow.
-	renewTimeout = 2 * ownerTTL / 5
+	// renewTimeout bounds one renewal. Half of it goes to a kept connection, the rest to
+	// a new one. Renewals go out each renewEvery, whether or not the last was answered,
+	// each on a connection of its own, so that the lease is renewed before it ends also
+	// where a silent connection costs one of them its first half. A shorter half took
+	// the answers that a full link held up for silence: each of them cost a new
+	// connection, which waited behind as much.
+	renewTimeout = 4 * ownerTTL / 5
 	// maxBatch is the most events that are taken in before tasks are placed.
 	maxBatch = 256
 	// stepEvery is the least time between two steps. Events that come closer
--- a/job/worker.go
+++ b/job/worker.go
@@ -80,7 +80,7 @@
 	barrier int64
 	// tainted says that there is a barrier: the worker gets no more starts, and
 	// its machine a new life.
-	tainted    bool
+	tainted bool
 	// looking says that a look is under way, lookWaits that the worker may wait for
 	// an end before it answers.
 	looking, lookWaits bool
