--- a/common/attempt.go
+++ b/common/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http/httptrace"
 	"sync/atomic"
 	"syscall"
@@ -45,9 +46,50 @@
 	}
 	a.conns.Begin(&a.Usage, i.Conn, giveUp)
 	end, bounded := a.ctx.Deadline()
-	if p := a.patience(end.Sub(a.began)); i.Reused && bounded && p > 0 {
-		a.timer.Store(time.AfterFunc(p, func() { a.cancel(errOverdue) }))
+	p := a.patience(end.Sub(a.began))
+	if !i.Reused && a.Stall > 0 {
+		p, bounded = a.Wait+a.Stall, true
+	} else if !i.Reused {
+		p = 0
 	}
+	if bounded && p > 0 {
+		a.overdueIn(p)
+	}
+}
+
+// overdueIn ends the call after a time. A new connection that brings nothing is not
+// silent: the other side is slow.
+func (a *attempt) overdueIn(d time.Duration) {
+	why := errStalled
+	if a.kept {
+		why = errOverdue
+	}
+	a.timer.Store(time.AfterFunc(d, func() { a.cancel(why) }))
+}
+
+// body returns what reads the answer's body and ends the call once nothing comes for
+// its Stall.
+func (a *attempt) body(r io.Reader) io.Reader {
+	if a.Stall == 0 {
+		return r
+	}
+	a.overdueIn(a.Stall)
+	return &moving{Reader: r, of: a}
+}
+
+// moving is a body that is read for as long as it goes on.
+type moving struct {
+	io.Reader
+	of *attempt
+}
+
+// Read reads, and puts the end of the call off.
+func (m *moving) Read(b []byte) (int, error) {
+	n, err := m.Reader.Read(b)
+	if t := m.of.timer.Load(); t != nil && n > 0 {
+		t.Reset(m.of.Stall)
+	}
+	return n, err
 }
 
 func (a *attempt) stopTimer() {
--- a/common/exchange.go
+++ b/common/exchange.go
@@ -44,6 +44,8 @@
 	ErrSilent = fmt.Errorf("%w: kept connection is silent", ErrUnknown)
 	// errOverdue ends a call whose own connection has brought nothing in time.
 	errOverdue = fmt.Errorf("%w: answer overdue", ErrSilent)
+	// errStalled ends a call whose new connection has brought nothing for its Stall.
+	errStalled = fmt.Errorf("%w: answer stalled", ErrUnknown)
 	// errDistrusted ends a call whose connection is no newer than a silent one.
 	errDistrusted = fmt.Errorf("%w, as another to its address is", ErrSilent)
 )
@@ -125,6 +127,10 @@
 	// Settled says that the caller finds out what became of a call without an
 	// answer, and goes on: such a call is given up early on a kept connection.
 	Settled bool
+	// Stall is how long the answer may bring nothing, once it has begun as well as
+	// before: a long one on a narrow link is not silent while it goes on. Zero leaves
+	// that to the context.
+	Stall time.Duration
 	// Most is the most bytes of an answer; zero is maxReply.
 	Most int64
 	// again says that the exchange repeats the call if its connection is not trusted.
@@ -141,8 +147,11 @@
 // half of the time that is left, so that a new one has the other half. It is zero
 // where only the context ends the call.
 func (q Request) patience(left time.Duration) time.Duration {
-	if !q.early() {
+	switch {
+	case !q.early():
 		return 0
+	case q.Stall > 0:
+		return q.Wait + q.Stall/2
 	}
 	return q.Wait + max(0, left-q.Wait)/2
 }
@@ -199,7 +208,7 @@
 		return Reply{}, a.failed(err)
 	}
 	defer res.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(res.Body, cmp.Or(q.Most, maxReply)))
+	b, err := io.ReadAll(io.LimitReader(a.body(res.Body), cmp.Or(q.Most, maxReply)))
 	if err != nil {
 		return Reply{}, a.failed(err)
 	}
--- a/job/load.go
+++ b/job/load.go
@@ -21,6 +21,24 @@
 	jobs, workers platform.Revision
 }
 
+// narrow is the widest link, in megabits a second, on which what an owner takes over is
+// read one list after the other: the lists of 1,200 jobs take a second of it, in which
+// the renewals of the owner's lease have to come through.
+const narrow = 10
+
+// loadAtLast reads what to take over, again and again while the ownership lasts: a next
+// owner would find the store as slow.
+func (o *owner) loadAtLast(ctx context.Context, config *platform.Deployed) (Inherited, listRevisions, error) {
+	for {
+		e, from, err := o.load(ctx, config)
+		if err == nil || errors.Is(err, errDeposed) || ctx.Err() != nil || o.sinceRenewal() > ownerTTL {
+			return e, from, err
+		}
+		o.log.Write(Note{What: "not read", Why: err.Error(), Inputs: []any{"age_ms", o.sinceRenewal().Milliseconds()}})
+		common.Sleep(ctx, followRetry)
+	}
+}
+
 // load reads all that an owner takes over. What it reads is written by owners
 // only, whose writes the store refuses by now, or followed from the revision of its
 // list, so that all can be read at once: one after the other they took 2.4 seconds
@@ -29,6 +47,9 @@
 	e := Inherited{Config: config, Progress: map[ID]Progress{}, WavesEnded: map[int64]bool{}, WavesBegan: map[int64][]string{}}
 	var from listRevisions
 	g, all := errgroup.WithContext(ctx)
+	if o.link > 0 && o.link <= narrow {
+		g.SetLimit(1)
+	}
 	g.Go(func() (err error) {
 		from.jobs, err = o.loadJobs(all, &e)
 		return err
--- a/job/owner.go
+++ b/job/owner.go
@@ -65,10 +65,12 @@
 // owner runs a Core: it feeds it events and does what it says.
 type owner struct {
 	Clients
-	log     *Journal
-	now     func() time.Time
-	events  chan Event
-	tenure  tenure
+	log    *Journal
+	now    func() time.Time
+	events chan Event
+	tenure tenure
+	// link is what the host's link carries, in megabits a second; zero is not known.
+	link    float64
 	keeper  keeper
 	speed   *speedometer
 	metrics *metrics
@@ -98,6 +100,7 @@
 		now:     now,
 		events:  make(chan Event, eventBuffer),
 		tenure:  t,
+		link:    s.Link,
 		keeper:  keeper{kv: p.KV, fence: t.fence},
 		speed:   speed,
 		metrics: m,
@@ -112,7 +115,7 @@
 	ctx, o.end = context.WithCancel(ctx)
 	defer o.end()
 	go o.renew(ctx)
-	inherited, from, err := o.load(ctx, config)
+	inherited, from, err := o.loadAtLast(ctx, config)
 	if err != nil {
 		return "cannot read what to take over: " + err.Error()
 	}
