Jobs are refused at once where their starts cannot be sent in time

Callers were told that all were taken.

The owner tells entry hosts, by a key beside its own, which queues are full: those whose starts, with all of their priority and above, take more than 4 s to be sent at the measured rate, until that is below 2 s. A job that comes then is answered 503 with when to come back, unless the store knows it. The rate rises slowly near what it last fell from, and does not fall twice in 300 ms for one cause.

--- a/job/core.go
+++ b/job/core.go
@@ -35,6 +35,7 @@
 	machines
 	waitlists
 	flow     flow
+	fullness fullness
 	forgetAt time.Time
 	// cutOffSince is when most workers fell silent.
 	cutOffSince time.Time
@@ -75,7 +76,9 @@
 	if now.After(c.now) {
 		c.now = now
 	}
-	c.flow.pass(c.now)
+	if c.flow.pass(c.now) {
+		c.do(Note{What: "sends less", Why: "answers come late", Inputs: []any{"bytes_per_s", int(c.flow.rate), "on_way", c.flow.onWay}})
+	}
 	e.apply(c)
 	c.sortPools()
 	c.place()
@@ -105,6 +108,7 @@
 	c.checkReach()
 	c.forget()
 	c.tendMachines()
+	c.tendFull()
 	c.reorderAll()
 }
 
--- a/job/elect.go
+++ b/job/elect.go
@@ -54,7 +54,10 @@
 	mu    sync.Mutex
 	// current is the zero Owner while nobody owns.
 	current Owner
-	vacant  chan struct{}
+	// full is what an owner last said of its queues, heard at fullAt.
+	full   Full
+	fullAt time.Time
+	vacant chan struct{}
 	// abstainUntil is when the host may claim again; retired says never.
 	abstainUntil time.Time
 	retired      bool
@@ -98,24 +101,63 @@
 func (e *election) follow(ctx context.Context) {
 	f := &follower{kv: e.kv, prefix: ownerKey, watchTimes: ownerWatch, log: e.log}
 	f.listed = func(l []platform.Entry) {
-		if len(l) == 0 {
+		vacant := true
+		for _, v := range l {
+			vacant = vacant && v.Key != ownerKey
+			e.take(v)
+		}
+		if vacant {
 			e.set(Owner{})
-			return
 		}
-		e.take(l[0])
 	}
 	f.changed = func(l []platform.Event) {
-		v := l[len(l)-1]
-		if v.Deleted {
-			e.set(Owner{})
-			return
+		for _, v := range l {
+			switch {
+			case !v.Deleted:
+				e.take(v.Entry)
+			case v.Key == ownerKey:
+				e.set(Owner{})
+			}
 		}
-		e.take(v.Entry)
 	}
 	f.run(ctx)
 }
 
+// take takes in what a key under the owner's says.
 func (e *election) take(v platform.Entry) {
+	switch v.Key {
+	case ownerKey:
+		e.takeOwner(v)
+	case fullKey:
+		e.takeFull(v)
+	}
+}
+
+func (e *election) takeFull(v platform.Entry) {
+	var f Full
+	if err := json.Unmarshal(v.Value, &f); err != nil {
+		e.log.Write(Note{What: "entry not understood", Why: err.Error()})
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.full = f
+	e.fullAt = e.now()
+}
+
+// fullUntil returns when callers of the queue are to come back, or false where the owner
+// takes its jobs.
+func (e *election) fullUntil(queue string) (time.Time, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ms, full := e.full.Waits[queue]
+	if !full || e.full.Fence != e.current.Fence {
+		return time.Time{}, false
+	}
+	return latest(e.fullAt.Add(time.Duration(ms)*time.Millisecond), e.now().Add(comeBack)), true
+}
+
+func (e *election) takeOwner(v platform.Entry) {
 	var o Owner
 	if err := json.Unmarshal(v.Value, &o); err != nil {
 		e.log.Write(Note{What: "entry not understood", Why: err.Error()})
--- a/job/flow.go
+++ b/job/flow.go
@@ -17,12 +17,21 @@
 	judgeEvery    = 150 * time.Millisecond
 	fewestAnswers = 5
 	// slowDown is what remains of the rate that was sent when answers came late,
-	// slowMost of the rate that was allowed, where little may have been sent by chance;
-	// speedUp is what it grows by when it held
-	// starts back and answers came in time.
-	slowDown = 0.8
-	slowMost = 0.25
-	speedUp  = 1.15
+	// slowMost of the rate that was allowed, where little may have been sent by chance.
+	// It does not fall again for settleFor, in which what waits gets through.
+	slowDown  = 0.8
+	slowMost  = 0.5
+	settleFor = 300 * time.Millisecond
+	// speedUpFar is what the rate grows by when starts were held back and answers came
+	// in time, speedUpNear once it is near what it last fell from.
+	speedUpFar  = 1.15
+	speedUpNear = 1.02
+	nearCeiling = 0.7
+	// seriesWithin is how soon after a fall the next is of the same cause.
+	seriesWithin = time.Second
+	// startsWeight is how much one judgement counts in the mean of starts a second:
+	// some two seconds make it up.
+	startsWeight = 0.1
 	// firstShare is the share of the link that an owner begins with, the rest being for
 	// the store, and mostShare the most of it.
 	firstShare = 0.75
@@ -91,8 +100,14 @@
 	// took are the answer times since then.
 	took     []time.Duration
 	judgedAt time.Time
-	// slowedAt is when the rate last fell.
-	slowedAt time.Time
+	// slowedAt is when the rate last fell, ceiling what it fell from, heldAt when starts
+	// were last held back.
+	slowedAt, heldAt time.Time
+	ceiling          float64
+	// sentStarts are the starts since the last judgement, starts how many are sent in a
+	// second where all that may are.
+	sentStarts int
+	starts     float64
 	// busy is how many workers are looked at all the time.
 	busy int
 }
@@ -112,37 +127,70 @@
 	return f.rate * burstFor.Seconds()
 }
 
-// pass lets time pass.
-func (f *flow) pass(now time.Time) {
+// pass lets time pass. It reports whether the rate has fallen.
+func (f *flow) pass(now time.Time) bool {
 	if d := now.Sub(f.filledAt); d > 0 {
 		f.budget = min(f.burst(), f.budget+f.rate*d.Seconds())
 		f.filledAt = now
 	}
-	if now.Sub(f.judgedAt) >= judgeEvery {
-		f.judge(now)
+	if now.Sub(f.judgedAt) < judgeEvery {
+		return false
 	}
+	before := f.rate
+	f.judge(now)
+	return f.rate < before
 }
 
 // judge sets the rate by what the answers since the last time say.
 func (f *flow) judge(now time.Time) {
-	sent := f.sent / now.Sub(f.judgedAt).Seconds()
+	d := now.Sub(f.judgedAt).Seconds()
+	sent := f.sent / d
+	if f.held {
+		f.heldAt = now
+		f.noteStarts(float64(f.sentStarts) / d)
+	}
 	late := len(f.took) > 0 && median(f.took) > lateAnswer
 	switch {
+	case late && now.Sub(f.slowedAt) < settleFor:
 	case late && f.full:
-		f.rate = max(leastRate, slowDown*min(f.rate, sent))
-		f.slowedAt = now
+		f.slow(now, slowDown*min(f.rate, sent))
 	case late && len(f.took) >= fewestAnswers:
-		f.rate = max(leastRate, slowMost*f.rate, slowDown*min(f.rate, sent))
-		f.slowedAt = now
+		f.slow(now, max(slowMost*f.rate, slowDown*min(f.rate, sent)))
 	case f.held && !late && (len(f.took) > 0 || f.onWay == 0):
-		f.rate = min(mostShare*f.link, speedUp*f.rate)
+		f.rate = min(mostShare*f.link, f.speedUp()*f.rate)
 	}
 	f.took = f.took[:0]
-	f.sent = 0
+	f.sent, f.sentStarts = 0, 0
 	f.held, f.full = false, false
 	f.judgedAt = now
 }
 
+// slow lowers the rate.
+func (f *flow) slow(now time.Time, rate float64) {
+	if now.Sub(f.slowedAt) > seriesWithin {
+		f.ceiling = f.rate
+	}
+	f.rate = max(leastRate, rate)
+	f.slowedAt = now
+}
+
+// speedUp returns what the rate grows by: little near where it last had to fall.
+func (f *flow) speedUp() float64 {
+	if f.ceiling > 0 && f.rate > nearCeiling*f.ceiling {
+		return speedUpNear
+	}
+	return speedUpFar
+}
+
+// noteStarts takes in how many starts were sent in a second.
+func (f *flow) noteStarts(n float64) {
+	if f.starts == 0 {
+		f.starts = n
+		return
+	}
+	f.starts += startsWeight * (n - f.starts)
+}
+
 // answered takes in that a worker has answered at once what was sent at a time. What
 // was on its way when the rate last fell says nothing of the rate since.
 func (f *flow) answered(sentAt, now time.Time) {
@@ -179,6 +227,7 @@
 func (f *flow) start(bytes int) {
 	f.take(startBytes + bytes)
 	f.onWay++
+	f.sentStarts++
 }
 
 func (f *flow) started() {
--- a/job/front.go
+++ b/job/front.go
@@ -103,9 +103,12 @@
 
 // refuse answers that nothing was done, and when to come back.
 func (f front) refuse(w http.ResponseWriter, why string) {
-	now := f.node.now()
-	p := &common.ProblemError{Type: "about:blank", Title: why, Status: http.StatusServiceUnavailable, Verdict: common.NotRun, RetryAt: now.Add(comeBack)}
-	p.Write(w, now)
+	f.refuseUntil(w, why, f.node.now().Add(comeBack))
+}
+
+func (f front) refuseUntil(w http.ResponseWriter, why string, at time.Time) {
+	p := &common.ProblemError{Type: "about:blank", Title: why, Status: http.StatusServiceUnavailable, Verdict: common.NotRun, RetryAt: at}
+	p.Write(w, f.node.now())
 }
 
 func answer(w http.ResponseWriter, b []byte) {
@@ -139,6 +142,10 @@
 		problem(w, http.StatusBadRequest, err.Error(), common.NotRun)
 		return
 	}
+	if at, full := f.node.fullUntil(ctx, id, q.Name); full {
+		f.refuseUntil(w, "the queue is full: more work waits than can be begun in time", at)
+		return
+	}
 	f.conclude(w, f.node.accept(ctx, id, rec))
 }
 
--- a/job/load.go
+++ b/job/load.go
@@ -85,7 +85,7 @@
 		return 0, err
 	}
 	for _, v := range l {
-		if v.Key == ownerKey {
+		if strings.HasPrefix(v.Key, ownerKey) {
 			continue
 		}
 		switch ev := o.jobEvent(v).(type) {
@@ -212,7 +212,7 @@
 			return
 		}
 		for _, v := range l {
-			if v.Key != ownerKey {
+			if !strings.HasPrefix(v.Key, ownerKey) {
 				o.sendJob(ctx, v)
 			}
 		}
@@ -223,7 +223,7 @@
 			case v.Key == ownerKey && v.Revision != platform.Revision(o.tenure.fence):
 				o.resign(errDeposed.Error())
 				return
-			case v.Key != ownerKey && !v.Deleted:
+			case !strings.HasPrefix(v.Key, ownerKey) && !v.Deleted:
 				o.sendJob(ctx, v.Entry)
 			}
 		}
--- a/job/serve.go
+++ b/job/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"amberway/common"
 	"amberway/platform"
@@ -97,6 +98,22 @@
 	return v
 }
 
+// fullUntil returns when the caller of a job is to come back, or false where its queue is
+// not full. A job that was taken before is not refused: this may be a copy of it.
+func (n *Node) fullUntil(ctx context.Context, id ID, queue string) (time.Time, bool) {
+	at, full := n.election.fullUntil(queue)
+	if !full {
+		return time.Time{}, false
+	}
+	_, known, err := n.storedState(ctx, id)
+	if err != nil || known {
+		return time.Time{}, false
+	}
+	n.metrics.intake.Add(ctx, 1, label("verdict", "full"))
+	n.log.Write(Note{What: "job refused", Job: id, Why: "its queue is full", Inputs: []any{"queue", queue, "back_ms", at.Sub(n.now()).Milliseconds()}})
+	return at, true
+}
+
 // cancel cancels a job here or through the owner. It reports whether the job
 // is known.
 func (n *Node) cancel(ctx context.Context, id ID) (bool, error) {
