--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -68,7 +68,7 @@
 		return ExitFailed
 	}
 	deps := common.NewDeps(d.logger, meter)
-	d.node, err = job.NewNode(job.Settings{Name: s.Name, Peer: c.peers, Cores: s.Cores, Link: s.LinkMbps, ConfigWithin: s.ConfigWithin}, job.Clients{
+	d.node, err = job.NewNode(job.Settings{Name: s.Name, Peer: c.peers, Size: s.size(), ConfigWithin: s.ConfigWithin}, job.Clients{
 		KV:       platform.NewKV(c.store, &d.calls),
 		Workers:  platform.NewWorkers(),
 		Machines: platform.NewMachines(c.machines, &d.calls),
@@ -85,6 +85,11 @@
 	return ExitOK
 }
 
+// size returns what the host has.
+func (s Settings) size() job.Size {
+	return job.Size{Cores: s.Cores, Link: s.LinkMbps, Memory: s.MemoryMB}
+}
+
 func (d *jobsDaemon) run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/commands/settings.go
+++ b/commands/settings.go
@@ -36,6 +36,7 @@
 	Advice     string   `arg:"--advice,env:AMBERWAY_ADVICE" yaml:"advice" help:"service that knows which workers may run a step; with --store" placeholder:"IP:PORT"`
 	Ready      string   `arg:"--ready,env:AMBERWAY_READY" yaml:"ready" help:"listener that the balancer asks for readiness; with --store" placeholder:"IP:PORT"`
 	LinkMbps   float64  `arg:"--link-mbps,env:AMBERWAY_LINK_MBPS" yaml:"link-mbps" help:"what the link of this host carries, in megabits a second: an owner sends no more, and hosts with less leave ownership to wider ones; with --store" placeholder:"NUMBER"`
+	MemoryMB   float64  `arg:"--memory-mb,env:AMBERWAY_MEMORY_MB" yaml:"memory-mb" help:"what the daemon may take of this host's memory, in megabytes; with --store" placeholder:"NUMBER"`
 	Cores      float64  `arg:"--cores,env:AMBERWAY_CORES" yaml:"cores" help:"cores of this host that the daemon may use: hosts with few leave ownership to others; with --store" placeholder:"NUMBER"`
 	Orders     string   `arg:"--orders,env:AMBERWAY_ORDERS" yaml:"orders" help:"how workers take orders: call; with --store" placeholder:"WAY"`
 	LogFormat  string   `arg:"--log-format,env:AMBERWAY_LOG_FORMAT" yaml:"log-format" help:"text or json" placeholder:"FORMAT"`
@@ -176,6 +177,9 @@
 	if s.LinkMbps < 0 {
 		fault("--link-mbps: %g is below zero", s.LinkMbps)
 	}
+	if s.MemoryMB < 0 {
+		fault("--memory-mb: %g is below zero", s.MemoryMB)
+	}
 	if s.Orders != "call" {
 		fault("--orders: %q is not known, workers are told by call", s.Orders)
 	}
--- a/job/elect.go
+++ b/job/elect.go
@@ -26,15 +26,42 @@
 	endLeaseFor = 6 * time.Second
 	// claimRetry is the pause after a claim that failed.
 	claimRetry = 200 * time.Millisecond
-	// smallWaits is how long a host with hardly any processor leaves a claim to
-	// larger ones. A claim takes some ten milliseconds, and a third of the time
+	// smallWaits is how long a host with hardly any processor, link or memory leaves a
+	// claim to larger ones. A claim takes some ten milliseconds, and a third of the time
 	// to live of the owner's lease more is borne where no larger host lives.
 	smallWaits = 600 * time.Millisecond
 	// ownerCores is what an owner takes at its busiest: 0.4 of a core with 350
 	// workers and 300 starts a second. Hosts that have it claim at once.
 	ownerCores = 0.4
+	// ownerLink is the link that an owner fills at its busiest, in megabits a second:
+	// 1,000 starts a second, of 1.5 kB with the looks that bring their ends.
+	ownerLink = 12
+	// ownerMemory is what an owner takes at its most, in megabytes: 126 with 372
+	// workers, and room for the lists of a takeover.
+	ownerMemory = 150
 )
 
+// Size is what a host has.
+type Size struct {
+	// Cores is how much of a core the host has.
+	Cores float64
+	// Link is what its link carries, in megabits a second, and Memory what a process
+	// may take, in megabytes; zero is not known.
+	Link, Memory float64
+}
+
+// fitness is how far the host is up to owning, from 0 to 1.
+func (s Size) fitness() float64 {
+	f := min(1, s.Cores/ownerCores)
+	if s.Link > 0 {
+		f = min(f, s.Link/ownerLink)
+	}
+	if s.Memory > 0 {
+		f = min(f, s.Memory/ownerMemory)
+	}
+	return max(0, f)
+}
+
 // Owner tells who owns.
 type Owner struct {
 	Name string         `json:"name"`
@@ -47,11 +74,10 @@
 type election struct {
 	kv   *platform.KV
 	self Owner
-	// cores is how much of a core this host has.
-	cores float64
-	log   *Journal
-	now   func() time.Time
-	mu    sync.Mutex
+	size Size
+	log  *Journal
+	now  func() time.Time
+	mu   sync.Mutex
 	// current is the zero Owner while nobody owns.
 	current Owner
 	// full is what an owner last said of its queues, heard at fullAt.
@@ -63,15 +89,14 @@
 	retired      bool
 }
 
-func newElection(kv *platform.KV, self Owner, cores float64, log *Journal, now func() time.Time) *election {
-	return &election{kv: kv, self: self, cores: cores, log: log, now: now, vacant: make(chan struct{}, 1)}
+func newElection(kv *platform.KV, self Owner, s Size, log *Journal, now func() time.Time) *election {
+	return &election{kv: kv, self: self, size: s, log: log, now: now, vacant: make(chan struct{}, 1)}
 }
 
 // claimAt returns when the host may claim what has become vacant now: the
 // smaller it is, the longer it leaves that to others.
 func (e *election) claimAt(now time.Time) time.Time {
-	share := max(0, 1-e.cores/ownerCores)
-	return now.Add(time.Duration(share * float64(smallWaits)))
+	return now.Add(time.Duration((1 - e.size.fitness()) * float64(smallWaits)))
 }
 
 // owner returns who owns as far as is known; its name is "" if nobody does.
--- a/job/node.go
+++ b/job/node.go
@@ -22,10 +22,7 @@
 	Name string
 	// Peer is the address for other entry hosts.
 	Peer netip.AddrPort
-	// Cores is how much of a core the host has.
-	Cores float64
-	// Link is what the host's link carries, in megabits a second; zero is DefaultLink.
-	Link float64
+	Size
 	// ConfigWithin is the time from the acknowledgement of a configuration until it
 	// has to be in force here; zero is DefaultConfigWithin.
 	ConfigWithin time.Duration
@@ -64,7 +61,7 @@
 		s.ConfigWithin = DefaultConfigWithin
 	}
 	n := &Node{Clients: p, settings: s, log: log, now: now, peers: newPeers()}
-	n.election = newElection(p.KV, Owner{Name: s.Name, Peer: s.Peer}, s.Cores, log, now)
+	n.election = newElection(p.KV, Owner{Name: s.Name, Peer: s.Peer}, s.Size, log, now)
 	n.intake = newIntake(p.KV, log, now)
 	n.speed = newSpeedometer(now)
 	n.exposed = exposed
--- a/job/owner_test.go
+++ b/job/owner_test.go
@@ -31,7 +31,7 @@
 
 // claim makes an owner of the name.
 func (s storeFixture) claim(t *testing.T, name string) *owner {
-	e := newElection(s.kv, Owner{Name: name}, 1, nil, time.Now)
+	e := newElection(s.kv, Owner{Name: name}, Size{Cores: 1}, nil, time.Now)
 	n, err := e.claim(t.Context())
 	require.NoError(t, err)
 	m, err := newMetrics(common.Quiet().Meter)
@@ -164,7 +164,7 @@
 
 func TestStoppingHostClaimsNothing(t *testing.T) {
 	s := newStoreFixture(t)
-	e := newElection(s.kv, Owner{Name: "stopping"}, 1, nil, time.Now)
+	e := newElection(s.kv, Owner{Name: "stopping"}, Size{Cores: 1}, nil, time.Now)
 	e.retire()
 	e.set(Owner{})
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
@@ -192,8 +192,8 @@
 
 // campaign has a host of the size wait for ownership, and returns its name on
 // the channel if it owns.
-func (s storeFixture) campaign(t *testing.T, name string, cores float64, won chan<- string) {
-	e := newElection(s.kv, Owner{Name: name}, cores, nil, time.Now)
+func (s storeFixture) campaign(t *testing.T, name string, z Size, won chan<- string) {
+	e := newElection(s.kv, Owner{Name: name}, z, nil, time.Now)
 	go e.follow(t.Context())
 	go func() {
 		if _, ok := e.wait(t.Context()); ok {
@@ -203,18 +203,34 @@
 }
 
 func TestSmallHostLeavesOwnershipToALargerOne(t *testing.T) {
-	s := newStoreFixture(t)
-	won := make(chan string, 2)
-	s.campaign(t, "small", 0.1, won)
-	time.Sleep(50 * time.Millisecond)
-	s.campaign(t, "large", 0.8, won)
-	require.Equal(t, "large", <-won)
+	large := Size{Cores: 0.8, Link: 200, Memory: 536}
+	for name, small := range map[string]Size{
+		"cores":  {Cores: 0.1, Link: 200, Memory: 536},
+		"link":   {Cores: 0.8, Link: 2, Memory: 536},
+		"memory": {Cores: 0.8, Link: 200, Memory: 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStoreFixture(t)
+			won := make(chan string, 2)
+			s.campaign(t, "small", small, won)
+			time.Sleep(50 * time.Millisecond)
+			s.campaign(t, "large", large, won)
+			require.Equal(t, "large", <-won)
+		})
+	}
+}
+
+// TestHostOfUnknownLinkClaimsByItsCores has settings that tell neither link nor memory.
+func TestHostOfUnknownLinkClaimsByItsCores(t *testing.T) {
+	require.InDelta(t, 1, Size{Cores: 0.4}.fitness(), 0)
+	require.InDelta(t, 0.5, Size{Cores: 0.2}.fitness(), 1e-9)
+	require.InDelta(t, 0.5, Size{Cores: 1, Link: 6}.fitness(), 1e-9)
 }
 
 func TestSmallHostOwnsWhereNoLargerOneLives(t *testing.T) {
 	s := newStoreFixture(t)
 	won := make(chan string, 1)
-	s.campaign(t, "small", 0.1, won)
+	s.campaign(t, "small", Size{Cores: 0.1}, won)
 	select {
 	case n := <-won:
 		require.Equal(t, "small", n)
