--- a/job/flow.go
+++ b/job/flow.go
@@ -54,8 +54,10 @@
 	// outlast two looks.
 	lookShare  = 0.4
 	longestGap = 800 * time.Millisecond
-	// listShare is the share of the link that lists of machines may take.
-	listShare = 0.05
+	// listShare is the share of the link that lists of machines may take while orders
+	// are under way, and longestList the longest time between two of them for that.
+	listShare   = 0.05
+	longestList = 2 * time.Second
 )
 
 // Bytes of calls with their headers, as counted on a quiet day of 372 workers; values
@@ -252,7 +254,8 @@
 	return min(longestGap, time.Duration(float64(f.busy*lookBytes)/(lookShare*f.rate)*float64(time.Second)))
 }
 
-// listGap is the least time between two lists of so many machines.
+// listGap is the least time between two lists of so many machines, while orders are under
+// way.
 func (f *flow) listGap(machines int) time.Duration {
-	return time.Duration(float64(machines*machineBytes) / (listShare * f.link) * float64(time.Second))
+	return min(longestList, time.Duration(float64(machines*machineBytes)/(listShare*f.link)*float64(time.Second)))
 }
--- a/job/looks.go
+++ b/job/looks.go
@@ -105,8 +105,7 @@
 		w.lookAt = c.now.Add(lookRetry)
 		if w.silent == 1 {
 			c.do(Note{What: "worker silent", Worker: w.ID, Why: e.Err.Error()})
-			c.silenceAt = c.now
-			c.listAt = earliest(c.listAt, c.now.Add(listSilent))
+			c.noteSilence(w)
 		}
 		c.tend(w)
 		return
@@ -144,6 +143,17 @@
 	}
 }
 
+// noteSilence has the list of machines read soon after a worker has fallen silent, as it
+// tells a crash. Where its machine has an order, the silence is no news.
+func (c *Core) noteSilence(w *worker) {
+	if m := c.byName[w.Host]; m != nil && m.order != nil && m.order.recorded {
+		c.listSoon()
+		return
+	}
+	c.silenceAt = c.now
+	c.listAt = earliest(c.listAt, c.now.Add(listSilent))
+}
+
 // takeRunning compares what runs with what is known to. Runs that started
 // after the look was sent may be missing from it.
 func (c *Core) takeRunning(w *worker, sentAt time.Time, rows []platform.RunningRow) {
--- a/job/machines_test.go
+++ b/job/machines_test.go
@@ -420,3 +420,32 @@
 	f.step(MachinesListed{SentAt: f.now, Machines: []platform.Machine{before}})
 	require.NotContains(t, f.core.workers, s.Worker.ID)
 }
+
+// TestSilenceOfAnOrderedMachineHastensNoList has a worker fall silent whose machine was
+// ordered away: each move would cost a list of all machines.
+func TestSilenceOfAnOrderedMachineHastensNoList(t *testing.T) {
+	lists := func(f *fixture) (n int) {
+		for _, a := range f.out {
+			if _, ok := a.(ListMachines); ok {
+				n++
+			}
+		}
+		return n
+	}
+	for ordered, want := range map[bool]int{true: 0, false: 1} {
+		f := newFixture(t)
+		f.join("w1")
+		f.machinesAre(machineOf("w1", "blue"))
+		if ordered {
+			f.core.order(f.core.byName["host-of-w1"], &machineOrder{pool: "spare"})
+			f.pass(tickEvery)
+		}
+		f.out = nil
+		f.core.look(f.core.workers["w1"])
+		f.fail("w1", platform.ErrUnknown)
+		f.pass(listSilent + 2*tickEvery)
+		require.Equal(t, want, lists(f), "ordered: %v", ordered)
+		f.pass(listEvery)
+		require.Equal(t, 1, lists(f))
+	}
+}
--- a/request/callerlistener.go
+++ b/request/callerlistener.go
@@ -112,7 +112,8 @@
 			l = append(l, int(n))
 		case syscall.EINTR, syscall.ECONNABORTED:
 		default:
-			syscall.RawSyscall(syscall.SYS_CLOSE, uintptr(fd), 0, 0)
+			// What is closed is not used again, whatever the call says of it.
+			_, _, _ = syscall.RawSyscall(syscall.SYS_CLOSE, uintptr(fd), 0, 0)
 			return l
 		}
 	}
