--- a/job/fuzz_test.go
+++ b/job/fuzz_test.go
@@ -143,6 +143,9 @@
 			"remove":     func(*rapid.T) { w.remove() },
 			"cut record": func(*rapid.T) { w.cutRecord() },
 			"split":      func(*rapid.T) { w.split() },
+			"slow": func(t *rapid.T) {
+				w.slowBy = rapid.SampledFrom([]int{1, 10, 100}).Draw(t, "slow_by")
+			},
 		})
 		w.heal()
 		require.Empty(t, w.store.records, "jobs that never end")
@@ -221,6 +224,7 @@
 // heal stops all faults and lets what is left be done.
 func (w *world) heal() {
 	w.lossy = false
+	w.slowBy = 1
 	w.lateUntil = w.now
 	for _, v := range w.workers {
 		v.cut = false
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -36,6 +36,7 @@
 	hosts   int
 	skipped map[string]bool
 	worldCancels
+	worldLinks
 }
 
 type delivery struct {
@@ -101,7 +102,7 @@
 func newWorld(t *rapid.T) *world {
 	w := &world{
 		t: t, now: time.Unix(1e9, 0), workers: map[platform.WorkerID]*worldWorker{}, jobs: map[ID]Record{},
-		doneRuns: map[string][]*worldEnd{}, restarted: map[string][]*worldEnd{}, failures: map[string]int{}, worldCancels: newWorldCancels(),
+		doneRuns: map[string][]*worldEnd{}, restarted: map[string][]*worldEnd{}, failures: map[string]int{}, worldCancels: newWorldCancels(), worldLinks: newWorldLinks(),
 	}
 	w.store = worldStore{revision: 10, records: map[ID]Accepted{}, progress: map[ID]Progress{}, cancels: map[ID]bool{}, own: ownStore{}}
 	for i := range 3 {
@@ -181,9 +182,10 @@
 			w.live(v)
 		}
 		w.checkCancelled()
+		w.renew()
 		if w.now.UnixMilli()%50 == 0 {
 			for _, o := range w.owners {
-				if o.fence == w.store.fence {
+				if o.fence == w.store.fence && w.carries == 0 {
 					w.tell(o, Renewed{SentAt: w.now})
 				}
 				w.tell(o, Tick{})
@@ -209,7 +211,7 @@
 // fate draws what becomes of a message: its way there, its way back, and
 // whether the answer is lost.
 func (w *world) fate(o *worldOwner, v *worldWorker) (there, back time.Duration, lost bool) {
-	there = time.Duration(1+w.lives%3) * time.Millisecond
+	there = time.Duration((1+w.lives%3)*w.slowBy) * time.Millisecond
 	if v.cut || !v.alive || v.hidden[o] {
 		return there, 0, true
 	}
@@ -232,18 +234,18 @@
 	case WakeAt:
 		w.after(a.At.Sub(w.now), func() { w.tell(o, Woken{}) })
 	case Keep:
-		w.after(5*time.Millisecond, func() { w.keep(o, a) })
+		w.after(time.Duration(5*w.slowBy)*time.Millisecond+w.holdUp(o, keepBytes), func() { w.keep(o, a) })
 	case LookAt:
-		w.send(o, a.Worker.ID, lookSlack+a.Order.Wait, func(v *worldWorker) Event { return w.look(v, a) },
+		w.send(o, a.Worker.ID, a, lookSlack+a.Order.Wait, func(v *worldWorker) Event { return w.look(v, a) },
 			func(err error) Event { return Looked{Worker: a.Worker.ID, SentAt: w.now, Err: err} })
 	case StartRun:
 		w.checkStart(o, a)
-		w.send(o, a.Worker.ID, orderTimeout, func(v *worldWorker) Event { return w.start(v, a) },
+		w.send(o, a.Worker.ID, a, orderTimeout, func(v *worldWorker) Event { return w.start(v, a) },
 			func(err error) Event {
 				return Started{Worker: a.Worker.ID, Run: a.Order.Run, Task: a.Order.Task, Err: err}
 			})
 	case StopRun:
-		w.send(o, a.Worker.ID, orderTimeout, func(v *worldWorker) Event { return w.stop(v, a) },
+		w.send(o, a.Worker.ID, a, orderTimeout, func(v *worldWorker) Event { return w.stop(v, a) },
 			func(err error) Event { return Stopped{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Err: err} })
 	case ListMachines:
 		w.after(5*time.Millisecond, func() { w.tell(o, w.listMachines()) })
@@ -253,9 +255,11 @@
 }
 
 // send carries an order to a worker and its answer back, or loses it.
-func (w *world) send(o *worldOwner, id platform.WorkerID, timeout time.Duration, do func(*worldWorker) Event, failed func(error) Event) {
+func (w *world) send(o *worldOwner, id platform.WorkerID, a Action, timeout time.Duration, do func(*worldWorker) Event, failed func(error) Event) {
 	v := w.workers[id]
 	there, back, lost := w.fate(o, v)
+	sent, answer := w.bytesOf(id, a)
+	there += w.holdUp(o, sent)
 	unanswered := func() { w.tell(o, failed(common.ErrUnknown)) }
 	w.after(there, func() {
 		if !v.alive && !lost {
@@ -266,9 +270,15 @@
 			return
 		}
 		e := do(v)
-		if !lost {
-			w.after(back, func() { w.tell(o, e) })
+		if lost {
+			return
+		}
+		back += w.holdUp(o, answer)
+		if there+back > timeout {
+			w.after(max(0, timeout-there), unanswered)
+			return
 		}
+		w.after(back, func() { w.tell(o, e) })
 	})
 	if lost {
 		w.after(timeout, unanswered)
@@ -319,6 +329,7 @@
 		switch {
 		case v.until > 0 && v.clock(w.now) > v.until:
 			how = platform.EndLapsed
+			w.lapsed++
 		case w.now.Before(r.endsAt) || (r.step.Lasting && r.how != platform.EndStopped):
 			continue
 		}
