Hosts are moved as before; only the roster waits for their ends

What keeps a next owner from starting tasks again is the roster alone.

Lists of machines come as often as before where the link bears it.

--- a/job/flow.go
+++ b/job/flow.go
@@ -73,10 +73,11 @@
 )
 
 // Links that the settings say nothing of, in megabits a second: what they are taken to
-// carry at most, and what an owner begins with, some two thousand starts a second.
+// carry at most, and what an owner begins with, some five hundred starts a second: the
+// first moments on a link of 2 Mbit/s must not hold renewals up.
 const (
 	DefaultLink = 1000
-	firstLink   = 20
+	firstLink   = 5
 )
 
 // bytesPerMegabit turns megabits a second into bytes a second.
--- a/job/looks.go
+++ b/job/looks.go
@@ -144,10 +144,11 @@
 }
 
 // noteSilence has the list of machines read soon after a worker has fallen silent, as it
-// tells a crash. Where its machine has an order, the silence is no news.
+// tells a crash. Where its machine has an order, the silence is no news, and the list no
+// more urgent than the link bears.
 func (c *Core) noteSilence(w *worker) {
 	if m := c.byName[w.Host]; m != nil && m.order != nil && m.order.recorded {
-		c.listSoon()
+		c.listAt = earliest(c.listAt, c.now.Add(max(listSilent, c.listGap())))
 		return
 	}
 	c.silenceAt = c.now
--- a/job/machines.go
+++ b/job/machines.go
@@ -168,6 +168,11 @@
 	e.countMissing(c)
 }
 
+// listGap is the least time between two lists while orders are under way.
+func (c *Core) listGap() time.Duration {
+	return c.flow.listGap(len(c.byName))
+}
+
 // compareLife marks the record of a worker that its machine does not run any
 // more. A silent one is given up at once. A life that was heard of after the list was
 // asked for may have begun since.
@@ -220,6 +225,5 @@
 	if !c.evacuate(w) {
 		return false
 	}
-	done := len(w.runs) == 0 && !w.owes()
-	return done || !c.now.Before(m.emptyingSince.Add(patience))
+	return len(w.runs) == 0 || !c.now.Before(m.emptyingSince.Add(patience))
 }
--- a/job/pools.go
+++ b/job/pools.go
@@ -126,11 +126,10 @@
 	}
 }
 
-// idle reports whether the machine has a worker that is known to run nothing, and
-// whose ends are written: with its life they would be lost to a next owner.
+// idle reports whether the machine has a worker that is known to run nothing.
 func (c *Core) idle(m *machine) bool {
 	w := c.workerOf(m)
-	return w != nil && !w.leaving && !w.Draining && c.known(m) && len(w.runs) == 0 && !w.owes()
+	return w != nil && !w.leaving && !w.Draining && c.known(m) && len(w.runs) == 0
 }
 
 // movable returns the machines of a pool that could get an order now.
@@ -203,7 +202,7 @@
 		}
 		w := c.byHost[m.Name]
 		switch {
-		case w == nil || (len(w.runs) == 0 && !w.owes()):
+		case w == nil || len(w.runs) == 0:
 			m.lend = ""
 			c.move(m, d.service, d)
 		case !d.waits || c.now.Sub(m.emptyingSince) > lendPatience:
--- a/job/removed.go
+++ b/job/removed.go
@@ -81,5 +81,5 @@
 // listSoon has the list of machines read again before its time, as another list
 // settles what one or an order leaves open.
 func (c *Core) listSoon() {
-	c.listAt = earliest(c.listAt, c.now.Add(max(listEvery, c.flow.listGap(len(c.byName)))))
+	c.listAt = earliest(c.listAt, c.now.Add(max(listEvery, c.listGap())))
 }
