Bytes by kind of call as a metric; the soak draws narrow links

amberway.jobs.bytes counts what calls carry, by kind and way. The soak has an entry host's ways to the store and to machines carry 0.25 to 2 megabits a second for a while or until the faults end, of one host or of all; drawn from a generator of its own, so that the events of earlier seeds stay.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"amberway/internal/local"
 	"amberway/internal/standin/fleet"
 )
@@ -39,6 +41,8 @@
 		r.hangUp(x)
 	case LinkFault:
 		r.troubleLinks(x.Name, e.Trouble, e.For)
+	case Narrow:
+		r.narrowLinks(x.Name, e)
 	case Refuse:
 		r.troubleStore(fleet.Fault{Refuse: true}, e.For)
 	case Lose:
@@ -87,7 +91,7 @@
 		return scopeWorkers
 	case Remove:
 		return scopeRemoval
-	case Stale:
+	case Stale, Narrow:
 		if e.All {
 			return scopeAll
 		}
@@ -199,6 +203,24 @@
 	set(Sound)
 }
 
+// narrowLinks has an entry host's links, or those of all, carry little: together what one
+// link of a host does.
+func (r *Run) narrowLinks(name string, e Event) {
+	bytes := e.Megabits * 1e6 / 8
+	for _, l := range r.linksOf(name, e.All) {
+		shared := rate.NewLimiter(rate.Limit(bytes), 32<<10)
+		for _, k := range l {
+			k.Narrow(shared)
+		}
+	}
+	time.Sleep(min(e.For, time.Until(r.endsAt)-settle))
+	for _, l := range r.linksOf(name, e.All) {
+		for _, k := range l {
+			k.Narrow(nil)
+		}
+	}
+}
+
 func (r *Run) troubleStore(f fleet.Fault, d time.Duration) {
 	r.jobs.Fleet.Store.SetFault(f)
 	time.Sleep(d)
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Trouble is what is wrong with a Link.
@@ -51,8 +53,10 @@
 	to       string
 	mu       sync.Mutex
 	trouble  Trouble
-	changed  chan struct{}
-	open     map[*joint]bool
+	// bytes bounds what the link carries, both ways together, while it is narrow.
+	bytes   *rate.Limiter
+	changed chan struct{}
+	open    map[*joint]bool
 }
 
 // joint is a connection and the one that passes it on. What it loses is lost for
@@ -103,6 +107,29 @@
 	}
 }
 
+// Narrow has the link carry no more than the limiter allows, which other links may
+// share; nil is no bound.
+func (k *Link) Narrow(l *rate.Limiter) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.bytes = l
+}
+
+// squeeze waits until so many bytes may pass.
+func (k *Link) squeeze(n int) {
+	k.mu.Lock()
+	l := k.bytes
+	k.mu.Unlock()
+	if l == nil {
+		return
+	}
+	for n > 0 {
+		part := min(n, l.Burst())
+		time.Sleep(l.ReserveN(time.Now(), part).Delay())
+		n -= part
+	}
+}
+
 // Close ends the link.
 func (k *Link) Close() {
 	_ = k.listener.Close()
@@ -184,6 +211,7 @@
 		n, err := from.Read(b)
 		if n > 0 {
 			k.hold(answers)
+			k.squeeze(n)
 		}
 		if n > 0 && !j.loses(answers) {
 			if _, err := to.Write(b[:n]); err != nil {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -31,6 +31,7 @@
 	Postpone  Kind = "postpone"  // workers carry orders out late
 	Replace   Kind = "replace"   // an entry host is removed for good, another comes in its place
 	Stale     Kind = "stale"     // open connections fall silent for good
+	Narrow    Kind = "narrow"    // an entry host's way to the platform carries little
 )
 
 // weights says how often each kind is drawn.
@@ -70,6 +71,8 @@
 	// answers only if OneWay.
 	Way         Way
 	All, OneWay bool
+	// Megabits is what a narrow way carries in a second.
+	Megabits float64
 }
 
 // String tells of the event on one line.
@@ -104,6 +107,8 @@
 		l = append(l, strays(r, entries, from, to)...)
 	}
 	l = append(l, configurations(r, until)...)
+	// Drawn apart, so that what follows from the seeds of before stays as it was.
+	l = append(l, narrows(rand.New(rand.NewPCG(seed, 2)), entries, until)...)
 	slices.SortStableFunc(l, func(a, b Event) int { return int(a.At - b.At) })
 	return l
 }
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -43,6 +43,21 @@
 	return l
 }
 
+// narrows returns links that carry 0.25 to 2 megabits a second for a while, or for good:
+// the soak's deployment has a tenth of the workers of a large one.
+func narrows(r *rand.Rand, entries int, until time.Duration) []Event {
+	var l []Event
+	for at := between(r, time.Second, 10*time.Second); at < until; at += between(r, 3*time.Second, 15*time.Second) {
+		e := Event{At: at, Kind: Narrow, Entry: r.IntN(entries), Owner: r.IntN(2) == 0, All: r.IntN(4) == 0, Megabits: 0.25 + 1.75*r.Float64()}
+		e.For = between(r, time.Second, 8*time.Second)
+		if r.IntN(6) == 0 {
+			e.For = until
+		}
+		l = append(l, e)
+	}
+	return l
+}
+
 // strays returns what leaves runs behind that nobody expects: orders to stop and to
 // start that are carried out late, the last of them at the end of the burst, and the
 // loss of the owner that gave them, for good or not.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
 )
 
 func TestPlanFollowsFromItsSeed(t *testing.T) {
@@ -22,7 +23,7 @@
 			require.Less(t, e.Entry, 4)
 		}
 	}
-	require.Len(t, seen, len(weights)+4, "each kind is drawn, and the four of the series")
+	require.Len(t, seen, len(weights)+5, "each kind is drawn, and the five of the series")
 }
 
 // echo answers each byte, and returns its address.
@@ -67,6 +68,28 @@
 	return time.Since(begun), err
 }
 
+// TestNarrowLinkHoldsBackWhatItDoesNotCarry sends 30 kB over 100 kB a second.
+func TestNarrowLinkHoldsBackWhatItDoesNotCarry(t *testing.T) {
+	came := make(chan byte, 30000)
+	k, err := NewLink(echoTo(t, came))
+	require.NoError(t, err)
+	defer k.Close()
+	k.Narrow(rate.NewLimiter(100e3, 1000))
+	c, err := net.Dial("tcp", k.Address())
+	require.NoError(t, err)
+	defer c.Close()
+	begun := time.Now()
+	for range 30 {
+		_, err = c.Write(make([]byte, 1000))
+		require.NoError(t, err)
+		time.Sleep(time.Millisecond)
+	}
+	for range 30000 {
+		<-came
+	}
+	require.Greater(t, time.Since(begun), 250*time.Millisecond)
+}
+
 func TestLinkDoesWhatItsTroubleSays(t *testing.T) {
 	k, err := NewLink(echo(t))
 	require.NoError(t, err)
--- a/job/metrics.go
+++ b/job/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"amberway/common"
 	"amberway/platform"
 )
 
@@ -51,6 +52,39 @@
 	return s, nil
 }
 
+// countTraffic shows what calls to the platform and to other entry hosts carry, by kind.
+func countTraffic(m metric.Meter, l []*common.Connections) error {
+	_, err := m.Int64ObservableCounter("amberway.jobs.bytes", metric.WithUnit("By"),
+		metric.WithDescription("bytes of calls with their headers, by kind and way"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for kind, c := range carried(l) {
+				k := attribute.String("kind", kind)
+				o.Observe(c.Sent, metric.WithAttributes(k, attribute.String("way", "sent")))
+				o.Observe(c.Received, metric.WithAttributes(k, attribute.String("way", "received")))
+			}
+			return nil
+		}))
+	if err != nil {
+		return fmt.Errorf("job: metric amberway.jobs.bytes: %w", err)
+	}
+	return nil
+}
+
+// carried returns what the calls of all connections have carried, by kind.
+func carried(l []*common.Connections) map[string]common.Carried {
+	all := map[string]common.Carried{}
+	for _, o := range l {
+		for kind, c := range o.Traffic().Counts() {
+			a := all[kind]
+			a.Calls += c.Calls
+			a.Sent += c.Sent
+			a.Received += c.Received
+			all[kind] = a
+		}
+	}
+	return all
+}
+
 // outcome names what became of an order, in a fixed set of words.
 func outcome(rejection string, err error) string {
 	switch {
--- a/job/node.go
+++ b/job/node.go
@@ -65,7 +65,11 @@
 	n.intake = newIntake(p.KV, log, now)
 	n.speed = newSpeedometer(now)
 	n.exposed = exposed
-	common.Join(append(p.connections(), n.peers.x.Connections())...)
+	conns := append(p.connections(), n.peers.x.Connections())
+	common.Join(conns...)
+	if err := countTraffic(d.Meter, conns); err != nil {
+		return nil, err
+	}
 	var err error
 	n.metrics, err = newMetrics(d.Meter)
 	return n, err
