Full queues count what goes before a new job, and what is late apart

A queue is full where the starts before a new job take 4 s, or all that were taken 10 s: they have to end soon after nothing new comes.

--- a/job/flow.go
+++ b/job/flow.go
@@ -194,6 +194,11 @@
 	f.starts += startsWeight * (n - f.starts)
 }
 
+// lasts returns how long so many starts take to be sent, by what was sent of late.
+func (f *flow) lasts(starts int) time.Duration {
+	return time.Duration(float64(starts) / f.starts * float64(time.Second))
+}
+
 // answered takes in that a worker has answered at once what was sent at a time. What
 // was on its way when the rate last fell says nothing of the rate since.
 func (f *flow) answered(sentAt, now time.Time) {
--- a/job/full.go
+++ b/job/full.go
@@ -11,11 +11,15 @@
 // Figures of refusing jobs. Where more starts wait than the owner can send, a job that
 // comes now only makes all of them late: its caller hears at once when to come back.
 const (
-	// fullAfter is how long the starts that wait before a queue's jobs take to be sent
-	// until its jobs are refused, and openBelow until they are taken again. A job has
-	// some seconds beyond its work, and each of its steps waits.
+	// fullAfter is how long the starts that go before a new job of a queue take to be
+	// sent until its jobs are refused, and openBelow until they are taken again. A job
+	// has some seconds beyond its work, and each of its steps waits.
 	fullAfter = 4 * time.Second
 	openBelow = 2 * time.Second
+	// mostBehind is the same with the jobs that are late already. New ones go before
+	// these, but all that were taken have to end: within ten seconds, should nothing
+	// new come.
+	mostBehind = 10 * time.Second
 	// fullEvery is the time between two judgements, each of which may be a write that
 	// every entry host hears of.
 	fullEvery = 500 * time.Millisecond
@@ -68,35 +72,65 @@
 	if c.flow.starts == 0 || c.now.Sub(c.flow.heldAt) > heldLatelyFor {
 		return full
 	}
-	ahead := c.startsWaiting()
+	wait := c.startsWaiting()
 	for _, q := range c.config.Queues {
-		n := 0
-		for p, waiting := range ahead {
-			if p <= q.Priority {
-				n += waiting
-			}
-		}
-		wait := time.Duration(float64(n) / c.flow.starts * float64(time.Second))
+		w := wait.before(q.Priority)
+		ahead, all := c.flow.lasts(w.inTime), c.flow.lasts(w.inTime+w.late)
 		_, was := c.fullness.full[q.Name]
-		if wait > fullAfter || (was && wait > openBelow) {
-			full[q.Name] = (wait - openBelow).Milliseconds()
+		if ahead > fullAfter || all > mostBehind || (was && (ahead > openBelow || all > mostBehind-openBelow)) {
+			full[q.Name] = max(ahead-openBelow, all-mostBehind+openBelow).Milliseconds()
 		}
 	}
 	return full
 }
 
-// startsWaiting counts the tasks that have yet to start, by priority. Lasting ones are
-// few, and wait again only when they end.
-func (c *Core) startsWaiting() map[int]int {
-	n := map[int]int{}
+// waitingStarts counts tasks that have yet to start.
+type waitingStarts struct {
+	// inTime are those of jobs that can still be in time, late the others.
+	inTime, late int
+}
+
+// waitingBy are counts by priority.
+type waitingBy map[int]waitingStarts
+
+// before returns what goes before a queue of the priority, or with it.
+func (l waitingBy) before(priority int) waitingStarts {
+	var n waitingStarts
+	for p, w := range l {
+		if p <= priority {
+			n.inTime += w.inTime
+			n.late += w.late
+		}
+	}
+	return n
+}
+
+// startsWaiting counts the tasks that have yet to start. Lasting ones are few, and wait
+// again only when they end.
+func (c *Core) startsWaiting() waitingBy {
+	l := waitingBy{}
 	for _, j := range c.live {
+		w := l[j.queue.Priority]
 		for _, i := range j.instances {
-			for _, s := range i.steps {
-				if !s.Lasting {
-					n[j.queue.Priority] += s.idle
-				}
+			n := i.waiting()
+			if n > 0 && c.now.After(c.dueBy(j, i)) {
+				w.late += n
+			} else {
+				w.inTime += n
 			}
 		}
+		l[j.queue.Priority] = w
+	}
+	return l
+}
+
+// waiting counts the tasks of the instance that have yet to start.
+func (i *instance) waiting() int {
+	n := 0
+	for _, s := range i.steps {
+		if !s.Lasting {
+			n += s.idle
+		}
 	}
 	return n
 }
