--- a/job/flow.go
+++ b/job/flow.go
@@ -76,11 +76,11 @@
 )
 
 // Links that the settings say nothing of, in megabits a second: what they are taken to
-// carry at most, and what an owner begins with, some five hundred starts a second: the
+// carry at most, and what an owner begins with, some two hundred starts a second: the
 // first moments on a link of 2 Mbit/s must not hold renewals up.
 const (
 	DefaultLink = 1000
-	firstLink   = 5
+	firstLink   = 2
 )
 
 // bytesPerMegabit turns megabits a second into bytes a second.
--- a/job/fuzz_test.go
+++ b/job/fuzz_test.go
@@ -102,7 +102,7 @@
 func (w *world) submitSteps(steps ...platform.Step) ID {
 	id := ID(fmt.Sprintf("%016x", len(w.jobs)+1))
 	w.store.revision++
-	rec := NewRecord(testConfig().Queues[0], platform.Submission{Spec: "s", Steps: steps}, w.now)
+	rec := NewRecord(testConfig().Queues[0], platform.Submission{Spec: w.spec, Steps: steps}, w.now)
 	rec.Attempts = 3
 	a := Accepted{ID: id, Record: rec, Created: w.store.revision}
 	w.jobs[id] = rec
--- a/job/world_link_test.go
+++ b/job/world_link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,7 +18,9 @@
 	slowBy int
 	// carries is what each owner's link carries, in bytes a second either way; zero is
 	// no bound. free is when what an owner has on its way is through.
-	carries  float64
+	carries float64
+	// spec is what each job's tasks are told, which each start carries.
+	spec     string
 	free     map[*worldOwner]time.Time
 	lapsed   int
 	renewals renewals
@@ -34,7 +37,7 @@
 }
 
 func newWorldLinks() worldLinks {
-	return worldLinks{slowBy: 1, free: map[*worldOwner]time.Time{}}
+	return worldLinks{slowBy: 1, spec: "s", free: map[*worldOwner]time.Time{}}
 }
 
 // holdUp returns how much longer a message of a size takes on the owner's link.
@@ -90,6 +93,7 @@
 		w := newWorld(t)
 		megabits := rapid.Float64Range(2, 10).Draw(t, "megabits")
 		w.carries = megabits * bytesPerMegabit
+		w.spec = strings.Repeat("s", 1000)
 		w.renewals.renewedAt = w.now
 		told := rapid.SampledFrom([]float64{0, megabits, 2 * megabits}).Draw(t, "told")
 		w.owners[0].core.flow = newFlow(Size{Link: told}, w.now)
