--- a/job/flow.go
+++ b/job/flow.go
@@ -45,6 +45,8 @@
 	onWayFor = 300 * time.Millisecond
 	// leastOnWay is the fewest starts that may be on their way.
 	leastOnWay = 8
+	// holdFor is the least time until starts that were held back are tried again.
+	holdFor = 10 * time.Millisecond
 	// leastRate is the least that an owner sends, in bytes a second: the looks at a
 	// hundred workers.
 	leastRate = 25e3
@@ -92,20 +94,19 @@
 	// link is what the link carries, and rate what the owner may send, in bytes a
 	// second.
 	link, rate float64
-	// budget is how many bytes may be sent now. What cannot wait takes it below zero.
+	// budget is how many bytes may be sent now. What is sent all the same, as looks, stops
+	// and writes are, takes it below zero.
 	budget   float64
 	filledAt time.Time
 	// onWay counts the starts that have not been answered.
 	onWay int
-	// held says that starts have been held back since the last judgement, sent is what
-	// was sent since.
-	held bool
-	sent float64
-	// full says that as many starts were on their way as may be.
-	full bool
-	// took are the answer times since then.
-	took     []time.Duration
-	judgedAt time.Time
+	// judgedAt is when the rate was last judged, took the answer times and sent the bytes
+	// since. held says that starts were held back since, full that this was as many of
+	// them were on their way as may be.
+	judgedAt   time.Time
+	took       []time.Duration
+	sent       float64
+	held, full bool
 	// slowedAt is when the rate last fell, ceiling what it fell from, heldAt when starts
 	// were last held back.
 	slowedAt, heldAt time.Time
@@ -234,7 +235,7 @@
 // mayAt returns when the next start may be sent, if not by an answer.
 func (f *flow) mayAt(now time.Time) time.Time {
 	d := time.Duration((1 - f.budget) / f.rate * float64(time.Second))
-	return now.Add(max(d, stepEvery))
+	return now.Add(max(d, holdFor))
 }
 
 // start counts a start that is sent, and started that it was answered, or never will be.
--- a/job/flow_test.go
+++ b/job/flow_test.go
@@ -125,3 +125,17 @@
 	require.True(t, f.mayLook(true, now, now.Add(longestGap)))
 	require.Less(t, longestGap+lookWait+lookSlack, leaseFor)
 }
+
+// TestOwnerWithoutWorkHoldsNothingBack has looks use up the rate while no task waits:
+// that says nothing of how many starts can be sent.
+func TestOwnerWithoutWorkHoldsNothingBack(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	for range 20 {
+		f.core.flow.take(1 << 20)
+		f.core.reorderAll()
+		f.pass(tickEvery)
+	}
+	require.Zero(t, f.core.flow.heldAt)
+	require.Zero(t, f.core.flow.starts)
+}
--- a/job/waitlist.go
+++ b/job/waitlist.go
@@ -108,6 +108,10 @@
 			l.reorder = false
 			c.collect(l)
 		}
+		if l.first().step == nil {
+			c.noteDemand(l.service, l.steps)
+			continue
+		}
 		due = append(due, l)
 	}
 	// Where not all can be sent now, what is most urgent of any service goes first.
