A write holds as many jobs as it has room for

A write counted three entries for each job, which only final ones take, and parts of the roster took their room: one to four jobs a write where hosts move.

--- a/job/core_test.go
+++ b/job/core_test.go
@@ -208,7 +208,7 @@
 	return platform.Step{Count: 1, Resources: platform.Resources{MilliCores: 1000, MemoryMB: 10}, Estimate: time.Second}
 }
 
-// keepJobs is the most jobs that one write holds.
+// keepJobs is the most final jobs that one write holds.
 const keepJobs = (platform.MaxTxn - entriesOfKeeper) / entriesOfJob
 
 const idA, idB = "00000000000000aa", "00000000000000bb"
--- a/job/keep.go
+++ b/job/keep.go
@@ -98,12 +98,11 @@
 	}
 	k := &kept{states: map[*job]platform.State{}, seen: map[*worker]int64{}}
 	c.keepRosterNow(k)
-	n := min(len(c.changed), k.room()/entriesOfJob)
-	for _, j := range c.changed[:n] {
-		j.dirty = false
-		c.keepJob(k, j)
+	for len(c.changed) > 0 && k.room() >= entriesOfJob {
+		c.changed[0].dirty = false
+		c.keepJob(k, c.changed[0])
+		c.changed = c.changed[1:]
 	}
-	c.changed = c.changed[n:]
 	c.keepExtra(k)
 	if len(c.changed) == 0 && !c.roster.any() {
 		c.urgent = false
--- a/job/roster_test.go
+++ b/job/roster_test.go
@@ -94,3 +94,33 @@
 	require.True(t, f.roster().names("w1"))
 	require.True(t, f.core.workers["w1"].rostered)
 }
+
+// TestWriteHoldsAsManyJobsAsItHasRoomFor has 25 jobs of which one task each has ended:
+// they take an entry each, a final job three.
+func TestWriteHoldsAsManyJobsAsItHasRoomFor(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	s := oneTask()
+	s.MilliCores = 100
+	never := platform.Step{Count: 1, After: []int{0}, Resources: platform.Resources{MilliCores: 9000}}
+	var rows []platform.EndedRow
+	for i := range 25 {
+		f.submit(fmt.Sprintf("%016x", i), "quick", s, never)
+		for _, l := range f.starts() {
+			f.took(l)
+			rows = append(rows, ended(int64(i+1), l, platform.EndDone))
+		}
+	}
+	f.pass(time.Second)
+	f.out = nil
+	f.holdWrites = true
+	f.answer("w1", platform.Look{Ended: rows})
+	f.pass(200 * time.Millisecond)
+	var puts []platform.Put
+	for _, a := range f.out {
+		if k, ok := a.(Keep); ok {
+			puts = append(puts, k.Puts...)
+		}
+	}
+	require.Len(t, puts, 25)
+}
--- a/job/slow_owner_test.go
+++ b/job/slow_owner_test.go
@@ -19,7 +19,7 @@
 	f.join("w1")
 	f.machinesAre(machineOf("w1", "blue"))
 	// More jobs than one write holds.
-	const manyJobs = keepJobs + 3
+	const manyJobs = platform.MaxTxn
 	var rows []platform.EndedRow
 	for i := range manyJobs {
 		s := oneTask()
