One order to stop; the head of a waitlist is found once a placement

Found in reading the change: the order to stop was built and charged in two places, and the most urgent waiting step was looked for in each comparison of the services, at each event. No behaviour changes.

--- a/job/elect.go
+++ b/job/elect.go
@@ -158,6 +158,7 @@
 	}
 }
 
+// takeFull notes which queues are full.
 func (e *election) takeFull(v platform.Entry) {
 	var f Full
 	if err := json.Unmarshal(v.Value, &f); err != nil {
@@ -182,6 +183,7 @@
 	return latest(e.fullAt.Add(time.Duration(ms)*time.Millisecond), e.now().Add(comeBack)), true
 }
 
+// takeOwner notes who owns.
 func (e *election) takeOwner(v platform.Entry) {
 	var o Owner
 	if err := json.Unmarshal(v.Value, &o); err != nil {
--- a/job/orders.go
+++ b/job/orders.go
@@ -67,8 +67,12 @@
 		return
 	}
 	r.stopSent = true
+	c.orderStop(r.at, r.task.key().String(), r.number)
+}
+
+func (c *Core) orderStop(w *worker, task string, run int64) {
 	c.flow.take(orderBytes)
-	c.do(StopRun{Worker: r.at.Worker, Task: r.task.key().String(), Run: r.number, Fence: c.fence})
+	c.do(StopRun{Worker: w.Worker, Task: task, Run: run, Fence: c.fence})
 }
 
 // tendRuns sends the orders to stop that are owed at a worker.
@@ -84,8 +88,7 @@
 	for id, s := range w.strays {
 		if !s.sent {
 			s.sent = true
-			c.flow.take(orderBytes)
-			c.do(StopRun{Worker: w.Worker, Task: id.task, Run: id.number, Fence: c.fence})
+			c.orderStop(w, id.task, id.number)
 		}
 	}
 }
--- a/job/place.go
+++ b/job/place.go
@@ -89,8 +89,8 @@
 	})
 }
 
-// placeStep starts as many of the step's tasks as have room. It reports false
-// where no worker at all has room for one more, whatever its labels.
+// placeStep starts as many of the step's tasks as have room and can be sent now. It
+// reports false where no worker at all has room for one more, whatever its labels.
 func (c *Core) placeStep(free []*worker, s *step) bool {
 	for x := s.from; x < len(s.tasks) && s.idle > 0; x++ {
 		t := s.tasks[x]
--- a/job/waitlist.go
+++ b/job/waitlist.go
@@ -24,6 +24,8 @@
 	// when reorder is set.
 	steps   []candidate
 	reorder bool
+	// head is the first step with tasks that wait, as of the last placement.
+	head candidate
 	// replan says that tasks may have found room.
 	replan bool
 }
@@ -108,14 +110,15 @@
 			l.reorder = false
 			c.collect(l)
 		}
-		if l.first().step == nil {
+		l.head = l.first()
+		if l.head.step == nil {
 			c.noteDemand(l.service, l.steps)
 			continue
 		}
 		due = append(due, l)
 	}
 	// Where not all can be sent now, what is most urgent of any service goes first.
-	slices.SortFunc(due, func(a, b *waitlist) int { return compareCandidates(a.first(), b.first()) })
+	slices.SortFunc(due, func(a, b *waitlist) int { return compareCandidates(a.head, b.head) })
 	for _, l := range due {
 		if !c.placeAll(c.pools[l.service], l.steps) {
 			l.replan = true
