Runs that are lost say how, and how long they had been there

The log of the incident could not tell a crash from a lapse, a leave or an order of ours. Counted by amberway_jobs_losses_total. No decision changes.

--- a/job/lapse.go
+++ b/job/lapse.go
@@ -152,7 +152,7 @@
 	}
 	for _, r := range w.runs {
 		w.givenUp[strayID{task: r.task.key().String(), number: r.number}] = true
-		c.drop(r, "the worker is silent and its lease has lapsed")
+		c.drop(r, lossLapse, "the worker is silent and its lease has lapsed")
 	}
 	clear(w.strays)
 	if !w.listed {
@@ -165,9 +165,10 @@
 	if c.workers[w.ID] != w {
 		return
 	}
-	c.do(Note{What: "worker gone", Worker: w.ID, Why: why, Inputs: []any{"runs", len(w.runs), "met", w.met}})
+	how := c.lossWith(w)
+	c.do(Note{What: "worker gone", Worker: w.ID, Why: why, Inputs: []any{"runs", len(w.runs), "met", w.met, "how", string(how)}})
 	for _, r := range w.runs {
-		c.drop(r, "its worker has ended")
+		c.drop(r, how, "its worker has ended")
 	}
 	delete(c.workers, w.ID)
 	c.lives[w.Host] = slices.DeleteFunc(c.lives[w.Host], func(o *worker) bool { return o == w })
--- a/job/looks.go
+++ b/job/looks.go
@@ -239,11 +239,11 @@
 	switch r.phase {
 	case running:
 		if r.knownAt.Before(sentAt) {
-			c.drop(r, "the worker does not list it")
+			c.drop(r, lossUnlisted, "the worker does not list it")
 		}
 	case stopping:
 		if r.stopped && r.knownAt.Before(sentAt) {
-			c.drop(r, "stopped before it began")
+			c.drop(r, lossUnlisted, "stopped before it began")
 		}
 	case unsure:
 		// The order may still be carried out; only a stop settles it.
@@ -253,9 +253,9 @@
 }
 
 // drop removes a run that can never go on.
-func (c *Core) drop(r *run, why string) {
+func (c *Core) drop(r *run, how loss, why string) {
 	t := r.task
-	c.do(Note{What: "run gone", Job: t.of.of.job.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Why: why})
+	c.do(Note{What: "run gone", Job: t.of.of.job.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Why: why, Inputs: []any{"how", string(how), "lived_ms", r.lived().Milliseconds()}})
 	r.detach()
 	r.at.idleSince = c.now
 	if t.of.Lasting {
--- /dev/null
+++ b/job/loss_test.go
@@ -0,0 +1,64 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/platform"
+)
+
+// lossOf returns how the first run that was lost was lost, as the log says it.
+func (f *fixture) lossOf() string {
+	for _, a := range f.out {
+		if n, ok := a.(Note); ok && n.What == "run gone" {
+			return n.Inputs[1].(string)
+		}
+	}
+	return ""
+}
+
+func TestLogTellsACrashFromALapseAndALeave(t *testing.T) {
+	for name, end := range map[string]struct {
+		do   func(f *fixture)
+		want loss
+	}{
+		"crash": {func(f *fixture) { f.fail("w1", platform.ErrOtherLife) }, lossCrash},
+		"leave": {func(f *fixture) {
+			w := testWorker("w1")
+			w.Draining = true
+			f.step(WorkerListed{Worker: w})
+			f.fail("w1", platform.ErrOtherLife)
+		}, lossLeft},
+		"record gone before it fell silent": {func(f *fixture) {
+			f.step(WorkerUnlisted{ID: "w1"})
+			f.pass(tickEvery)
+			f.answer("w1", platform.Look{Running: []platform.RunningRow{{Task: idA + ".0.0.0", Run: f.core.lastRun}}})
+			f.fail("w1", platform.ErrOtherLife)
+		}, lossLeft},
+		"lapse": {func(f *fixture) {
+			for range 30 {
+				f.fail("w1", platform.ErrUnknown)
+				f.pass(lookRetry)
+			}
+		}, lossLapse},
+		"order": {func(f *fixture) {
+			f.machinesAre(machineOf("w1", "blue"))
+			f.core.byName["host-of-w1"].order = &machineOrder{pool: "green", sentAt: f.now}
+			f.fail("w1", platform.ErrOtherLife)
+		}, lossOrder},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.join("w1")
+			f.submit(idA, "quick", platform.Step{Count: 1, Resources: platform.Resources{MilliCores: 1000}, Estimate: time.Minute})
+			l := f.starts()
+			require.Len(t, l, 1)
+			f.took(l[0])
+			f.pass(tickEvery)
+			end.do(f)
+			require.EqualValues(t, end.want, f.lossOf())
+		})
+	}
+}
--- a/job/metrics.go
+++ b/job/metrics.go
@@ -18,6 +18,7 @@
 	intake  metric.Int64Counter
 	orders  metric.Int64Counter
 	ends    metric.Int64Counter
+	losses  metric.Int64Counter
 	started metric.Float64Histogram
 	moves   metric.Int64Counter
 	took    metric.Int64Counter
@@ -36,6 +37,7 @@
 		{"amberway.jobs.intake", "{job}", "jobs handed in here, by verdict", &s.intake},
 		{"amberway.jobs.orders", "{order}", "orders to workers, by kind and outcome", &s.orders},
 		{"amberway.jobs.ends", "{run}", "ends of runs, by how", &s.ends},
+		{"amberway.jobs.losses", "{run}", "runs whose end no worker has told of, by how they were lost", &s.losses},
 		{"amberway.machines.orders", "{order}", "orders to machines, by outcome", &s.moves},
 		{"amberway.owner.tenures", "{tenure}", "times that this host took ownership over", &s.took},
 	} {
@@ -115,6 +117,10 @@
 	switch n.What {
 	case "end":
 		s.ends.Add(context.Background(), 1, label("how", n.Why))
+	case "run gone":
+		if how, ok := n.Inputs[1].(string); ok {
+			s.losses.Add(context.Background(), 1, label("how", how))
+		}
 	case "start":
 		if ms, ok := n.Inputs[1].(int64); ok {
 			s.started.Record(context.Background(), float64(ms)/1000)
