--- a/internal/standin/fleet/books.go
+++ b/internal/standin/fleet/books.go
@@ -24,6 +24,8 @@
 	// firstStep is how many tasks the first step of each job has; zero checks no
 	// order.
 	firstStep int
+	// crashes counts the workers that crashed under each task.
+	crashes map[string]int
 }
 
 // Going is a run that goes on.
@@ -37,7 +39,7 @@
 
 // NewBooks returns empty books.
 func NewBooks() *Books {
-	return &Books{going: map[string]Going{}, done: map[string]bool{}, started: map[string]bool{}, noted: map[string]bool{}}
+	return &Books{going: map[string]Going{}, done: map[string]bool{}, started: map[string]bool{}, noted: map[string]bool{}, crashes: map[string]int{}}
 }
 
 func (b *Books) began(task string, number int64, worker string, late bool) {
@@ -82,6 +84,22 @@
 	b.firstStep = firstStep
 }
 
+// crashed notes the tasks that ran on a worker which crashed.
+func (b *Books) crashed(tasks []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range tasks {
+		b.crashes[t]++
+	}
+}
+
+// Crashes returns how many workers crashed under the task.
+func (b *Books) Crashes(task string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.crashes[task]
+}
+
 // note takes note of an end that a worker may forget.
 func (b *Books) note(task, how string) {
 	b.mu.Lock()
--- a/internal/standin/fleet/machines.go
+++ b/internal/standin/fleet/machines.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -121,6 +123,7 @@
 	if err != nil {
 		return err
 	}
+	w.crash = func() { f.crashLife(m, w) }
 	m.worker = w
 	return f.Store.Put("servers/"+m.ID, m.worker.record(false))
 }
@@ -142,15 +145,41 @@
 	for _, m := range f.machines {
 		if m.worker != nil && !m.leaving && m.State == "up" && m.worker.busy() {
 			id := m.ID
-			m.worker.end()
-			m.State = "down"
-			time.AfterFunc(downFor, func() { f.reboot(m, id) })
+			f.crash(m, downFor)
 			return id
 		}
 	}
 	return ""
 }
 
+// crash ends the machine's worker.
+func (f *Fleet) crash(m *Machine, downFor time.Duration) {
+	id := m.ID
+	f.Books.crashed(m.worker.crashed())
+	m.worker.end()
+	m.State = "down"
+	time.AfterFunc(downFor, func() { f.reboot(m, id) })
+}
+
+// backAfter is how long a machine is down whose worker a task has crashed.
+const backAfter = 2 * time.Second
+
+// crashLife ends a life by what runs there, unless it has ended since.
+func (f *Fleet) crashLife(m *Machine, w *worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m.worker == w && m.State == "up" {
+		f.crash(m, backAfter)
+	}
+}
+
+// crashed returns the tasks that run on a worker which is about to crash.
+func (w *worker) crashed() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Keys(w.runs))
+}
+
 func (w *worker) busy() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -15,12 +15,14 @@
 	pool    string
 	machine *Machine
 	server  *httptest.Server
-	gate    *gate
-	books   *Books
-	born    time.Time
-	mu      sync.Mutex
-	over    bool
-	silent  bool
+	// crash ends the life, as its tasks may do.
+	crash  func()
+	gate   *gate
+	books  *Books
+	born   time.Time
+	mu     sync.Mutex
+	over   bool
+	silent bool
 	// late says by how much orders are late, if not nil.
 	late    func() time.Duration
 	fence   int64
@@ -126,24 +128,36 @@
 	w.changed = make(chan struct{})
 }
 
-// workOf reads how a task behaves from its job's spec: a duration, "lasts", or
-// "fails" after a duration.
-func workOf(spec string) (d time.Duration, lasts, fails bool) {
+// behaviour is what a task does.
+type behaviour struct {
+	work                  time.Duration
+	lasts, fails, crashes bool
+}
+
+// behaviourOf reads how a task behaves from its job's spec: a duration, "lasts", "fails"
+// after a duration, or "crashes" its worker soon after its start.
+func behaviourOf(spec string) behaviour {
+	var b behaviour
 	for _, f := range strings.Fields(spec) {
 		switch f {
 		case "lasts":
-			lasts = true
+			b.lasts = true
 		case "fails":
-			fails = true
+			b.fails = true
+		case "crashes":
+			b.crashes = true
 		default:
 			if v, err := time.ParseDuration(f); err == nil {
-				d = v
+				b.work = v
 			}
 		}
 	}
-	return d, lasts, fails
+	return b
 }
 
+// crashesAfter is how long a worker lives on once a task has started that crashes it.
+const crashesAfter = 10 * time.Millisecond
+
 func (w *worker) refuse(rw http.ResponseWriter, reason string) {
 	answer(rw, http.StatusConflict, map[string]any{"clock_ms": w.clock(), "reason": reason})
 }
@@ -177,8 +191,11 @@
 		w.fence = q.Fence
 		w.until = max(w.until, q.UntilMs)
 		w.highest[q.Task] = q.Run
-		d, lasts, fails := workOf(q.Spec)
-		w.runs[q.Task] = &run{number: q.Run, began: time.Now(), work: d, lasting: lasts, failing: fails, pace: 100}
+		b := behaviourOf(q.Spec)
+		w.runs[q.Task] = &run{number: q.Run, began: time.Now(), work: b.work, lasting: b.lasts, failing: b.fails, pace: 100}
+		if b.crashes {
+			time.AfterFunc(crashesAfter, w.crash)
+		}
 		w.books.began(q.Task, q.Run, w.id, r.Header.Get(lateHeader) != "")
 		answer(rw, http.StatusOK, map[string]int64{"clock_ms": w.clock()})
 	}
