--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -16,6 +16,8 @@
 	Entries int
 	// Workers are the machines of each of two pools.
 	Workers int
+	// Crashing has jobs handed in whose task crashes each worker that starts it.
+	Crashing bool
 	// Bin is the folder with the programs, Dir the one for logs.
 	Bin, Dir string
 	// Out takes a line for each event.
@@ -71,6 +73,9 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { r.watchLasting(l) })
 	wg.Go(r.watchCancelled)
+	if o.Crashing {
+		wg.Go(r.crashWorkers)
+	}
 	for i := range o.Entries {
 		f := &follower{run: r, index: i, told: -1}
 		wg.Go(f.watch)
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -14,18 +14,20 @@
 // soakSeeds are the seeds that run in each check: one at large, and each that
 // ever broke a promise, with its cause.
 var soakSeeds = []struct {
-	seed  uint64
-	lasts time.Duration
-	cause string
+	seed     uint64
+	lasts    time.Duration
+	crashing bool
+	cause    string
 }{
-	{1, 8 * time.Second, "a worker whose first clock is zero was taken for lapsed, in one of 16 plays"},
-	{2, 8 * time.Second, "a next owner waited for a host that was removed for good and started no lasting task for 10.5 s"},
+	{1, 8 * time.Second, false, "a worker whose first clock is zero was taken for lapsed, in one of 16 plays"},
+	{2, 8 * time.Second, false, "a next owner waited for a host that was removed for good and started no lasting task for 10.5 s"},
+	{4000, 8 * time.Second, true, "a task that crashes its workers was started without end"},
 }
 
 func TestPromisesHoldInTheSoak(t *testing.T) {
 	for _, s := range soakSeeds {
 		t.Run(fmt.Sprint("seed-", s.seed), func(t *testing.T) {
-			r, err := soak.Do(soak.Options{Seed: s.seed, For: s.lasts, Entries: 4, Workers: 5, Bin: binaries, Dir: t.TempDir(), Out: io.Discard})
+			r, err := soak.Do(soak.Options{Seed: s.seed, For: s.lasts, Entries: 4, Workers: 5, Crashing: s.crashing, Bin: binaries, Dir: t.TempDir(), Out: io.Discard})
 			require.NoError(t, err)
 			require.Empty(t, r.Broken, s.cause)
 			require.Positive(t, r.Counts["succeeded"])
