Entries of other writers name no worker, hide no other entry, and stop no takeover

Fields missing or of another type, states and services that nobody names, and bytes that cannot be read: such a worker's entry was taken with what it lacked left empty, asked four times a second, and kept in the roster, for which a next owner waits 10.5 s. Jobs' records and progress are checked as they are read, and a part of the roster that cannot be read holds back the jobs of earlier owners only, where no host could take over before. Tests failed first.

--- a/job/core.go
+++ b/job/core.go
@@ -27,6 +27,8 @@
 	// byHost is the listed worker on each machine, lives are all that are known.
 	byHost map[string]*worker
 	lives  map[string][]*worker
+	// leftOut are listed workers of services that the configuration does not name.
+	leftOut map[platform.WorkerID]platform.Worker
 	// repool says that pools and byHost are to be made anew.
 	repool bool
 	learn  map[string]*estimate
@@ -60,6 +62,7 @@
 		cancelled:  map[ID]bool{},
 		workers:    map[platform.WorkerID]*worker{},
 		pools:      map[string][]*worker{},
+		leftOut:    map[platform.WorkerID]platform.Worker{},
 		byHost:     map[string]*worker{},
 		lives:      map[string][]*worker{},
 		learn:      map[string]*estimate{},
@@ -136,6 +139,7 @@
 		j.queue = c.queueOf(j.Record)
 	}
 	c.sortJobs()
+	c.meetLeftOut()
 }
 
 // queueOf returns the job's queue as the configuration has it, or as it was
--- a/job/core_test.go
+++ b/job/core_test.go
@@ -46,7 +46,7 @@
 }
 
 // roster returns what a next owner would read.
-func (s ownStore) roster() (Roster, error) {
+func (s ownStore) roster() Roster {
 	var l []platform.Entry
 	for k, v := range s {
 		l = append(l, platform.Entry{Key: k, Value: v})
@@ -56,9 +56,7 @@
 
 // roster returns what a next owner would read.
 func (f *fixture) roster() Roster {
-	r, err := f.own.roster()
-	require.NoError(f.t, err)
-	return r
+	return f.own.roster()
 }
 
 // names reports whether the roster has the worker.
--- a/job/lapse.go
+++ b/job/lapse.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -25,6 +26,11 @@
 func (e WorkerListed) apply(c *Core) {
 	v := e.Worker
 	w := c.workers[v.ID]
+	if !c.named(v.Service) && (w == nil || w.Service != v.Service) {
+		c.leaveOut(v)
+		return
+	}
+	delete(c.leftOut, v.ID)
 	if w == nil {
 		c.meet(v)
 		return
@@ -44,6 +50,28 @@
 	c.replan(w.Service)
 }
 
+// named reports whether the configuration has the service.
+func (c *Core) named(service string) bool {
+	return slices.ContainsFunc(c.config.Services, func(s platform.Service) bool { return s.Name == service })
+}
+
+// leaveOut leaves out a worker whose service the configuration does not name: its entry
+// may come from another writer, and nothing would run there.
+func (c *Core) leaveOut(v platform.Worker) {
+	WorkerUnlisted{ID: v.ID}.apply(c)
+	c.leftOut[v.ID] = v
+	c.do(Note{What: "worker left out", Worker: v.ID, Why: "no configuration names its service", Inputs: []any{"service", v.Service, "host", v.Host}})
+}
+
+// meetLeftOut takes in the workers whose services the configuration names by now.
+func (c *Core) meetLeftOut() {
+	for _, v := range c.leftOut {
+		if c.named(v.Service) {
+			WorkerListed{Worker: v}.apply(c)
+		}
+	}
+}
+
 // meet adds a worker that was not listed before.
 func (c *Core) meet(v platform.Worker) {
 	w := newWorker(v, c.now)
@@ -78,10 +106,12 @@
 			WorkerUnlisted{ID: id}.apply(c)
 		}
 	}
+	maps.DeleteFunc(c.leftOut, func(id platform.WorkerID, _ platform.Worker) bool { return !there[id] })
 }
 
 // apply notes that a worker's record has gone. It may live on unheard of.
 func (e WorkerUnlisted) apply(c *Core) {
+	delete(c.leftOut, e.ID)
 	w := c.workers[e.ID]
 	if w == nil || !w.listed {
 		return
--- /dev/null
+++ b/job/left_out_test.go
@@ -0,0 +1,123 @@
+package job
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/platform"
+)
+
+// A store's entry may come from another writer, and name a service that no configuration
+// does: it names no worker to use, and is not even asked.
+func TestWorkerOfAServiceThatNobodyNamesIsNotAsked(t *testing.T) {
+	f := newFixture(t)
+	w := testWorker("w1")
+	w.Service = "violet"
+	f.step(WorkerListed{Worker: w})
+	f.pass(time.Second)
+	require.Empty(t, f.looks)
+	require.False(t, f.roster().names("w1"))
+
+	f.join("w2")
+	f.submit(idA, "quick", oneTask())
+	require.Len(t, f.starts(), 1, "the others hold")
+}
+
+func TestWorkerIsTakenInOnceAConfigurationNamesItsService(t *testing.T) {
+	f := newFixture(t)
+	w := testWorker("w1")
+	w.Service = "violet"
+	f.step(WorkersListed{w})
+	c := testConfig()
+	c.Version = 2
+	c.Services = append(c.Services, platform.Service{Name: "violet"})
+	f.step(ConfigTaken{Config: c})
+	require.Contains(t, f.looks, platform.WorkerID("w1"))
+}
+
+// A worker that is gone by the time is not taken in.
+func TestWorkerThatIsGoneIsNotTakenInWithItsService(t *testing.T) {
+	for name, gone := range map[string]Event{"one": WorkerUnlisted{ID: "w1"}, "all": WorkersListed{}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			w := testWorker("w1")
+			w.Service = "violet"
+			f.step(WorkerListed{Worker: w})
+			f.step(gone)
+			c := testConfig()
+			c.Version = 2
+			c.Services = append(c.Services, platform.Service{Name: "violet"})
+			f.step(ConfigTaken{Config: c})
+			require.Empty(t, f.looks)
+		})
+	}
+}
+
+// Runs of a worker whose service has gone from the configuration go on, also under the
+// next owner, which knows it from the one before.
+func TestWorkerOfADroppedServiceKeepsItsRuns(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idA, "quick", oneTask())
+	l := f.starts()
+	require.Len(t, l, 1)
+	f.took(l[0])
+	c := testConfig()
+	c.Version = 2
+	c.Services = c.Services[1:]
+	f.step(ConfigTaken{Config: c})
+	f.pass(lookWait)
+	f.answer("w1", platform.Look{Running: []platform.RunningRow{runningRow(l[0], 50)}})
+	f.step(WorkerListed{Worker: testWorker("w1")})
+	require.Len(t, f.core.workers["w1"].runs, 1)
+}
+
+// A record that no entry host has written is no job, and what cannot be read of an owner's
+// entries does not keep the next one from taking over.
+func TestRecordOfAnotherWriterIsNoJob(t *testing.T) {
+	for name, e := range map[string]platform.Entry{
+		"no object":      {Key: newKey(idA), Value: []byte(`[1]`)},
+		"no steps":       {Key: newKey(idA), Value: []byte(`{"q":"quick","s":"blue"}`)},
+		"steps in a row": {Key: newKey(idA), Value: []byte(`{"q":"quick","s":"blue","w":[{"n":1,"a":[1]},{"n":1,"a":[0]}]}`)},
+		"no queue":       {Key: newKey(idA), Value: []byte(`{"w":[{"n":1}]}`)},
+		"no id":          {Key: newPrefix + "x", Value: []byte(`{"q":"quick","s":"blue","w":[{"n":1}]}`)},
+	} {
+		_, _, err := decodeRecord(e)
+		require.Error(t, err, name)
+	}
+}
+
+func TestProgressOfAnotherWriterIsNotTaken(t *testing.T) {
+	for name, v := range map[string]string{
+		"no object":      `3`,
+		"another state":  `{"s":"resting"}`,
+		"a time below 0": `{"s":"running","p":-1}`,
+		"a step below 0": `{"s":"running","i":{"0":{"f":[{"s":-1,"i":0,"r":[1]}]}}}`,
+		"a task below 0": `{"s":"running","i":{"0":{"f":[{"s":0,"i":-1,"r":[1]}]}}}`,
+	} {
+		_, _, err := decodeProgress(platform.Entry{Key: progressKey(idA), Value: []byte(v)})
+		require.Error(t, err, name)
+	}
+}
+
+// A part of the roster that cannot be read may have named workers with runs: jobs of
+// earlier owners wait until those must have lapsed, and new ones go on at once.
+func TestRosterThatCannotBeReadHoldsBackInheritedJobsOnly(t *testing.T) {
+	r := ownStore{rosterPartKey(3): []byte(`{"x":`), rosterPartKey(4): []byte(`[{"i":"w9","s":"green","a":"10.0.0.9:80"}]`)}.roster()
+	require.True(t, r.names("w9"))
+
+	f := newFixture(t)
+	rec := NewRecord(f.core.queues["quick"], platform.Submission{Spec: "s", Steps: []platform.Step{oneTask()}}, f.now)
+	r.Workers = []RosterEntry{{ID: "w1", Service: "blue", Host: "host-of-w1", Address: netip.MustParseAddrPort("10.0.0.1:80")}}
+	f.step(Inherited{Config: testConfig(), Workers: []platform.Worker{testWorker("w1")}, Jobs: []Accepted{{ID: idA, Record: rec, Created: 50}}, Roster: r})
+	f.answer("w1", platform.Look{})
+	f.pass(inheritedLease - 100*time.Millisecond)
+	require.Empty(t, f.starts())
+	f.submit(idB, "quick", oneTask())
+	require.Len(t, f.starts(), 1)
+	f.pass(time.Second)
+	require.Len(t, f.starts(), 1)
+}
--- a/job/load.go
+++ b/job/load.go
@@ -141,8 +141,8 @@
 			o.loadWaveBegan(v, e)
 		}
 	}
-	e.Roster, err = readRoster(l)
-	return err
+	e.Roster = readRoster(l)
+	return nil
 }
 
 func (o *owner) loadWaveBegan(v platform.Entry, e *Inherited) {
@@ -238,6 +238,17 @@
 	}
 }
 
+// workerEvent returns what a change of a worker's record says: one that cannot be read
+// names no worker any more.
+func (o *owner) workerEvent(v platform.Event) Event {
+	if !v.Deleted {
+		if w, ok := o.worker(v.Entry); ok {
+			return WorkerListed{Worker: w}
+		}
+	}
+	return WorkerUnlisted{ID: platform.WorkerIDOf(v.Key)}
+}
+
 // followWorkers tells the core of workers that come, change and go.
 func (o *owner) followWorkers(ctx context.Context, from platform.Revision) {
 	f := &follower{kv: o.KV, prefix: platform.WorkerPrefix, watchTimes: jobsWatch, gather: watchGather, log: o.log}
@@ -252,11 +263,7 @@
 	}
 	f.changed = func(l []platform.Event) {
 		for _, v := range l {
-			if v.Deleted {
-				o.send(ctx, WorkerUnlisted{ID: platform.WorkerIDOf(v.Key)})
-			} else if w, ok := o.worker(v.Entry); ok {
-				o.send(ctx, WorkerListed{Worker: w})
-			}
+			o.send(ctx, o.workerEvent(v))
 		}
 	}
 	f.watch(ctx, from)
--- a/job/progress.go
+++ b/job/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/big"
 	"strings"
@@ -52,12 +53,36 @@
 func decodeProgress(e platform.Entry) (ID, Progress, error) {
 	id := ID(strings.TrimPrefix(e.Key, progressPrefix))
 	var p Progress
-	if err := json.Unmarshal(e.Value, &p); err != nil {
+	err := json.Unmarshal(e.Value, &p)
+	if err == nil {
+		err = p.check()
+	}
+	if err != nil {
 		return id, p, fmt.Errorf("job: progress %s: %w", id, err)
 	}
 	return id, p, nil
 }
 
+// check returns what no owner would have written.
+func (p *Progress) check() error {
+	switch p.State {
+	case platform.StateQueued, platform.StateRunning, platform.StateSucceeded, platform.StateFailed, platform.StateCancelled:
+	default:
+		return fmt.Errorf("state %.20q", p.State)
+	}
+	if p.Past < 0 {
+		return errors.New("a time below zero")
+	}
+	for _, n := range p.Instances {
+		for _, f := range n.Failures {
+			if f.Step < 0 || f.Index < 0 {
+				return errors.New("a step or task below zero")
+			}
+		}
+	}
+	return nil
+}
+
 // progress returns what is to be kept of the job now.
 func (j *job) progress() Progress {
 	p := Progress{State: j.state, FinalAt: j.finalAt}
--- a/job/record.go
+++ b/job/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -152,10 +153,22 @@
 	return b, nil
 }
 
+// decodeRecord reads the record of a job. What no entry host would have written is an
+// error: an entry may come from another writer.
 func decodeRecord(e platform.Entry) (ID, Record, error) {
-	id := ID(strings.TrimPrefix(e.Key, newPrefix))
+	id, ok := ParseID(strings.TrimPrefix(e.Key, newPrefix))
+	if !ok {
+		return id, Record{}, fmt.Errorf("job: %.80q is no key of a record", e.Key)
+	}
 	var r Record
-	if err := json.Unmarshal(e.Value, &r); err != nil {
+	err := json.Unmarshal(e.Value, &r)
+	if err == nil && (r.Queue == "" || r.Service == "") {
+		err = errors.New("no queue or no service")
+	}
+	if err == nil {
+		err = r.Check()
+	}
+	if err != nil {
 		return id, r, fmt.Errorf("job: record %s: %w", id, err)
 	}
 	return id, r, nil
--- a/job/roster.go
+++ b/job/roster.go
@@ -42,6 +42,8 @@
 	Ordered []string `json:"o,omitempty"`
 	// whole says that it was kept as one value.
 	whole bool
+	// unread are the keys of parts that could not be read.
+	unread []string
 }
 
 // RosterEntry is one worker of a Roster.
@@ -74,8 +76,9 @@
 	return fmt.Sprintf("%s%02d", rosterPrefix, part)
 }
 
-// readRoster returns the roster in the owners' keys.
-func readRoster(l []platform.Entry) (Roster, error) {
+// readRoster returns the roster in the owners' keys. A part that cannot be read must not
+// keep every next owner from taking over.
+func readRoster(l []platform.Entry) Roster {
 	var r Roster
 	for _, e := range l {
 		var err error
@@ -96,10 +99,10 @@
 			r.Workers = append(r.Workers, p...)
 		}
 		if err != nil {
-			return r, fmt.Errorf("job: workers of earlier owners, %s: %w", e.Key, err)
+			r.unread = append(r.unread, e.Key)
 		}
 	}
-	return r, nil
+	return r
 }
 
 // rosterChanges are what of the roster has yet to be written.
@@ -133,6 +136,10 @@
 // inherit adds the workers that an earlier owner may have runs on. What the store holds
 // of them holds for this owner as well: those named as they are may get starts at once.
 func (c *Core) inherit(r Roster) {
+	if len(r.unread) > 0 {
+		c.unreadUntil = c.now.Add(inheritedLease)
+		c.do(Note{What: "roster not read", Why: "jobs of earlier owners wait until all leases must have lapsed", Inputs: []any{"keys", strings.Join(r.unread, " ")}})
+	}
 	named := map[platform.WorkerID]bool{}
 	for _, e := range r.Workers {
 		w := c.workers[e.ID]
--- a/job/roster_test.go
+++ b/job/roster_test.go
@@ -71,8 +71,7 @@
 // were parts, and replaces it.
 func TestRosterOfAnEarlierVersionIsTakenOver(t *testing.T) {
 	b := `{"w":[{"i":"w1","s":"blue","a":"10.0.0.1:80","h":"host-of-w1"}],"o":["host-of-w9"]}`
-	r, err := readRoster([]platform.Entry{{Key: wholeRosterKey, Value: []byte(b)}, {Key: writeKey, Value: []byte("7.1")}})
-	require.NoError(t, err)
+	r := readRoster([]platform.Entry{{Key: wholeRosterKey, Value: []byte(b)}, {Key: writeKey, Value: []byte("7.1")}})
 	require.Equal(t, []string{"host-of-w9"}, r.Ordered)
 	f := newFixture(t)
 	f.own[wholeRosterKey] = []byte(b)
--- a/job/succession.go
+++ b/job/succession.go
@@ -16,6 +16,9 @@
 	// which an earlier owner's runs may go on, by when that was first found.
 	unmet  map[string]time.Time
 	roster rosterChanges
+	// unreadUntil is when all that earlier owners have started must be over, if the
+	// roster could not be read in whole.
+	unreadUntil time.Time
 	// ownedUntil is the last time at which the owner is known to have owned.
 	ownedUntil time.Time
 	// storeBackAt is when the store last answered again after it had been away.
@@ -97,6 +100,9 @@
 	if int64(j.created) > int64(c.fence) {
 		return true
 	}
+	if c.now.Before(c.unreadUntil) {
+		return false
+	}
 	_, waits := c.unmet[j.queue.Service]
 	_, waited := c.unmet[j.Service]
 	return !waits && !waited
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -135,10 +135,7 @@
 	w.store.fence = platform.Fence(w.store.revision)
 	o := &worldOwner{fence: w.store.fence, core: New(w.store.fence, "entry", Size{}, w.now)}
 	w.owners = append(w.owners, o)
-	r, err := w.store.own.roster()
-	if err != nil {
-		w.t.Fatalf("roster: %v", err)
-	}
+	r := w.store.own.roster()
 	e := Inherited{Config: testConfig(), Progress: map[ID]Progress{}, Roster: r}
 	for _, a := range w.store.records {
 		e.Jobs = append(e.Jobs, a)
@@ -296,7 +293,7 @@
 	w.store.revision++
 	w.store.own.take(a)
 	for _, p := range a.Puts {
-		if strings.HasPrefix(p.Key, ownKeys) {
+		if !strings.HasPrefix(p.Key, progressPrefix) {
 			continue
 		}
 		id, g, err := decodeProgress(platform.Entry{Key: p.Key, Value: p.Value})
