An owner whose host was suspended gives no order after it has woken up

Cause: Go's steady clock stands still while a host is suspended, and all that an owner knows of time is measured by it: after ten seconds it took its own lease, which another held by then, for as fresh as before. The requests' path goes by the time of day and notices. Capacities that shrink and grow while a worker runs: tests and the model's draws found no fault.

--- /dev/null
+++ b/job/capacity_test.go
@@ -0,0 +1,90 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/platform"
+)
+
+// shrunk is the record of the worker with so much of its processors.
+func shrunk(id string, cores int64) WorkerListed {
+	w := testWorker(id)
+	w.Capacity.MilliCores = cores
+	return WorkerListed{Worker: w}
+}
+
+// A worker's capacity may shrink and grow again while it runs. One that does not guard it
+// starts whatever it is told, so that the owner has to follow what its record says, at once.
+func TestStartsFollowACapacityThatShrinksAndGrows(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	s := oneTask()
+	s.Count = 4
+	f.submit(idA, "patient", s)
+	l := f.starts()
+	require.Len(t, l, 4)
+	for _, r := range l {
+		f.took(r)
+	}
+	f.step(shrunk("w1", 2000))
+	f.submit(idB, "quick", oneTask())
+	f.pass(tickEvery)
+	f.answer("w1", platform.Look{
+		Running: []platform.RunningRow{runningRow(l[2], 10), runningRow(l[3], 10)},
+		Ended:   []platform.EndedRow{ended(1, l[0], platform.EndDone), ended(2, l[1], platform.EndDone)},
+	})
+	f.pass(time.Second)
+	require.Empty(t, f.starts(), "two tasks fill what is left")
+	f.step(shrunk("w1", 3000))
+	require.Len(t, f.starts(), 1)
+}
+
+// What is being stopped takes its room until its end is listed.
+func TestRunThatIsBeingStoppedTakesItsRoomAfterAShrink(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	s := oneTask()
+	s.Count = 3
+	f.submit(idA, "patient", s)
+	l := f.starts()
+	for _, r := range l {
+		f.took(r)
+	}
+	f.step(shrunk("w1", 3000))
+	f.step(CancelAsked{ID: idA})
+	f.submit(idB, "quick", oneTask())
+	require.Empty(t, f.starts())
+	f.pass(tickEvery)
+	f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, l[0], platform.EndStopped)}, Running: []platform.RunningRow{runningRow(l[1], 1), runningRow(l[2], 1)}})
+	require.Len(t, f.starts(), 1)
+}
+
+// A next owner goes by what a worker says of itself now, not by what it had.
+func TestNextOwnerKnowsACapacityThatHasShrunk(t *testing.T) {
+	f := newHeirOfRuns(t)
+	require.Empty(t, f.starts())
+	f.step(shrunk("w1", 3000))
+	require.Len(t, f.starts(), 1)
+}
+
+// newHeirOfRuns is an owner that finds two tasks of a job at a worker which has room for
+// no more, and a third that waits.
+func newHeirOfRuns(t *testing.T) *fixture {
+	f := newFixture(t)
+	s := oneTask()
+	s.Count = 3
+	rec := NewRecord(f.core.queues["quick"], platform.Submission{Spec: "s", Steps: []platform.Step{s}}, f.now)
+	f.step(Inherited{
+		Config: testConfig(), Workers: []platform.Worker{shrunk("w1", 2000).Worker},
+		Jobs:   []Accepted{{ID: idA, Record: rec, Created: 50}},
+		Roster: Roster{Workers: []RosterEntry{{ID: "w1", Service: "blue", Host: "host-of-w1", Address: testWorker("w1").Address}}},
+	})
+	f.answer("w1", platform.Look{Running: []platform.RunningRow{
+		{Task: idA + ".0.0.0", Run: 7}, {Task: idA + ".0.0.1", Run: 8},
+	}})
+	f.pass(tickEvery)
+	return f
+}
--- a/job/elect.go
+++ b/job/elect.go
@@ -77,7 +77,9 @@
 	size Size
 	log  *Journal
 	now  func() time.Time
-	mu   sync.Mutex
+	// suspended tells for how long the host has been suspended so far.
+	suspended func() time.Duration
+	mu        sync.Mutex
 	// current is the zero Owner while nobody owns.
 	current Owner
 	// full is what an owner last said of its queues, heard at fullAt.
@@ -89,8 +91,8 @@
 	retired      bool
 }
 
-func newElection(kv *platform.KV, self Owner, s Size, log *Journal, now func() time.Time) *election {
-	return &election{kv: kv, self: self, size: s, log: log, now: now, vacant: make(chan struct{}, 1)}
+func newElection(kv *platform.KV, self Owner, s Size, log *Journal, now func() time.Time, suspended func() time.Duration) *election {
+	return &election{kv: kv, self: self, size: s, log: log, now: now, suspended: suspended, vacant: make(chan struct{}, 1)}
 }
 
 // claimAt returns when the host may claim what has become vacant now: the
@@ -255,7 +257,7 @@
 
 // claim creates the owner's key under a new lease.
 func (e *election) claim(ctx context.Context) (tenure, error) {
-	since := e.now()
+	since, suspended := e.now(), e.suspended()
 	lease, err := e.kv.Grant(ctx, ownerTTL)
 	if err != nil {
 		return tenure{}, err
@@ -276,7 +278,7 @@
 	self := e.self
 	self.Fence = platform.Fence(at)
 	e.set(self)
-	return tenure{fence: platform.Fence(at), lease: lease, since: since}, nil
+	return tenure{fence: platform.Fence(at), lease: lease, since: since, suspended: suspended}, nil
 }
 
 // endLease gives up a lease, with the owner's key if it has one. It tries for
--- a/job/fuzz_test.go
+++ b/job/fuzz_test.go
@@ -30,7 +30,7 @@
 	for _, r := range v.runs {
 		used += r.step.MilliCores
 	}
-	if used > v.Capacity.MilliCores {
+	if used > v.room(w.now) {
 		w.t.Fatalf("%s takes %s beyond its room: %d", o.Task, v.ID, used)
 	}
 	how := platform.EndDone
@@ -152,6 +152,7 @@
 			"remove":     func(*rapid.T) { w.remove() },
 			"cut record": func(*rapid.T) { w.cutRecord() },
 			"split":      func(*rapid.T) { w.split() },
+			"shrink":     func(t *rapid.T) { w.resize(int64(rapid.IntRange(1, 4).Draw(t, "cores")) * 1000) },
 			"slow": func(t *rapid.T) {
 				w.slowBy = rapid.SampledFrom([]int{1, 10, 100}).Draw(t, "slow_by")
 			},
@@ -171,6 +172,35 @@
 	return l[rapid.IntRange(0, len(l)-1).Draw(w.t, "worker")]
 }
 
+// wholeWorker is what a worker has unless it has shrunk, in thousandths of a core.
+const wholeWorker = 4000
+
+// capacityShows is how long after a change a start may go by what a worker had: its next
+// record, and the way of that.
+const capacityShows = 1500 * time.Millisecond
+
+// resize has some worker shrink or grow while it runs.
+func (w *world) resize(cores int64) {
+	v := w.some()
+	v.before, v.countsTill = v.room(w.now), w.now.Add(capacityShows)
+	v.Capacity.MilliCores = cores
+	w.after(capacityShows/2, func() {
+		for _, o := range w.owners {
+			if v.alive && !v.unlisted {
+				w.tell(o, WorkerListed{Worker: v.Worker})
+			}
+		}
+	})
+}
+
+// room returns the most that a start may bring the worker to.
+func (v *worldWorker) room(now time.Time) int64 {
+	if now.Before(v.countsTill) {
+		return max(v.before, v.Capacity.MilliCores)
+	}
+	return v.Capacity.MilliCores
+}
+
 func (w *world) cancelSome() {
 	id := ID(fmt.Sprintf("%016x", rapid.IntRange(1, len(w.jobs)+1).Draw(w.t, "job")))
 	w.cancel(id)
@@ -229,6 +259,12 @@
 	w.lateUntil = w.now
 	for _, v := range w.workers {
 		v.cut = false
+		v.Capacity.MilliCores = wholeWorker
+		for _, o := range w.owners {
+			if v.alive && !v.unlisted {
+				w.tell(o, WorkerListed{Worker: v.Worker})
+			}
+		}
 	}
 	for range 120 {
 		w.pass(time.Second)
--- a/job/node.go
+++ b/job/node.go
@@ -61,7 +61,7 @@
 		s.ConfigWithin = DefaultConfigWithin
 	}
 	n := &Node{Clients: p, settings: s, log: log, now: now, peers: newPeers()}
-	n.election = newElection(p.KV, Owner{Name: s.Name, Peer: s.Peer}, s.Size, log, now)
+	n.election = newElection(p.KV, Owner{Name: s.Name, Peer: s.Peer}, s.Size, log, now, d.Suspended)
 	n.intake = newIntake(p.KV, log, now)
 	n.speed = newSpeedometer(now)
 	n.exposed = exposed
@@ -191,7 +191,7 @@
 func (n *Node) serveTenure(ctx context.Context, t tenure) {
 	own, cancel := context.WithCancel(ctx)
 	defer cancel()
-	o := newOwner(n.Clients, n.log, n.now, n.settings, t, n.speed, n.metrics)
+	o := newOwner(n.Clients, n.log, n.now, n.election.suspended, n.settings, t, n.speed, n.metrics)
 	n.mu.Lock()
 	n.owner, n.resign = o, cancel
 	n.mu.Unlock()
--- a/job/owner.go
+++ b/job/owner.go
@@ -25,6 +25,10 @@
 	// the answers that a full link held up for silence: each of them cost a new
 	// connection, which waited behind as much.
 	renewTimeout = 4 * ownerTTL / 5
+	// mostSuspended is how long an owner's host may have been suspended in all: what is
+	// given on workers' leases by a clock that is so far behind is within the half second
+	// that inheritedLease bears.
+	mostSuspended = 300 * time.Millisecond
 	// maxBatch is the most events that are taken in before tasks are placed.
 	maxBatch = 256
 	// stepEvery is the least time between two steps. Events that come closer
@@ -65,10 +69,12 @@
 // owner runs a Core: it feeds it events and does what it says.
 type owner struct {
 	Clients
-	log    *Journal
-	now    func() time.Time
-	events chan Event
-	tenure tenure
+	log *Journal
+	now func() time.Time
+	// suspended tells for how long the host has been suspended so far.
+	suspended func() time.Duration
+	events    chan Event
+	tenure    tenure
 	// link is what the host's link carries, in megabits a second; zero is not known.
 	link    float64
 	keeper  keeper
@@ -91,20 +97,23 @@
 	fence platform.Fence
 	lease platform.LeaseID
 	since time.Time
+	// suspended is for how long the host had been suspended when it claimed.
+	suspended time.Duration
 }
 
-func newOwner(p Clients, log *Journal, now func() time.Time, s Settings, t tenure, speed *speedometer, m *metrics) *owner {
+func newOwner(p Clients, log *Journal, now func() time.Time, suspended func() time.Duration, s Settings, t tenure, speed *speedometer, m *metrics) *owner {
 	o := &owner{
-		Clients: p,
-		log:     log,
-		now:     now,
-		events:  make(chan Event, eventBuffer),
-		tenure:  t,
-		link:    s.Link,
-		keeper:  keeper{kv: p.KV, fence: t.fence},
-		speed:   speed,
-		metrics: m,
-		core:    New(t.fence, s.Name, s.Size, now()),
+		Clients:   p,
+		log:       log,
+		now:       now,
+		suspended: suspended,
+		events:    make(chan Event, eventBuffer),
+		tenure:    t,
+		link:      s.Link,
+		keeper:    keeper{kv: p.KV, fence: t.fence},
+		speed:     speed,
+		metrics:   m,
+		core:      New(t.fence, s.Name, s.Size, now()),
 	}
 	o.renewedAt.Set(t.since)
 	return o
@@ -181,16 +190,43 @@
 			common.Sleep(ctx, d)
 		}
 		next = o.now().Add(stepEvery)
-		l := o.step(e)
-		if o.sinceRenewal() > ownerAuthority {
-			// Also after a pause of the process: nothing may be sent any more.
-			o.resign(whyAway)
+		if !o.performAll(ctx, o.step(e)) {
 			return
 		}
-		for _, a := range l {
-			o.perform(ctx, a)
+	}
+}
+
+// performAll does the actions while the owner may act, and ends the ownership once it may
+// not. It reports whether it still may.
+func (o *owner) performAll(ctx context.Context, l []Action) bool {
+	for _, a := range l {
+		if !o.mayAct() {
+			return false
 		}
+		o.perform(ctx, a)
 	}
+	return o.mayAct()
+}
+
+// mayAct reports whether the owner may send anything, and ends the ownership if not.
+func (o *owner) mayAct() bool {
+	why := o.lostAuthority()
+	if why != "" {
+		o.resign(why)
+	}
+	return why == ""
+}
+
+// lostAuthority returns why nothing may be sent any more, also after a pause of the
+// process or of its host; nothing while the owner may go on.
+func (o *owner) lostAuthority() string {
+	switch {
+	case o.suspendedFor() > mostSuspended:
+		return whySuspended
+	case o.sinceRenewal() > ownerAuthority:
+		return whyAway
+	}
+	return ""
 }
 
 // step takes in the event and those that wait behind it.
@@ -204,6 +240,10 @@
 	return o.core.Step(o.now(), b)
 }
 
+// whySuspended is the reason of an owner whose host was suspended: the steady clock by
+// which its own lease, and those of workers, are judged stood still.
+const whySuspended = "this host was suspended"
+
 // whyAway is the reason of an owner that the store has not answered in time.
 const whyAway = "the store has been away for too long"
 
@@ -244,8 +284,13 @@
 	}
 }
 
-// sinceRenewal is how long ago the last renewal was sent that the store has
+// suspendedFor is for how long the host was suspended since this ownership was claimed.
+func (o *owner) suspendedFor() time.Duration {
+	return o.suspended() - o.tenure.suspended
+}
+
+// sinceRenewal is how long ago at most the last renewal was sent that the store has
 // answered.
 func (o *owner) sinceRenewal() time.Duration {
-	return o.now().Sub(o.renewedAt.Get())
+	return o.now().Sub(o.renewedAt.Get()) + o.suspendedFor()
 }
--- a/job/owner_test.go
+++ b/job/owner_test.go
@@ -29,14 +29,16 @@
 	return storeFixture{Store: s, kv: platform.NewKV(at, &platform.Calls{})}
 }
 
+func neverSuspended() time.Duration { return 0 }
+
 // claim makes an owner of the name.
 func (s storeFixture) claim(t *testing.T, name string) *owner {
-	e := newElection(s.kv, Owner{Name: name}, Size{Cores: 1}, nil, time.Now)
+	e := newElection(s.kv, Owner{Name: name}, Size{Cores: 1}, nil, time.Now, neverSuspended)
 	n, err := e.claim(t.Context())
 	require.NoError(t, err)
 	m, err := newMetrics(common.Quiet().Meter)
 	require.NoError(t, err)
-	return newOwner(Clients{KV: s.kv}, nil, time.Now, Settings{Name: name}, n, newSpeedometer(time.Now), m)
+	return newOwner(Clients{KV: s.kv}, nil, time.Now, neverSuspended, Settings{Name: name}, n, newSpeedometer(time.Now), m)
 }
 
 func fixtureSubmission() platform.Submission {
@@ -164,7 +166,7 @@
 
 func TestStoppingHostClaimsNothing(t *testing.T) {
 	s := newStoreFixture(t)
-	e := newElection(s.kv, Owner{Name: "stopping"}, Size{Cores: 1}, nil, time.Now)
+	e := newElection(s.kv, Owner{Name: "stopping"}, Size{Cores: 1}, nil, time.Now, neverSuspended)
 	e.retire()
 	e.set(Owner{})
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
@@ -193,7 +195,7 @@
 // campaign has a host of the size wait for ownership, and returns its name on
 // the channel if it owns.
 func (s storeFixture) campaign(t *testing.T, name string, z Size, won chan<- string) {
-	e := newElection(s.kv, Owner{Name: name}, z, nil, time.Now)
+	e := newElection(s.kv, Owner{Name: name}, z, nil, time.Now, neverSuspended)
 	go e.follow(t.Context())
 	go func() {
 		if _, ok := e.wait(t.Context()); ok {
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -87,6 +87,9 @@
 	highest map[string]int64
 	ended   []*worldEnd
 	number  int64
+	// before is what it had until lately, which still counts until then.
+	before     int64
+	countsTill time.Time
 }
 
 type worldOwner struct {
@@ -120,7 +123,7 @@
 	v := &worldWorker{alive: true, born: w.now, slow: []float64{1, 0.98}[w.lives%2], runs: map[string]*worldRun{}, highest: map[string]int64{}, hidden: map[*worldOwner]bool{}}
 	v.Worker = platform.Worker{
 		ID: id, Service: "blue", Host: host, Address: netip.MustParseAddrPort("10.0.0.1:80"),
-		Capacity: platform.Resources{MilliCores: 4000, MemoryMB: 4000},
+		Capacity: platform.Resources{MilliCores: wholeWorker, MemoryMB: 4000},
 	}
 	w.workers[id] = v
 	for _, o := range w.owners {
