--- a/job/capacity_test.go
+++ b/job/capacity_test.go
@@ -9,9 +9,9 @@
 	"amberway/platform"
 )
 
-// shrunk is the record of the worker with so much of its processors.
-func shrunk(id string, cores int64) WorkerListed {
-	w := testWorker(id)
+// shrunk is the record of worker w1 with so much of its processors.
+func shrunk(cores int64) WorkerListed {
+	w := testWorker("w1")
 	w.Capacity.MilliCores = cores
 	return WorkerListed{Worker: w}
 }
@@ -29,7 +29,7 @@
 	for _, r := range l {
 		f.took(r)
 	}
-	f.step(shrunk("w1", 2000))
+	f.step(shrunk(2000))
 	f.submit(idB, "quick", oneTask())
 	f.pass(tickEvery)
 	f.answer("w1", platform.Look{
@@ -38,7 +38,7 @@
 	})
 	f.pass(time.Second)
 	require.Empty(t, f.starts(), "two tasks fill what is left")
-	f.step(shrunk("w1", 3000))
+	f.step(shrunk(3000))
 	require.Len(t, f.starts(), 1)
 }
 
@@ -53,7 +53,7 @@
 	for _, r := range l {
 		f.took(r)
 	}
-	f.step(shrunk("w1", 3000))
+	f.step(shrunk(3000))
 	f.step(CancelAsked{ID: idA})
 	f.submit(idB, "quick", oneTask())
 	require.Empty(t, f.starts())
@@ -66,7 +66,7 @@
 func TestNextOwnerKnowsACapacityThatHasShrunk(t *testing.T) {
 	f := newHeirOfRuns(t)
 	require.Empty(t, f.starts())
-	f.step(shrunk("w1", 3000))
+	f.step(shrunk(3000))
 	require.Len(t, f.starts(), 1)
 }
 
@@ -78,7 +78,7 @@
 	s.Count = 3
 	rec := NewRecord(f.core.queues["quick"], platform.Submission{Spec: "s", Steps: []platform.Step{s}}, f.now)
 	f.step(Inherited{
-		Config: testConfig(), Workers: []platform.Worker{shrunk("w1", 2000).Worker},
+		Config: testConfig(), Workers: []platform.Worker{shrunk(2000).Worker},
 		Jobs:   []Accepted{{ID: idA, Record: rec, Created: 50}},
 		Roster: Roster{Workers: []RosterEntry{{ID: "w1", Service: "blue", Host: "host-of-w1", Address: testWorker("w1").Address}}},
 	})
--- a/job/loss_test.go
+++ b/job/loss_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 func (f *fixture) lossOf() string {
 	for _, a := range f.out {
 		if n, ok := a.(Note); ok && n.What == "run gone" {
-			return n.Inputs[1].(string)
+			return fmt.Sprint(n.Inputs[1])
 		}
 	}
 	return ""
