--- a/job/flow.go
+++ b/job/flow.go
@@ -59,14 +59,6 @@
 	// outlast two looks.
 	lookShare  = 0.4
 	longestGap = 800 * time.Millisecond
-	// moveShare is the share of the rate that orders to machines may take, and moveBytes
-	// what one takes with all that follows: the order, three parts of what the next
-	// owner is told, and the first look at the new worker. As the load turns, sixty in
-	// two seconds held up renewals and looks on a link of 2 Mbit/s, and its owner fell.
-	moveShare = 0.2
-	moveBytes = 4000
-	// movesFor is how long orders that are not given are saved up.
-	movesFor = time.Second
 	// listShare is the share of the link that lists of machines may take while orders
 	// are under way, and longestList the longest time between two of them for that.
 	listShare   = 0.05
@@ -106,8 +98,6 @@
 	// and writes are, takes it below zero.
 	budget   float64
 	filledAt time.Time
-	// moves is how many bytes orders to machines may take now.
-	moves float64
 	// onWay counts the starts that have not been answered.
 	onWay int
 	// judgedAt is when the rate was last judged, took the answer times and sent the bytes
@@ -140,7 +130,6 @@
 		f.rate = min(f.rate, s.Cores*coreRate)
 	}
 	f.budget = f.burst()
-	f.moves = f.mostMoves()
 	return f
 }
 
@@ -152,7 +141,6 @@
 func (f *flow) pass(now time.Time) bool {
 	if d := now.Sub(f.filledAt); d > 0 {
 		f.budget = min(f.burst(), f.budget+f.rate*d.Seconds())
-		f.moves = min(f.mostMoves(), f.moves+moveShare*f.rate*d.Seconds())
 		f.filledAt = now
 	}
 	if now.Sub(f.judgedAt) < judgeEvery {
@@ -266,21 +254,6 @@
 	f.onWay--
 }
 
-// mostMoves is the most that orders to machines may save up.
-func (f *flow) mostMoves() float64 {
-	return max(moveBytes, moveShare*f.rate*movesFor.Seconds())
-}
-
-// mayMove reports whether a machine may get an order now, and move counts one.
-func (f *flow) mayMove() bool {
-	return f.moves >= moveBytes
-}
-
-func (f *flow) move() {
-	f.moves -= moveBytes
-	f.take(moveBytes)
-}
-
 // mayLook reports whether a worker may be looked at that was last asked at a time.
 // Looks keep leases alive: where the rate is short they come less often, and the first
 // ones one after the other.
--- a/job/machine_orders.go
+++ b/job/machine_orders.go
@@ -147,7 +147,6 @@
 func (c *Core) order(m *machine, o *machineOrder) {
 	o.sentAt = c.now
 	m.order = o
-	c.flow.move()
 	c.retire(m)
 	c.keepOrdered(m)
 }
--- a/job/pools.go
+++ b/job/pools.go
@@ -96,7 +96,7 @@
 		return
 	}
 	for _, m := range c.movable(spare) {
-		if d.have >= d.want || !c.flow.mayMove() {
+		if d.have >= d.want {
 			return
 		}
 		c.move(m, d.service, d)
@@ -113,7 +113,7 @@
 			continue
 		}
 		for _, m := range c.movable(from.service) {
-			if d.have >= d.want || from.have <= from.want || !c.flow.mayMove() {
+			if d.have >= d.want || from.have <= from.want {
 				break
 			}
 			if !c.idle(m) {
@@ -202,7 +202,7 @@
 		}
 		w := c.byHost[m.Name]
 		switch {
-		case (w == nil || len(w.runs) == 0) && c.flow.mayMove():
+		case w == nil || len(w.runs) == 0:
 			m.lend = ""
 			c.move(m, d.service, d)
 		case !d.waits || c.now.Sub(m.emptyingSince) > lendPatience:
@@ -231,7 +231,7 @@
 // pool.
 func (c *Core) giveBack(d *demand, spare string) {
 	for _, m := range c.movable(d.service) {
-		if d.have <= d.want || !c.flow.mayMove() {
+		if d.have <= d.want {
 			return
 		}
 		if !c.idle(m) || c.now.Sub(c.workerOf(m).idleSince) < d.patience() {
