--- a/job/full.go
+++ b/job/full.go
@@ -69,6 +69,8 @@
 	Share float64 `json:"s,omitempty"`
 	// Wait is how long the callers of the others are to stay away.
 	Wait time.Duration `json:"w"`
+	// over says that more waited than is borne at the last judgement.
+	over bool
 }
 
 // takes reports whether a job is among those that are taken. The same ones are, whichever
@@ -81,8 +83,12 @@
 // next returns the room after a judgement: so long do the starts ahead of a new job take to
 // be sent, and all that were taken.
 func (r Room) next(ahead, all time.Duration) Room {
+	before := r.over
+	r.over = ahead > fullAfter || all > mostBehind
 	switch {
-	case ahead > fullAfter || all > mostBehind:
+	case r.over && r.Share == 1 && !before:
+		// A moment after a takeover, or as a turn of the load begins, says nothing yet.
+	case r.over:
 		r.Share *= shareDown
 		if r.Share < leastShare {
 			r.Share = 0
@@ -99,7 +105,7 @@
 // open returns the room after a judgement at which no start was held back.
 func (r Room) open() Room {
 	r.Share = min(1, r.Share*openUp+openLeast)
-	r.Wait = 0
+	r.Wait, r.over = 0, false
 	return r
 }
 
@@ -144,9 +150,10 @@
 		return
 	}
 	c.fullness.judgeAt = c.now.Add(fullEvery)
-	rooms := c.judgeFull()
+	c.fullness.rooms = c.judgeFull()
+	rooms := maps.Clone(c.fullness.rooms)
+	maps.DeleteFunc(rooms, func(_ int, r Room) bool { return r.Share >= 1 })
 	same := maps.EqualFunc(rooms, c.fullness.told, func(a, b Room) bool { return !a.tells(b) })
-	c.fullness.rooms = rooms
 	if same && !c.fullness.inherited {
 		return
 	}
@@ -161,14 +168,13 @@
 	c.write([]platform.Put{{Key: fullKey, Value: b}}, nil)
 }
 
-// judgeFull returns the rooms of those priorities of which not all jobs are taken.
+// judgeFull returns the rooms of the priorities.
 func (c *Core) judgeFull() map[int]Room {
 	rooms := map[int]Room{}
 	if !c.now.Before(c.fullness.byRateUntil) && (c.flow.starts == 0 || c.now.Sub(c.flow.heldAt) > heldLatelyFor) {
 		for p, r := range c.fullness.rooms {
 			rooms[p] = r.open()
 		}
-		maps.DeleteFunc(rooms, func(_ int, r Room) bool { return r.Share >= 1 })
 		return rooms
 	}
 	wait := c.startsWaiting()
@@ -183,7 +189,6 @@
 		}
 		rooms[q.Priority] = r.next(c.flow.lasts(w.inTime), c.flow.lasts(w.inTime+w.late))
 	}
-	maps.DeleteFunc(rooms, func(_ int, r Room) bool { return r.Share >= 1 })
 	return rooms
 }
 
