--- /dev/null
+++ b/internal/standin/fleet/crash.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Crash ends the worker of a machine that runs something; it boots again after
+// the time given.
+func (f *Fleet) Crash(downFor time.Duration) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machines {
+		if m.worker != nil && !m.leaving && m.State == "up" && m.worker.busy() {
+			id := m.ID
+			f.crash(m, downFor)
+			return id
+		}
+	}
+	return ""
+}
+
+// crash ends the machine's worker.
+func (f *Fleet) crash(m *Machine, downFor time.Duration) {
+	id := m.ID
+	f.Books.crashed(m.worker.crashed())
+	m.worker.end()
+	m.State = "down"
+	time.AfterFunc(downFor, func() { f.reboot(m, id) })
+}
+
+// backAfter is how long a machine is down whose worker a task has crashed.
+const backAfter = 2 * time.Second
+
+// crashLife ends a life by what runs there, unless it has ended since.
+func (f *Fleet) crashLife(m *Machine, w *worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m.worker == w && m.State == "up" {
+		f.crash(m, backAfter)
+	}
+}
+
+// crashed returns the tasks that run on a worker which is about to crash.
+func (w *worker) crashed() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Keys(w.runs))
+}
--- a/job/elect.go
+++ b/job/elect.go
@@ -24,9 +24,6 @@
 	// endLeaseFor is how long the end of a lease is tried: the store is away for
 	// five seconds at a time.
 	endLeaseFor = 6 * time.Second
-	// fullOutlasts is how long an owner's word that a queue is full holds without that
-	// owner: three takeovers in a row on a link of 2 Mbit/s.
-	fullOutlasts = 20 * time.Second
 	// claimRetry is the pause after a claim that failed.
 	claimRetry = 200 * time.Millisecond
 	// smallWaits is how long a host with hardly any processor, link or memory leaves a
@@ -163,33 +160,6 @@
 	}
 }
 
-// takeFull notes which queues are full.
-func (e *election) takeFull(v platform.Entry) {
-	f, err := decodeFull(v)
-	if err != nil {
-		e.log.Write(Note{What: "entry not understood", Why: err.Error()})
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.full = f
-	e.fullAt = e.now()
-}
-
-// fullUntil returns when the caller of a job in a queue of the priority is to come back,
-// or false where it is taken. What an owner has said holds until the next one says what it finds: the reads
-// of a takeover take seconds on a narrow link, and all that is taken meanwhile waits behind
-// what the queue was full of.
-func (e *election) fullUntil(id ID, priority int) (time.Time, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r, full := e.full.Rooms[priority]
-	if !full || r.takes(id) || (e.full.Fence != e.current.Fence && e.now().After(e.fullAt.Add(fullOutlasts))) {
-		return time.Time{}, false
-	}
-	return latest(e.fullAt.Add(r.Wait), e.now().Add(comeBack)), true
-}
-
 // takeOwner notes who owns.
 func (e *election) takeOwner(v platform.Entry) {
 	var o Owner
--- a/job/full.go
+++ b/job/full.go
@@ -4,42 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"amberway/platform"
 )
 
-// Figures of refusing jobs. Where more starts wait than the owner can send, a job that
-// comes now only makes all of them late: its caller hears at once when to come back.
+// Times of judging whether queues are full.
 const (
-	// fullAfter is how long the starts that go before a new job of a queue take to be
-	// sent until fewer of its jobs are taken, and openBelow until more are again. A job
-	// has a second or two beyond its work, and each of its steps waits. With 4 and 2 s,
-	// and 10 s of all that was taken, callers of small fleets behind 2 Mbit/s waited in
-	// vain for 0.40 of their jobs, and 27 of 48 days broke a promise; with these 0.22
-	// and 16, with 0.16 more refused at once and 0.008 more served.
-	fullAfter = 1500 * time.Millisecond
-	openBelow = 750 * time.Millisecond
-	// mostBehind is the same with the jobs that are late already. New ones go before
-	// these, but all that were taken have to end: within five seconds, should nothing
-	// new come.
-	mostBehind = 5 * time.Second
-	// shareDown is what remains of the share that is taken at each judgement of a full
-	// queue, shareUp what it grows by where there is room, and leastShare the least that
-	// it is. With all or nothing, callers who had been told to come back came at once as
-	// a queue opened, half a second brought work for three to six, and small fleets
-	// behind 2 Mbit/s served 0.31 of their work and 0.22 in vain; with a share 0.35 and
-	// 0.13, over 48 days.
-	shareDown  = 0.4
-	shareUp    = 1.3
-	leastShare = 0.03
-	// openUp and openLeast are the same where nothing was held back any more: all are
-	// taken again after two seconds.
-	openUp    = 2
-	openLeast = 0.1
 	// fullEvery is the time between two judgements, each of which may be a write that
 	// every entry host hears of.
 	fullEvery = 500 * time.Millisecond
@@ -50,6 +21,9 @@
 	// send: on a link of 2 Mbit/s the first answers of 180 workers take 1.5 s, and
 	// starts go out after that.
 	byRateFor = 4 * time.Second
+	// fullOutlasts is how long an owner's word that a queue is full holds without that
+	// owner: three takeovers in a row on a link of 2 Mbit/s.
+	fullOutlasts = 20 * time.Second
 )
 
 // fullKey holds which queues are full, beside the owner's key: entry hosts follow both.
@@ -59,59 +33,8 @@
 type Full struct {
 	// Fence is that of the owner that says so.
 	Fence platform.Fence `json:"f"`
-	// Rooms are what is taken, by the queues' priority; all where there is none.
-	Rooms map[int]Room `json:"r,omitempty"`
-}
-
-// Room is what is taken of the queues of one priority.
-type Room struct {
-	// Share is the share of the jobs that are taken, from 0 to 1.
-	Share float64 `json:"s,omitempty"`
-	// Wait is how long the callers of the others are to stay away.
-	Wait time.Duration `json:"w"`
-	// over says that more waited than is borne at the last judgement.
-	over bool
-}
-
-// takes reports whether a job is among those that are taken. The same ones are, whichever
-// entry host is asked and however often, so that callers who come back do not add to what
-// is taken; as the share grows, those stay and others are added.
-func (r Room) takes(id ID) bool {
-	return float64(xxhash.Sum64String(string(id))) < r.Share*math.MaxUint64
-}
-
-// next returns the room after a judgement: so long do the starts ahead of a new job take to
-// be sent, and all that were taken.
-func (r Room) next(ahead, all time.Duration) Room {
-	before := r.over
-	r.over = ahead > fullAfter || all > mostBehind
-	switch {
-	case r.over && r.Share == 1 && !before:
-		// A moment after a takeover, or as a turn of the load begins, says nothing yet.
-	case r.over:
-		r.Share *= shareDown
-		if r.Share < leastShare {
-			r.Share = 0
-		}
-	case ahead > openBelow:
-		// What waits is as much as is borne.
-	default:
-		r.Share = min(1, r.Share*shareUp+leastShare)
-	}
-	r.Wait = max(0, ahead-openBelow, all-mostBehind+openBelow)
-	return r
-}
-
-// open returns the room after a judgement at which no start was held back.
-func (r Room) open() Room {
-	r.Share = min(1, r.Share*openUp+openLeast)
-	r.Wait, r.over = 0, false
-	return r
-}
-
-// tells reports whether callers would be treated differently by the other.
-func (r Room) tells(o Room) bool {
-	return math.Abs(r.Share-o.Share) > leastShare || (r.Share == 0) != (o.Share == 0)
+	// Admissions are what is taken, by the queues' priority; all where there is none.
+	Admissions map[int]Admission `json:"r,omitempty"`
 }
 
 func decodeFull(v platform.Entry) (Full, error) {
@@ -125,8 +48,8 @@
 // fullness is what the owner has said of its queues.
 type fullness struct {
 	judgeAt time.Time
-	// rooms are what is taken, told what was last said of that.
-	rooms, told map[int]Room
+	// admissions are what is taken, told what was last said of that.
+	admissions, told map[int]Admission
 	// inherited says that an earlier owner's word still holds, so that this owner has to
 	// say its own, be it the same.
 	inherited bool
@@ -137,8 +60,8 @@
 
 // inheritFull takes over what an earlier owner has said of the queues.
 func (c *Core) inheritFull(f Full) {
-	c.fullness.rooms, c.fullness.told = f.Rooms, f.Rooms
-	c.fullness.inherited = len(f.Rooms) > 0
+	c.fullness.admissions, c.fullness.told = f.Admissions, f.Admissions
+	c.fullness.inherited = len(f.Admissions) > 0
 	if c.fullness.inherited {
 		c.fullness.byRateUntil = c.now.Add(byRateFor)
 	}
@@ -150,46 +73,46 @@
 		return
 	}
 	c.fullness.judgeAt = c.now.Add(fullEvery)
-	c.fullness.rooms = c.judgeFull()
-	rooms := maps.Clone(c.fullness.rooms)
-	maps.DeleteFunc(rooms, func(_ int, r Room) bool { return r.Share >= 1 })
-	same := maps.EqualFunc(rooms, c.fullness.told, func(a, b Room) bool { return !a.tells(b) })
+	c.fullness.admissions = c.judgeFull()
+	admissions := maps.Clone(c.fullness.admissions)
+	maps.DeleteFunc(admissions, func(_ int, a Admission) bool { return a.Share >= 1 })
+	same := maps.EqualFunc(admissions, c.fullness.told, func(a, b Admission) bool { return !a.tells(b) })
 	if same && !c.fullness.inherited {
 		return
 	}
-	c.fullness.told = rooms
+	c.fullness.told = admissions
 	c.fullness.inherited = false
-	b, err := json.Marshal(Full{Fence: c.fence, Rooms: rooms})
+	b, err := json.Marshal(Full{Fence: c.fence, Admissions: admissions})
 	if err != nil {
 		c.do(Note{What: "full queues not encoded", Why: err.Error()})
 		return
 	}
-	c.do(Note{What: "full", Inputs: []any{"rooms", string(b), "starts_per_s", int(c.flow.starts)}})
+	c.do(Note{What: "full", Inputs: []any{"admissions", string(b), "starts_per_s", int(c.flow.starts)}})
 	c.write([]platform.Put{{Key: fullKey, Value: b}}, nil)
 }
 
-// judgeFull returns the rooms of the priorities.
-func (c *Core) judgeFull() map[int]Room {
-	rooms := map[int]Room{}
+// judgeFull returns what is taken of each priority.
+func (c *Core) judgeFull() map[int]Admission {
+	admissions := map[int]Admission{}
 	if !c.now.Before(c.fullness.byRateUntil) && (c.flow.starts == 0 || c.now.Sub(c.flow.heldAt) > heldLatelyFor) {
-		for p, r := range c.fullness.rooms {
-			rooms[p] = r.open()
+		for p, a := range c.fullness.admissions {
+			admissions[p] = a.open()
 		}
-		return rooms
+		return admissions
 	}
 	wait := c.startsWaiting()
 	for _, q := range c.config.Queues {
-		if _, judged := rooms[q.Priority]; judged {
+		if _, judged := admissions[q.Priority]; judged {
 			continue
 		}
 		w := wait.before(q.Priority)
-		r, was := c.fullness.rooms[q.Priority]
+		a, was := c.fullness.admissions[q.Priority]
 		if !was {
-			r = Room{Share: 1}
+			a = Admission{Share: 1}
 		}
-		rooms[q.Priority] = r.next(c.flow.lasts(w.inTime), c.flow.lasts(w.inTime+w.late))
+		admissions[q.Priority] = a.next(c.flow.lasts(w.inTime), c.flow.lasts(w.inTime+w.late))
 	}
-	return rooms
+	return admissions
 }
 
 // waitingStarts counts tasks that have yet to start.
@@ -242,3 +165,30 @@
 	}
 	return n
 }
+
+// takeFull notes which queues are full.
+func (e *election) takeFull(v platform.Entry) {
+	f, err := decodeFull(v)
+	if err != nil {
+		e.log.Write(Note{What: "entry not understood", Why: err.Error()})
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.full = f
+	e.fullAt = e.now()
+}
+
+// fullUntil returns when the caller of a job in a queue of the priority is to come back,
+// or false where it is taken. What an owner has said holds until the next one says what it finds: the reads
+// of a takeover take seconds on a narrow link, and all that is taken meanwhile waits behind
+// what the queue was full of.
+func (e *election) fullUntil(id ID, priority int) (time.Time, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a, full := e.full.Admissions[priority]
+	if !full || a.admits(id) || (e.full.Fence != e.current.Fence && e.now().After(e.fullAt.Add(fullOutlasts))) {
+		return time.Time{}, false
+	}
+	return latest(e.fullAt.Add(a.Wait), e.now().Add(comeBack)), true
+}
--- a/job/full_test.go
+++ b/job/full_test.go
@@ -64,26 +64,26 @@
 	}
 	submit(0, 2, "patient")
 	f.run(3 * time.Second)
-	require.Empty(t, f.saidFull().Rooms, "all of it can be sent in a second")
+	require.Empty(t, f.saidFull().Admissions, "all of it can be sent in a second")
 	submit(1000, 150, "patient")
 	started := f.run(2 * time.Second)
 	require.Less(t, started, 400)
 	f.run(fullEvery)
 	full := f.saidFull()
 	require.Equal(t, f.core.fence, full.Fence)
-	require.Contains(t, full.Rooms, patient)
-	require.NotContains(t, full.Rooms, quick, "what is more urgent goes first")
-	require.Less(t, full.Rooms[patient].Share, 0.1)
-	require.Greater(t, full.Rooms[patient].Wait, time.Second)
+	require.Contains(t, full.Admissions, patient)
+	require.NotContains(t, full.Admissions, quick, "what is more urgent goes first")
+	require.Less(t, full.Admissions[patient].Share, 0.1)
+	require.Greater(t, full.Admissions[patient].Wait, time.Second)
 	submit(2000, 150, "quick")
 	f.run(2 * time.Second)
-	require.Contains(t, f.saidFull().Rooms, quick)
+	require.Contains(t, f.saidFull().Admissions, quick)
 	for i := range 150 {
 		f.step(CancelAsked{ID: ID(fmt.Sprintf("%016x", 1000+i))})
 		f.step(CancelAsked{ID: ID(fmt.Sprintf("%016x", 2000+i))})
 	}
 	f.run(4 * time.Second)
-	require.Empty(t, f.saidFull().Rooms, "there is room again")
+	require.Empty(t, f.saidFull().Admissions, "there is room again")
 }
 
 // TestJobOfAFullQueueIsRefusedAtOnceUnlessItWasTaken asks an entry host whose owner has
@@ -107,7 +107,7 @@
 		return w
 	}
 	require.Equal(t, http.StatusOK, post(idA, "q").Code)
-	say(Full{Fence: o.tenure.fence, Rooms: map[int]Room{quick: {Wait: 6 * time.Second}}})
+	say(Full{Fence: o.tenure.fence, Admissions: map[int]Admission{quick: {Wait: 6 * time.Second}}})
 	require.Equal(t, http.StatusOK, post(idA, "q").Code, "a copy of a job that was taken")
 	w := post(idB, "q")
 	require.Equal(t, http.StatusServiceUnavailable, w.Code)
@@ -116,11 +116,11 @@
 	require.False(t, there, "what was refused was never sent")
 	require.Equal(t, http.StatusOK, post(idB, "p").Code, "the other queue is not full")
 	const idC, idD = "00000000000000cc", "00000000000000dd"
-	say(Full{Fence: o.tenure.fence - 1, Rooms: map[int]Room{quick: {Wait: 6 * time.Second}}})
+	say(Full{Fence: o.tenure.fence - 1, Admissions: map[int]Admission{quick: {Wait: 6 * time.Second}}})
 	require.Equal(t, http.StatusServiceUnavailable, post(idC, "q").Code, "the new owner has not said anything yet")
 	say(Full{Fence: o.tenure.fence})
 	require.Equal(t, http.StatusOK, post(idC, "q").Code, "its own word counts")
-	say(Full{Fence: o.tenure.fence - 1, Rooms: map[int]Room{quick: {Wait: 6 * time.Second}}})
+	say(Full{Fence: o.tenure.fence - 1, Admissions: map[int]Admission{quick: {Wait: 6 * time.Second}}})
 	n.election.fullAt = n.election.fullAt.Add(-fullOutlasts)
 	require.Equal(t, http.StatusOK, post(idD, "q").Code, "an earlier owner's word does not hold for ever")
 }
@@ -132,7 +132,7 @@
 	f.core.flow = newFlow(Size{Link: 2}, f.now)
 	s := oneTask()
 	s.Count = 100
-	e := Inherited{Config: testConfig(), Workers: []platform.Worker{testWorker("w1")}, Full: Full{Fence: 50, Rooms: map[int]Room{quick: {Wait: time.Second}, patient: {Wait: time.Second}}}}
+	e := Inherited{Config: testConfig(), Workers: []platform.Worker{testWorker("w1")}, Full: Full{Fence: 50, Admissions: map[int]Admission{quick: {Wait: time.Second}, patient: {Wait: time.Second}}}}
 	for i := range 20 {
 		rec := NewRecord(f.core.queues["quick"], platform.Submission{Spec: "s", Steps: []platform.Step{s}}, f.now)
 		e.Jobs = append(e.Jobs, Accepted{ID: ID(fmt.Sprintf("%016x", i)), Record: rec, Created: 50})
@@ -140,18 +140,18 @@
 	f.step(e)
 	full := f.saidFull()
 	require.Equal(t, f.core.fence, full.Fence)
-	require.Contains(t, full.Rooms, quick, "full as it was")
+	require.Contains(t, full.Admissions, quick, "full as it was")
 	f.pass(time.Second)
-	require.Contains(t, f.saidFull().Rooms, quick)
+	require.Contains(t, f.saidFull().Admissions, quick)
 }
 
 // A next owner that finds room opens the queues that the one before had closed.
 func TestNextOwnerOpensQueuesThatAreNotFull(t *testing.T) {
 	f := newFixture(t)
-	f.step(Inherited{Config: testConfig(), Full: Full{Fence: 50, Rooms: map[int]Room{quick: {Share: 0.9}}}})
+	f.step(Inherited{Config: testConfig(), Full: Full{Fence: 50, Admissions: map[int]Admission{quick: {Share: 0.9}}}})
 	full := f.saidFull()
 	require.Equal(t, f.core.fence, full.Fence)
-	require.Empty(t, full.Rooms)
+	require.Empty(t, full.Admissions)
 }
 
 // herd are callers of one queue, some of whom were refused and come back.
@@ -195,7 +195,7 @@
 // offer hands a job in, as an entry host would take it. Callers come four times.
 func (h *herd) offer(id ID) {
 	delete(h.back, id)
-	if r, full := h.saidFull().Rooms[quick]; !full || r.takes(id) {
+	if a, full := h.saidFull().Admissions[quick]; !full || a.admits(id) {
 		h.taken[id] = h.now
 		s := oneTask()
 		s.Count = 10
@@ -238,16 +238,16 @@
 }
 
 func TestShareOfAQueueGrowsByTheSameJobs(t *testing.T) {
-	r := Room{Share: 0.3}
+	a := Admission{Share: 0.3}
 	n := 0
 	for i := range 1000 {
 		id := ID(fmt.Sprintf("%016x", i))
-		if r.takes(id) {
+		if a.admits(id) {
 			n++
-			require.True(t, Room{Share: 0.5}.takes(id))
+			require.True(t, Admission{Share: 0.5}.admits(id))
 		}
-		require.True(t, Room{Share: 1}.takes(id))
-		require.False(t, Room{}.takes(id))
+		require.True(t, Admission{Share: 1}.admits(id))
+		require.False(t, Admission{}.admits(id))
 	}
 	require.InDelta(t, 300, n, 50)
 }
@@ -256,10 +256,10 @@
 // half a second: what it could send in that time is no measure, and a twelfth of the jobs
 // of a heavy day were refused for it.
 func TestOneMomentDoesNotFillAQueue(t *testing.T) {
-	r := Room{Share: 1}.next(2*fullAfter, 0)
-	require.EqualValues(t, 1, r.Share)
-	require.Less(t, r.next(2*fullAfter, 0).Share, 1.0)
-	r = r.next(0, 0)
-	require.EqualValues(t, 1, r.next(2*fullAfter, 0).Share)
-	require.Less(t, Room{Share: 0.5}.next(2*fullAfter, 0).Share, 0.5)
+	a := Admission{Share: 1}.next(2*fullAfter, 0)
+	require.EqualValues(t, 1, a.Share)
+	require.Less(t, a.next(2*fullAfter, 0).Share, 1.0)
+	a = a.next(0, 0)
+	require.EqualValues(t, 1, a.next(2*fullAfter, 0).Share)
+	require.Less(t, Admission{Share: 0.5}.next(2*fullAfter, 0).Share, 0.5)
 }
