--- a/job/crash.go
+++ b/job/crash.go
@@ -12,6 +12,7 @@
 // a pool of eleven workers down every 0.15 s. The counts are kept in the store, as a next
 // owner would begin at nothing.
 
+// Figures of blaming tasks for crashes.
 const (
 	// freshFor is how long after its start a run is the first to be blamed for a crash:
 	// tasks that crash their workers do so within a hundredth of a second, and a worker
