--- a/fleet/plan_test.go
+++ b/fleet/plan_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -409,27 +410,43 @@
 // with old views, lost and late writes, lagging lists, failures of hosts and
 // racks, label and configuration changes.
 func TestFleetKeepsItsPromises(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newFleetModel(t)
-		t.Repeat(map[string]func(*rapid.T){
-			"":        m.check,
-			"pass":    m.pass,
-			"fail":    m.fail,
-			"label":   m.label,
-			"apply":   m.apply,
-			"learn":   m.learn,
-			"learn2":  m.learn,
-			"step":    m.step,
-			"step2":   m.step,
-			"step3":   m.step,
-			"ask":     m.ask,
-			"ask2":    m.ask,
-			"send":    m.send,
-			"view":    m.view,
-			"view2":   m.view,
-			"run":     m.run,
-			"deliver": func(*rapid.T) { m.memory.Deliver() },
+	rapid.Check(t, fleetKeepsItsPromises)
+}
+
+// TestFleetKeepsItsPromisesInDrawsThatOnceFailed plays the draws that failed before.
+func TestFleetKeepsItsPromisesInDrawsThatOnceFailed(t *testing.T) {
+	before := flag.Lookup("rapid.seed").Value.String()
+	defer func() { require.NoError(t, flag.Set("rapid.seed", before)) }()
+	for seed, cause := range map[string]string{
+		"9476117129545897665": "what ran on a host was held against a plan that the store had refused",
+	} {
+		t.Run(cause, func(t *testing.T) {
+			require.NoError(t, flag.Set("rapid.seed", seed))
+			rapid.Check(t, fleetKeepsItsPromises)
 		})
+	}
+}
+
+func fleetKeepsItsPromises(t *rapid.T) {
+	m := newFleetModel(t)
+	t.Repeat(map[string]func(*rapid.T){
+		"":        m.check,
+		"pass":    m.pass,
+		"fail":    m.fail,
+		"label":   m.label,
+		"apply":   m.apply,
+		"learn":   m.learn,
+		"learn2":  m.learn,
+		"step":    m.step,
+		"step2":   m.step,
+		"step3":   m.step,
+		"ask":     m.ask,
+		"ask2":    m.ask,
+		"send":    m.send,
+		"view":    m.view,
+		"view2":   m.view,
+		"run":     m.run,
+		"deliver": func(*rapid.T) { m.memory.Deliver() },
 	})
 }
 
