An owner behind a narrow link is set up in one place; a lived time in one expression

Found in reading the change: two tests set up the same owner and worker line by line, how long a run lived was computed twice, and the stand-in's crash left its caller to keep the id. No behaviour changes, no assertion is touched. Checked: tests of job/ and the stand-ins, the crash test of tests/, vet, linter and formatter; not the whole check.

--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -13,21 +13,20 @@
 	defer f.mu.Unlock()
 	for _, m := range f.machines {
 		if m.worker != nil && !m.leaving && m.State == "up" && m.worker.busy() {
-			id := m.ID
-			f.crash(m, downFor)
-			return id
+			return f.crash(m, downFor)
 		}
 	}
 	return ""
 }
 
-// crash ends the machine's worker.
-func (f *Fleet) crash(m *Machine, downFor time.Duration) {
+// crash ends the machine's worker, and returns its id.
+func (f *Fleet) crash(m *Machine, downFor time.Duration) string {
 	id := m.ID
 	f.Books.crashed(m.worker.crashed())
 	m.worker.end()
 	m.State = "down"
 	time.AfterFunc(downFor, func() { f.reboot(m, id) })
+	return id
 }
 
 // backAfter is how long a machine is down whose worker a task has crashed.
--- a/job/full_test.go
+++ b/job/full_test.go
@@ -33,6 +33,18 @@
 	return v
 }
 
+// newNarrowFixture is an owner behind a link that carries some 150 starts a second, with a
+// worker that has room for all.
+func newNarrowFixture(t *testing.T) *fixture {
+	f := newFixture(t)
+	f.core.flow = newFlow(Size{Link: 0.4}, f.now)
+	w := testWorker("w1")
+	w.Capacity = platform.Resources{MilliCores: 1 << 40, MemoryMB: 1 << 40}
+	f.step(WorkerListed{Worker: w})
+	f.answer("w1", platform.Look{})
+	return f
+}
+
 // run lets time pass with all orders answered at once.
 func (f *fixture) run(d time.Duration) (started int) {
 	for end := f.now.Add(d); f.now.Before(end); {
@@ -48,12 +60,7 @@
 // TestQueuesAreFullWhereTheirStartsCannotBeSentInTime has an owner behind a link that
 // carries some 150 starts a second, and work of both priorities for ten seconds of it.
 func TestQueuesAreFullWhereTheirStartsCannotBeSentInTime(t *testing.T) {
-	f := newFixture(t)
-	f.core.flow = newFlow(Size{Link: 0.4}, f.now)
-	w := testWorker("w1")
-	w.Capacity = platform.Resources{MilliCores: 1 << 40, MemoryMB: 1 << 40}
-	f.step(WorkerListed{Worker: w})
-	f.answer("w1", platform.Look{})
+	f := newNarrowFixture(t)
 	f.run(2 * time.Second)
 	s := oneTask()
 	s.Count = 10
@@ -168,12 +175,7 @@
 
 // newHerd returns the callers of an owner whose link carries some 150 starts a second.
 func newHerd(t *testing.T) *herd {
-	f := newFixture(t)
-	f.core.flow = newFlow(Size{Link: 0.4}, f.now)
-	w := testWorker("w1")
-	w.Capacity = platform.Resources{MilliCores: 1 << 40, MemoryMB: 1 << 40}
-	f.step(WorkerListed{Worker: w})
-	f.answer("w1", platform.Look{})
+	f := newNarrowFixture(t)
 	return &herd{fixture: f, back: map[ID]time.Time{}, tries: map[ID]int{}, taken: map[ID]time.Time{}, cameAt: map[ID]time.Time{}}
 }
 
--- a/job/loss.go
+++ b/job/loss.go
@@ -35,8 +35,9 @@
 // lived returns how long the run is known to have been there: until its worker was last
 // heard of. A run of an earlier owner that was listed had got over its start.
 func (r *run) lived() time.Duration {
+	d := max(0, r.at.heardAt.Sub(r.sentAt))
 	if r.adopted {
-		return freshFor + max(0, r.at.heardAt.Sub(r.sentAt))
+		d += freshFor
 	}
-	return max(0, r.at.heardAt.Sub(r.sentAt))
+	return d
 }
