Log: what a stop of a lasting task went by, stops that are repeated or not answered, times in milliseconds

The users' record of lasting tasks that were away could not tell whether the stop asked how many others of the step were away, by looks of what age, and whether it was sent once or again; its times are whole seconds. A stop of a lasting task now says how many others are away, which, for how long, and how old the look is that speaks for the run itself. A stop that is sent again, one that is not answered and one that is held back have lines of their own.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -86,11 +86,16 @@
 	l.SetOutput(w)
 	l.SetLevel(c.level)
 	if s.LogFormat == "json" {
-		l.SetFormatter(&logrus.JSONFormatter{})
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logTime})
+		return l
 	}
+	l.SetFormatter(&logrus.TextFormatter{TimestampFormat: logTime})
 	return l
 }
 
+// logTime is the format of times in the log. Decisions of one owner are milliseconds apart.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 // run serves until the context ends, and then stops without cutting off a
 // request in flight.
 func (d *Daemon) run(ctx context.Context) error {
--- a/commands/run_test.go
+++ b/commands/run_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/tools/txtar"
 
@@ -68,3 +69,12 @@
 		require.NoError(t, err, f)
 	}
 }
+
+// Decisions of one owner are milliseconds apart.
+func TestLogTellsTimesToTheMillisecond(t *testing.T) {
+	for _, format := range []string{"json", "text"} {
+		var b bytes.Buffer
+		newLogger(Settings{LogFormat: format}, checked{level: logrus.InfoLevel}, &b).Info("started")
+		require.Regexp(t, `T\d\d:\d\d:\d\d\.\d{3}`, b.String())
+	}
+}
--- a/job/lasting.go
+++ b/job/lasting.go
@@ -57,6 +57,30 @@
 	return away < s.MayMiss
 }
 
+// stopInputs are the figures that decide whether a lasting run may be stopped: which others
+// of its step are away, for how long at most, and by how old a look the run itself is known.
+func (c *Core) stopInputs(r *run) []any {
+	s := r.task.of
+	if !s.Lasting || s.MayMiss == 0 {
+		return nil
+	}
+	var away []int
+	var longest time.Duration
+	for _, o := range s.tasks {
+		if o == r.task || o.sound(c.now) {
+			continue
+		}
+		away = append(away, o.index)
+		if !o.awaySince.IsZero() {
+			longest = max(longest, c.now.Sub(o.awaySince))
+		}
+	}
+	return []any{
+		"away", len(away), "away_tasks", away, "away_ms", longest.Milliseconds(), "may_miss", s.MayMiss,
+		"percent", r.percent, "at_work", r.task.atWork, "look_ms", c.now.Sub(r.at.lookedAt).Milliseconds(), "age_ms", c.now.Sub(r.sentAt).Milliseconds(),
+	}
+}
+
 // neverAtWork reports whether the task's run has had its time to be at work and
 // is not. One that began of late may be by now, whatever the last look said.
 func (t *task) neverAtWork(now time.Time) bool {
@@ -97,7 +121,11 @@
 			continue
 		}
 		empty = false
-		if r.phase != running || !r.task.mayTake(c.now) || !c.roomElsewhere(w, r.task) {
+		if r.phase != running || !c.roomElsewhere(w, r.task) {
+			continue
+		}
+		if !r.task.mayTake(c.now) {
+			c.holdStop(r)
 			continue
 		}
 		c.stop(r, "its worker is to be emptied")
@@ -105,6 +133,16 @@
 	return empty
 }
 
+// holdStop logs, once for a run, that its stop waits for others of its step.
+func (c *Core) holdStop(r *run) {
+	if r.stopHeld {
+		return
+	}
+	r.stopHeld = true
+	t := r.task
+	c.do(Note{What: "stop held back", Job: t.of.of.job.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Why: "as many others of its step are away as it bears", Inputs: c.stopInputs(r)})
+}
+
 // roomElsewhere reports whether the task can go on at another worker at once.
 func (c *Core) roomElsewhere(w *worker, t *task) bool {
 	for _, o := range c.pools[w.Service] {
--- a/job/orders.go
+++ b/job/orders.go
@@ -55,11 +55,12 @@
 	if r.phase == stopping {
 		return
 	}
+	t := r.task
+	c.do(Note{What: "stop", Job: t.of.of.job.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Why: why, Inputs: c.stopInputs(r)})
 	r.phase = stopping
 	r.stopSent = false
-	t := r.task
+	r.stopAt = c.now
 	t.atWork = false
-	c.do(Note{What: "stop", Job: t.of.of.job.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Why: why})
 	c.sendStop(r)
 }
 
@@ -67,10 +68,21 @@
 	if r.stopSent || r.stopped {
 		return
 	}
+	if r.stops > 0 {
+		c.noteStopAgain(r)
+	}
 	r.stopSent = true
+	r.stops++
 	c.orderStop(r.at, r.task.key().String(), r.number)
 }
 
+// noteStopAgain logs an order to stop that is repeated, as its answer was lost.
+func (c *Core) noteStopAgain(r *run) {
+	t := r.task
+	in := append([]any{"sent", r.stops, "decided_ms", c.now.Sub(r.stopAt).Milliseconds()}, c.stopInputs(r)...)
+	c.do(Note{What: "stop sent again", Job: t.of.of.job.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Inputs: in})
+}
+
 func (c *Core) orderStop(w *worker, task string, run int64) {
 	c.flow.take(orderBytes)
 	c.do(StopRun{Worker: w.Worker, Task: task, Run: run, Fence: c.fence})
@@ -210,6 +222,8 @@
 	if e.Err == nil {
 		r.stopped = true
 		w.lookAt = c.now
+	} else {
+		c.do(Note{What: "stop not answered", Job: k.id, Task: e.Task, Run: e.Run, Worker: w.ID, Why: e.Err.Error()})
 	}
 	c.tend(w)
 }
--- a/job/state.go
+++ b/job/state.go
@@ -132,6 +132,11 @@
 	// stopSent says that an order to stop is under way; stopRefused is true
 	// once the worker has said that the run can never start.
 	stopSent, stopped bool
+	// stopAt is when the stop was decided, stops how often it was sent.
+	stopAt time.Time
+	stops  int
+	// stopHeld says that the log has a stop as held back.
+	stopHeld bool
 	// absent says that a look which was sent after the start's answer was lost did not
 	// list the run.
 	absent  bool
