Model: lasting tasks that need time to be at work, waves, and a check of how many are away

A test that fails: orders end tasks at work while as many others of their step are away as it may miss. The model's lasting tasks take 0.3 to 1.5 s to be at work, fail by themselves and stand still; workers drain, have their upkeep in waves, and let looks wait as real ones do. Each order that ends a task at work is held against the others of its step: those that an order has ended and that were not at work since, and those away for 4.5 s.

--- a/job/fuzz_test.go
+++ b/job/fuzz_test.go
@@ -43,6 +43,7 @@
 		how = platform.EndFailed
 	}
 	v.runs[o.Task] = &worldRun{task: o.Task, number: o.Run, began: w.now, endsAt: w.now.Add(s.Estimate), how: how, step: s}
+	w.warmUp(v, v.runs[o.Task])
 	w.noteStart(v, k)
 }
 
@@ -177,12 +178,19 @@
 	})
 }
 
+// some returns some worker that is alive, once there is one.
 func (w *world) some() *worldWorker {
 	var l []*worldWorker
-	for _, v := range w.order {
-		if v.alive {
-			l = append(l, v)
+	for {
+		for _, v := range w.order {
+			if v.alive {
+				l = append(l, v)
+			}
+		}
+		if len(l) > 0 {
+			break
 		}
+		w.pass(100 * time.Millisecond)
 	}
 	return l[rapid.IntRange(0, len(l)-1).Draw(w.t, "worker")]
 }
--- a/job/world_machines_test.go
+++ b/job/world_machines_test.go
@@ -29,6 +29,9 @@
 			Name: v.Host, Pool: v.Service, State: platform.MachineUp, Worker: v.ID.Name(), Capacity: v.Capacity,
 		})
 	}
+	for h := range w.upkeeps {
+		e.Machines = append(e.Machines, platform.Machine{Name: h, Pool: "blue", State: platform.MachineUpkeep})
+	}
 	return e
 }
 
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -40,6 +40,7 @@
 	worldCrashes
 	worldTeams
 	worldAgain
+	worldLasting
 }
 
 type delivery struct {
@@ -73,6 +74,9 @@
 	endsAt time.Time
 	how    platform.End
 	step   platform.Step
+	// atWorkAt is when a lasting run is at work, and takes how long it needs from its start.
+	atWorkAt time.Time
+	takes    time.Duration
 }
 
 type worldWorker struct {
@@ -103,9 +107,14 @@
 	fence  platform.Fence
 	frozen bool
 	dead   bool
+	// renewedAt is when its own lease was last renewed.
+	renewedAt time.Time
 }
 
 func (r *worldRun) percent(now time.Time) int {
+	if r.step.Lasting {
+		return r.warmth(now)
+	}
 	return int(min(99, 100*now.Sub(r.began)/max(1, r.endsAt.Sub(r.began))))
 }
 
@@ -117,7 +126,7 @@
 func newWorldOf(t *rapid.T, tellsStarts bool) *world {
 	w := &world{
 		t: t, now: time.Unix(1e9, 0), workers: map[platform.WorkerID]*worldWorker{}, jobs: map[ID]Record{},
-		doneRuns: map[string][]*worldEnd{}, restarted: map[string][]*worldEnd{}, failures: map[string]int{}, worldCancels: newWorldCancels(), worldLinks: newWorldLinks(), worldCrashes: newWorldCrashes(), worldTeams: newWorldTeams(), worldAgain: newWorldAgain(),
+		doneRuns: map[string][]*worldEnd{}, restarted: map[string][]*worldEnd{}, failures: map[string]int{}, worldCancels: newWorldCancels(), worldLinks: newWorldLinks(), worldCrashes: newWorldCrashes(), worldTeams: newWorldTeams(), worldAgain: newWorldAgain(), worldLasting: newWorldLasting(),
 	}
 	w.tellsStarts = tellsStarts
 	w.store = worldStore{revision: 10, records: map[ID]Accepted{}, progress: map[ID]Progress{}, cancels: map[ID]bool{}, own: ownStore{}}
@@ -153,7 +162,7 @@
 	w.tenures++
 	w.store.revision++
 	w.store.fence = platform.Fence(w.store.revision)
-	o := &worldOwner{fence: w.store.fence, core: New(w.store.fence, "entry", Size{}, w.now)}
+	o := &worldOwner{fence: w.store.fence, core: New(w.store.fence, "entry", Size{}, w.now), renewedAt: w.now}
 	w.owners = append(w.owners, o)
 	w.listedAt(o)
 	r := w.store.own.roster()
@@ -173,6 +182,7 @@
 			e.Workers = append(e.Workers, w.recordOf(v))
 		}
 	}
+	w.inheritWaves(&e)
 	w.tell(o, e)
 }
 
@@ -202,10 +212,12 @@
 			w.live(v)
 		}
 		w.checkCancelled()
+		w.watchLasting()
 		w.renew()
 		if w.now.UnixMilli()%50 == 0 {
 			for _, o := range w.owners {
 				if o.fence == w.store.fence && w.carries == 0 {
+					o.renewedAt = w.now
 					w.tell(o, Renewed{SentAt: w.now})
 				}
 				w.tell(o, Tick{})
@@ -249,6 +261,8 @@
 
 func (w *world) perform(o *worldOwner, a Action) {
 	switch a := a.(type) {
+	case Note:
+		w.keepNote(o, a)
 	case StepDown:
 		w.steppedDown(o)
 	case WakeAt:
@@ -256,32 +270,40 @@
 	case Keep:
 		w.after(time.Duration(5*w.slowBy)*time.Millisecond+w.holdUp(o, keepBytes), func() { w.keep(o, a) })
 	case LookAt:
-		w.send(o, a.Worker.ID, a, lookSlack+a.Order.Wait, func(v *worldWorker) Event { return w.look(v, a) },
+		w.send(o, a.Worker.ID, a, lookSlack+a.Order.Wait, func(v *worldWorker, _ bool, answer func(Event)) { w.answerLook(v, a, answer) },
 			func(err error) Event { return Looked{Worker: a.Worker.ID, SentAt: w.now, Err: err} })
 	case StartRun:
 		w.checkStart(o, a)
 		w.noteOrder(a)
 		w.noteCap(o, a)
-		w.send(o, a.Worker.ID, a, orderTimeout, func(v *worldWorker) Event { return w.start(v, a) },
+		w.send(o, a.Worker.ID, a, orderTimeout, func(v *worldWorker, _ bool, answer func(Event)) { answer(w.start(v, a)) },
 			func(err error) Event {
 				return Started{Worker: a.Worker.ID, Run: a.Order.Run, Task: a.Order.Task, Err: err}
 			})
 	case StopRun:
-		w.send(o, a.Worker.ID, a, orderTimeout, func(v *worldWorker) Event { return w.stop(v, a) },
+		w.send(o, a.Worker.ID, a, orderTimeout, func(v *worldWorker, late bool, answer func(Event)) { answer(w.stop(v, a, late)) },
 			func(err error) Event { return Stopped{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Err: err} })
 	case ListMachines:
 		w.after(5*time.Millisecond, func() { w.tell(o, w.listMachines()) })
 	case MoveMachine:
 		w.after(5*time.Millisecond, func() { w.tell(o, MachineOrdered{Machine: a.Machine, Verdict: platform.OrderBusy}) })
+	case MaintainMachine:
+		if w.now.Sub(o.renewedAt) > ownerTTL {
+			w.after(0, func() { w.tell(o, MachineOrdered{Machine: a.Machine, Err: errLeaseDoubtful}) })
+			return
+		}
+		w.after(5*time.Millisecond, func() { w.tell(o, w.maintain(a)) })
 	}
 }
 
-// send carries an order to a worker and its answer back, or loses it.
-func (w *world) send(o *worldOwner, id platform.WorkerID, a Action, timeout time.Duration, do func(*worldWorker) Event, failed func(error) Event) {
+// send carries an order to a worker and its answer back, or loses it. What do does may
+// answer later.
+func (w *world) send(o *worldOwner, id platform.WorkerID, a Action, timeout time.Duration, do func(v *worldWorker, late bool, answer func(Event)), failed func(error) Event) {
 	v := w.workers[id]
 	there, back, lost := w.fate(o, v)
 	sent, answer := w.bytesOf(id, a)
 	there += w.holdUp(o, sent)
+	givesUp := w.now.Add(timeout)
 	unanswered := func() { w.tell(o, failed(common.ErrUnknown)) }
 	w.after(there, func() {
 		v := w.reached(v, a)
@@ -292,16 +314,17 @@
 		if !v.alive || v.down || ((v.cut || v.hidden[o]) && lost) {
 			return
 		}
-		e := do(v)
-		if lost {
-			return
-		}
-		back += w.holdUp(o, answer)
-		if there+back > timeout {
-			w.after(max(0, timeout-there), unanswered)
-			return
-		}
-		w.after(back, func() { w.tell(o, e) })
+		do(v, there > timeout, func(e Event) {
+			if lost {
+				return
+			}
+			back := back + w.holdUp(o, answer)
+			if w.now.Add(back).After(givesUp) {
+				w.after(max(0, givesUp.Sub(w.now)), unanswered)
+				return
+			}
+			w.after(back, func() { w.tell(o, e) })
+		})
 	})
 	if lost {
 		w.after(timeout, unanswered)
@@ -353,7 +376,7 @@
 		case v.until > 0 && v.clock(w.now) > v.until:
 			how = platform.EndLapsed
 			w.lapsed++
-		case w.now.Before(r.endsAt) || (r.step.Lasting && r.how != platform.EndStopped):
+		case w.now.Before(r.endsAt) || (r.step.Lasting && r.how == platform.EndDone):
 			continue
 		}
 		delete(v.runs, n)
@@ -417,7 +440,7 @@
 	return out
 }
 
-func (w *world) stop(v *worldWorker, a StopRun) Event {
+func (w *world) stop(v *worldWorker, a StopRun, late bool) Event {
 	out := Stopped{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Clock: v.clock(w.now)}
 	if a.Fence < v.fence {
 		out.Rejection = platform.RejectedFence
@@ -426,6 +449,7 @@
 	v.fence = a.Fence
 	v.highest[a.Task] = max(v.highest[a.Task], a.Run)
 	if r := v.runs[a.Task]; r != nil && r.number == a.Run && r.how != platform.EndStopped {
+		w.endedByOrder(v, r, late)
 		r.how = platform.EndStopped
 		r.endsAt = w.now.Add(stopTakes)
 	}
