A lasting job is not given up for crashes of hosts; its task starts less often instead

Callers saw a lasting job shown as failed, and all its tasks that were at work stopped at once. Cause: a task is given up after three crashes of workers that had just started it, as fits a task that ends after seconds; a lasting one is started for as long as it lasts, and waves that move it on beside crashing hosts bring three such starts within seconds.

A lasting task now waits from its third crash on: 4 s, doubled at each further one up to a minute, and a run of ten seconds clears it as before. The next owner waits anew.

--- a/job/core.go
+++ b/job/core.go
@@ -202,7 +202,7 @@
 	c.openDue(j)
 	for k, n := range j.instances {
 		if q, ok := p.Instances[k]; ok {
-			n.restore(q)
+			n.restore(q, c.now)
 			j.began = true
 		}
 	}
--- a/job/crash.go
+++ b/job/crash.go
@@ -37,6 +37,10 @@
 	// out, and a job is given up for two crashes at least.
 	crashLimitUnsure = 5
 	crashesSeen      = 2
+	// crashPause is how long a lasting task waits after crashLimit crashes. Each further
+	// one doubles it, up to crashPauseMost.
+	crashPause     = 4 * time.Second
+	crashPauseMost = time.Minute
 )
 
 // crashes counts the workers that crashed under a task, as far as it may be to blame.
@@ -57,6 +61,17 @@
 	return crashLimitShared
 }
 
+// pause returns how long a lasting task waits before it starts again.
+func (n crashes) pause() time.Duration {
+	if n.All < crashLimit {
+		return 0
+	}
+	return min(crashPause<<min(n.All-crashLimit, maxDoublings), crashPauseMost)
+}
+
+// maxDoublings keeps a pause from overflowing.
+const maxDoublings = 8
+
 // suspects returns the runs that may have crashed the worker: those that it is not known
 // to have borne for freshFor or, where there are none, for provenAfter. A worker that is
 // silent beyond its lease may not have crashed.
@@ -123,6 +138,12 @@
 	c.do(Note{What: "crash counted", Job: j.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Inputs: []any{
 		"crashes", t.crashes.All, "begun_at", t.crashes.Seen, "alone", alone, "lived_ms", r.lived().Milliseconds(),
 	}})
+	// Hosts that crash one after the other hit a lasting task again and again, and giving its
+	// job up would stop all tasks that are at work. It starts less often instead.
+	if t.of.Lasting {
+		t.notBefore = latest(t.notBefore, c.now.Add(t.crashes.pause()))
+		return
+	}
 	if t.crashes.All >= t.crashes.limit(alone) {
 		c.finalise(j, platform.StateFailed, "workers crashed under task "+t.key().String()+" as often as is borne")
 	}
--- a/job/progress.go
+++ b/job/progress.go
@@ -181,8 +181,9 @@
 	return p
 }
 
-// restore takes over what an earlier owner has kept.
-func (n *instance) restore(p InstanceProgress) {
+// restore takes over what an earlier owner has kept. Lasting tasks that workers have crashed
+// under wait anew.
+func (n *instance) restore(p InstanceProgress, now time.Time) {
 	for i, s := range n.steps {
 		for x, t := range s.tasks {
 			if p.Whole || (i < len(p.Done) && p.Done[i] != nil && p.Done[i].Bit(x) == 1) {
@@ -195,6 +196,9 @@
 			t := n.steps[f.Step].tasks[f.Index]
 			t.failed = f.Runs
 			t.crashes = f.Crashes
+			if t.of.Lasting && t.crashes.All > 0 {
+				t.notBefore = now.Add(t.crashes.pause())
+			}
 		}
 	}
 }
--- a/job/world_crash_test.go
+++ b/job/world_crash_test.go
@@ -110,9 +110,12 @@
 
 // checkFailed checks that a job that is shown as failed has a task under which workers
 // have crashed as often as may cost it its job, or that was lost with more workers, of
-// which none has said whether it had begun there.
+// which none has said whether it had begun there. Lasting tasks give no job up.
 func (w *world) checkFailed(id ID, rec Record) {
 	for i, s := range rec.Steps {
+		if s.Lasting {
+			continue
+		}
 		for x := range s.Count {
 			name := taskKey{id: id, step: i, index: x}.String()
 			if w.under[name] >= crashesToGiveUp || w.lostIn[name] >= crashLimitUnsure {
