A lasting run on its way to be at work is not stopped while others of its step are away

Callers saw more tasks of a lasting job away at once than it may miss. Cause: a run that was not at work by the last look three seconds after its start was taken for one that never would be, and a worker that was to be emptied had it stopped without asking how many others of its step were away. The last look may be older than the run's being at work, and a start that was carried out late makes the run younger than its order.

--- /dev/null
+++ b/job/availability.go
@@ -0,0 +1,103 @@
+package job
+
+import "time"
+
+// A lasting step says how many of its tasks may be away by the system's doing. Whatever ends
+// a run of such a step asks mayEnd first, in the same step of time in which the order goes
+// out: what was true when the end was decided on may not be any more.
+
+const (
+	// soundFor is how long a look speaks for a task's being at work. Looks come
+	// each second; one without an answer is known as that after 1.7 s.
+	soundFor = 1500 * time.Millisecond
+	// freshLook is the longest that a look may have taken, and its answer have waited, to
+	// show that a run is not at work yet: less than the fastest tasks take to be, 0.3 s.
+	freshLook = 150 * time.Millisecond
+)
+
+// guarded reports whether only some of the step's tasks may be away.
+func (s *step) guarded() bool {
+	return s.Lasting && s.MayMiss > 0
+}
+
+// mayEnd reports whether an order to end the run may go out now: no more tasks of its step
+// are away then than it bears, or the run is not at work in any case.
+func (c *Core) mayEnd(r *run) bool {
+	s := r.task.of
+	if !s.guarded() || s.of.job.state.Final() {
+		return true
+	}
+	return len(s.awayBeside(r.task, c.now)) < s.MayMiss || c.notAtWork(r)
+}
+
+// awayBeside returns the numbers of the step's tasks but one that are not known to be at
+// work.
+func (s *step) awayBeside(t *task, now time.Time) []int {
+	var l []int
+	for _, o := range s.tasks {
+		if o != t && !o.sound(now) {
+			l = append(l, o.index)
+		}
+	}
+	return l
+}
+
+// sound reports whether a lasting task is at work, by what its worker has said
+// of late.
+func (t *task) sound(now time.Time) bool {
+	if !t.atWork {
+		return false
+	}
+	for _, r := range t.runs {
+		if r.at.silent > 0 || now.Sub(r.at.lookedAt) > soundFor {
+			return false
+		}
+	}
+	return true
+}
+
+// notAtWork reports whether the run is known not to be at work at this moment. The age of a
+// run does not tell: where its start was carried out late, or looks came late, a run may be
+// at work by now that the last look showed on its way.
+func (c *Core) notAtWork(r *run) bool {
+	if c.now.Sub(r.at.askedAt) > freshLook {
+		return false
+	}
+	return c.stuck(r)
+}
+
+// stuck reports whether the run was on its way to be at work by the last look, and has
+// made no progress for longer than that takes.
+func (c *Core) stuck(r *run) bool {
+	return r.listed && r.percent < 100 && c.now.Sub(r.movedAt) > warmUp
+}
+
+// stopInputs are the figures that decide whether a lasting run may be stopped: which others
+// of its step are away, for how long at most, and by how old a look the run itself is known.
+func (c *Core) stopInputs(r *run) []any {
+	s := r.task.of
+	if !s.guarded() {
+		return nil
+	}
+	away := s.awayBeside(r.task, c.now)
+	var longest time.Duration
+	for _, x := range away {
+		if o := s.tasks[x]; !o.awaySince.IsZero() {
+			longest = max(longest, c.now.Sub(o.awaySince))
+		}
+	}
+	return []any{
+		"away", len(away), "away_tasks", away, "away_ms", longest.Milliseconds(), "may_miss", s.MayMiss,
+		"percent", r.percent, "at_work", r.task.atWork, "look_ms", c.now.Sub(r.at.lookedAt).Milliseconds(), "age_ms", c.now.Sub(r.sentAt).Milliseconds(),
+	}
+}
+
+// holdStop logs, once for a run, that its stop waits for others of its step.
+func (c *Core) holdStop(r *run) {
+	if r.stopHeld {
+		return
+	}
+	r.stopHeld = true
+	t := r.task
+	c.do(Note{What: "stop held back", Job: t.of.of.job.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Why: "as many others of its step are away as it bears", Inputs: c.stopInputs(r)})
+}
--- a/job/looks.go
+++ b/job/looks.go
@@ -142,7 +142,7 @@
 		c.reorder(w.Service)
 	}
 	w.lookAt = c.now
-	w.lookedAt = c.now
+	w.lookedAt, w.askedAt = c.now, e.SentAt
 	w.hearClock(e.Look.Clock, c.now)
 	w.acked = max(w.acked, e.Acked)
 	c.takeEnds(w, e.Look.Ended)
--- a/job/worker.go
+++ b/job/worker.go
@@ -98,8 +98,9 @@
 
 	lookAt     time.Time
 	lookSentAt time.Time
-	// heardAt is when it last answered, lookedAt when it last answered a look.
-	heardAt, lookedAt time.Time
+	// heardAt is when it last answered, lookedAt when it last answered a look, and askedAt
+	// when that look was sent.
+	heardAt, lookedAt, askedAt time.Time
 	// silent counts the looks in a row without an answer.
 	silent int
 	// fullUntil holds back starts after a rejection for lack of room, or while
