A start of a lasting task that was not answered, and one that stands still, are stopped only when the run is known not to be at work

Callers saw several lasting tasks of one host, three of one step among them, stopped within a millisecond and at work, while others of their steps were away. Cause: their starts had been left without an answer and were carried out late; one look that did not list them, at any time before, had been enough to stop them, and the stop asked nobody how many were away. A run that stands still was stopped in the same way.

Both now ask mayEnd. Such runs are looked at each 0.1 s without a wait, and the stop follows an answer that does not list the run, or shows it standing still, within 150 ms of the question. Where no look is that fast, an older one will do after a while, since tasks of one step would otherwise wait for one another. The tests failed before.

--- a/job/availability.go
+++ b/job/availability.go
@@ -13,6 +13,8 @@
 	// freshLook is the longest that a look may have taken, and its answer have waited, to
 	// show that a run is not at work yet: less than the fastest tasks take to be, 0.3 s.
 	freshLook = 150 * time.Millisecond
+	// slowLooksAfter is how long a run waits for such a look before an older one will do.
+	slowLooksAfter = 3 * time.Second
 )
 
 // guarded reports whether only some of the step's tasks may be away.
@@ -60,16 +62,22 @@
 // run does not tell: where its start was carried out late, or looks came late, a run may be
 // at work by now that the last look showed on its way.
 func (c *Core) notAtWork(r *run) bool {
-	if c.now.Sub(r.at.askedAt) > freshLook {
-		return false
+	return (r.absent || r.stuck(c.now)) && c.now.Sub(r.at.askedAt) <= r.lookBound(c.now)
+}
+
+// lookBound is how old the look may be that speaks for the run. Where no look is answered
+// soon, tasks that wait for one another to be at work would wait without end.
+func (r *run) lookBound(now time.Time) time.Duration {
+	if now.Sub(latest(r.knownAt, r.movedAt)) > warmUp+slowLooksAfter {
+		return soundFor
 	}
-	return c.stuck(r)
+	return freshLook
 }
 
 // stuck reports whether the run was on its way to be at work by the last look, and has
 // made no progress for longer than that takes.
-func (c *Core) stuck(r *run) bool {
-	return r.listed && r.percent < 100 && c.now.Sub(r.movedAt) > warmUp
+func (r *run) stuck(now time.Time) bool {
+	return r.listed && r.percent < 100 && now.Sub(r.movedAt) > warmUp
 }
 
 // stopInputs are the figures that decide whether a lasting run may be stopped: which others
--- a/job/availability_test.go
+++ b/job/availability_test.go
@@ -57,3 +57,94 @@
 	f.took(l[0])
 	return l[0]
 }
+
+// unheard has w2, on which a task of threeAtWork runs, answer nothing for so long that the
+// task may be away, and the task of w1 start on w4, which leaves the start unanswered.
+func unheard(f *fixture) (at map[platform.WorkerID]StartRun, moved StartRun) {
+	at = threeAtWork(f)
+	f.join("w4")
+	f.drain("w1")
+	f.pass(2 * tickEvery)
+	f.step(Stopped{Worker: "w1", Run: at["w1"].Order.Run, Task: at["w1"].Order.Task, Clock: f.clock})
+	f.answer("w1", platform.Look{Ended: []platform.EndedRow{ended(1, at["w1"], platform.EndStopped)}})
+	f.pass(tickEvery)
+	l := f.starts()
+	require.Len(f.t, l, 1)
+	delete(at, "w1")
+	delete(at, "w2")
+	f.out = nil
+	return at, l[0]
+}
+
+// answerLate answers the look under way, which has taken for so long.
+func (f *fixture) answerLate(id platform.WorkerID, took time.Duration, l platform.Look) {
+	delete(f.looks, id)
+	l.Clock = f.clock
+	f.step(Looked{Worker: id, SentAt: f.now.Add(-took), Look: l})
+}
+
+// Lasting tasks that had just moved were stopped at work, three of a step and seven on one
+// host within a millisecond, while others of their steps were away. Their starts had been
+// left without an answer and were carried out late. The log has `start not answered`, and a
+// second later `stop`, its start was not answered, with `away` 2 of `may_miss` 1: one look
+// that did not list the run had been enough to stop it, at whatever time later and however
+// many were away.
+func TestRunWhoseStartWasNotAnsweredIsStoppedOnlyWhenItIsKnownNotToBeThere(t *testing.T) {
+	f := newFixture(t)
+	at, moved := unheard(f)
+	f.pass(soundFor)
+	f.lookAll(at)
+	f.unanswered(moved)
+	for range 10 {
+		f.pass(400 * time.Millisecond)
+		f.lookAll(at)
+		if _, ok := f.looks["w4"]; ok {
+			f.answerLate("w4", 400*time.Millisecond, platform.Look{})
+		}
+		f.pass(tickEvery)
+	}
+	require.Empty(t, f.stops(), "it may be at work by now, and the task of w2 may be away")
+	f.pass(settleLook)
+	f.answer("w4", platform.Look{})
+	require.Len(t, f.stops(), 1, "it is not there at this moment")
+}
+
+// The same for a run that makes no progress: what stands still may go on at any time.
+func TestRunThatStandsStillIsStoppedOnlyWhenItIsKnownNotToBeAtWork(t *testing.T) {
+	f := newFixture(t)
+	at, moved := unheard(f)
+	f.took(moved)
+	row := platform.Look{Running: []platform.RunningRow{runningRow(moved, 40)}}
+	for range 12 {
+		f.pass(400 * time.Millisecond)
+		f.lookAll(at)
+		if _, ok := f.looks["w4"]; ok {
+			f.answerLate("w4", 400*time.Millisecond, row)
+		}
+	}
+	require.Empty(t, f.stops(), "it may be at work by now, and the task of w2 may be away")
+	f.pass(settleLook + tickEvery)
+	f.answer("w4", row)
+	require.Len(t, f.stops(), 1)
+	require.Equal(t, "it stands still", f.noted("stop")[0].Why)
+}
+
+// Behind a narrow link no look is answered soon, and no start of any task of a step may have
+// been: they must not wait for one another without end.
+func TestRunsWhoseStartsWereNotAnsweredAreSettledWhereLooksAreSlow(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	s := oneTask()
+	s.Count, s.Lasting, s.MayMiss = 2, true, 1
+	f.submit(idA, "quick", s)
+	for _, r := range f.starts() {
+		f.unanswered(r)
+	}
+	for range 20 {
+		f.pass(400 * time.Millisecond)
+		if _, ok := f.looks["w1"]; ok {
+			f.answerLate("w1", 400*time.Millisecond, platform.Look{})
+		}
+	}
+	require.Len(t, f.stops(), 2)
+}
--- a/job/looks.go
+++ b/job/looks.go
@@ -57,7 +57,7 @@
 		// A silent worker's lease is left to lapse.
 		o.Until = w.lease(c.now)
 	}
-	if w.met && w.silent == 0 && w.seen == w.kept && len(w.runs)+len(w.strays) > 0 && !w.unsettled() {
+	if w.met && w.silent == 0 && w.seen == w.kept && len(w.runs)+len(w.strays) > 0 && !w.unsettled(c.now) {
 		o.Wait = c.lookWait(w)
 	}
 	w.looking, w.lookWaits = true, o.Wait > 0
@@ -74,16 +74,27 @@
 // may have started again unheard, as the number would have the next incarnation forget
 // ends of its own that nobody has read.
 func (w *worker) forgets() int64 {
-	if w.silent > 0 || w.unsettled() {
+	if w.silent > 0 || w.unsure() {
 		return 0
 	}
 	return w.kept
 }
 
-// unsettled reports whether a look is to tell at once whether a run has begun.
-func (w *worker) unsettled() bool {
+// unsettled reports whether a look is to tell at once how a lasting run stands: whether it
+// has begun, or is on its way to be at work. A stop of it goes by an answer that is fresh.
+func (w *worker) unsettled(now time.Time) bool {
 	for _, r := range w.runs {
-		if r.phase == unsure && !r.settles() {
+		if r.task.of.guarded() && (r.phase == unsure || r.phase == stopping && !r.stopped || r.stuck(now)) {
+			return true
+		}
+	}
+	return false
+}
+
+// unsure reports whether a start of a guarded run has not been settled.
+func (w *worker) unsure() bool {
+	for _, r := range w.runs {
+		if r.task.of.guarded() && r.phase == unsure {
 			return true
 		}
 	}
@@ -148,6 +159,9 @@
 	c.takeEnds(w, e.Look.Ended)
 	c.takeRunning(w, e.SentAt, e.Look.Running)
 	c.control(w)
+	if w.unsettled(c.now) {
+		w.lookAt = c.now.Add(settleLook)
+	}
 	if w.seen > w.kept && c.failing {
 		w.lookAt = c.now.Add(lookRetry)
 	}
@@ -202,7 +216,7 @@
 
 // heard notes what a worker says of a run.
 func (c *Core) heard(r *run, v platform.RunningRow) {
-	r.begun, r.listed, r.accused = true, true, false
+	r.begun, r.listed, r.absent, r.accused = true, true, false, false
 	if r.phase == unsure || r.phase == starting {
 		if r.phase == unsure {
 			c.do(Note{What: "start settled", Job: r.task.of.of.job.id, Task: v.Task, Run: v.Run, Worker: r.at.ID, Why: "its run is there"})
@@ -271,9 +285,10 @@
 		if r.stopped && r.knownAt.Before(sentAt) {
 			c.drop(r, lossUnlisted, "stopped before it began")
 		}
+		r.absent = true
 	case unsure:
 		// The order may still be carried out; only a stop settles it.
-		r.absent = r.absent || r.knownAt.Before(sentAt)
+		r.absent = r.knownAt.Before(sentAt)
 	case starting:
 	}
 }
--- a/job/orders.go
+++ b/job/orders.go
@@ -19,6 +19,8 @@
 	// settleAfter is how long a start without an answer waits to be listed
 	// before it is stopped.
 	settleAfter = 300 * time.Millisecond
+	// settleLook is the pause between looks that are to tell how a lasting run stands.
+	settleLook = 100 * time.Millisecond
 )
 
 // start orders a run of the task on the worker.
@@ -91,7 +93,7 @@
 // tendRuns sends the orders to stop that are owed at a worker.
 func (c *Core) tendRuns(w *worker) {
 	for _, r := range w.runs {
-		if r.phase == unsure && r.settles() && c.now.After(r.knownAt.Add(settleAfter)) {
+		if r.phase == unsure && c.now.After(r.knownAt.Add(settleAfter)) && c.settles(r) {
 			c.stop(r, "its start was not answered")
 		}
 		if r.phase == stopping && c.now.After(r.knownAt.Add(settleAfter)) {
@@ -107,11 +109,13 @@
 }
 
 // settles reports whether a run of which it is not known whether it began may be
-// stopped to settle that. A lasting task of which only some may be away could be at
-// work by now: it is listed, or not, by a look first.
-func (r *run) settles() bool {
-	s := r.task.of
-	return !s.Lasting || s.MayMiss == 0 || r.absent
+// stopped to settle that. A task of which only some may be away could be at work by now: the
+// stop follows a look that does not list it at once, or waits until others are at work.
+func (c *Core) settles(r *run) bool {
+	if !r.task.of.guarded() {
+		return true
+	}
+	return r.absent && c.mayEnd(r)
 }
 
 // apply takes in the answer to a start.
--- a/job/stall.go
+++ b/job/stall.go
@@ -27,7 +27,7 @@
 		return
 	}
 	switch {
-	case c.standsStill(r):
+	case c.standsStill(r) && c.mayEnd(r):
 		r.task.stalls++
 		c.leaveWorker(r, "it stands still")
 	case c.crawls(r):
@@ -40,7 +40,7 @@
 	t := r.task
 	still := c.now.Sub(r.movedAt)
 	if t.of.Lasting {
-		return r.percent < 100 && still > warmUp
+		return r.stuck(c.now)
 	}
 	if t.stalls >= mostStalls {
 		return false
--- a/job/state.go
+++ b/job/state.go
@@ -137,8 +137,8 @@
 	stops  int
 	// stopHeld says that the log has a stop as held back.
 	stopHeld bool
-	// absent says that a look which was sent after the start's answer was lost did not
-	// list the run.
+	// absent says that the last look, which was sent after the start's answer was lost, did
+	// not list the run.
 	absent  bool
 	percent int
 	// adoptedAt is the percent at which the owner came to know the run.
