A stop of a lasting task that is sent again asks anew how many others are away

Callers saw a lasting task stopped at work while four others of its step were away. Cause: its stop was decided when none was, was not answered, and was sent again a second and more later without another question.

Each order to stop now asks mayEnd as it goes out. A run that is seen at work meanwhile, and whose end has to wait, goes on: its stop is taken back, so that two such runs do not wait for one another. For as long as the earlier order may still be carried out, 12 s, the run does not count as at work for others of its step. The test failed before: the stop went out again.

--- a/job/availability.go
+++ b/job/availability.go
@@ -15,6 +15,9 @@
 	freshLook = 150 * time.Millisecond
 	// slowLooksAfter is how long a run waits for such a look before an older one will do.
 	slowLooksAfter = 3 * time.Second
+	// lateOrders is how much later than it was sent an order may be carried out that was not
+	// answered.
+	lateOrders = 12 * time.Second
 )
 
 // guarded reports whether only some of the step's tasks may be away.
@@ -51,7 +54,7 @@
 		return false
 	}
 	for _, r := range t.runs {
-		if r.at.silent > 0 || now.Sub(r.at.lookedAt) > soundFor {
+		if r.at.silent > 0 || now.Sub(r.at.lookedAt) > soundFor || now.Before(r.stopDoubtedUntil) {
 			return false
 		}
 	}
@@ -80,6 +83,19 @@
 	return r.listed && r.percent < 100 && now.Sub(r.movedAt) > warmUp
 }
 
+// takeStopBack lets a run go on that is at work although its stop was decided, and whose end
+// has to wait for others. Two such stops would wait for one another without end.
+func (c *Core) takeStopBack(r *run) {
+	if r.phase != stopping || r.stopped || r.stopSent || r.percent < 100 || c.mayEnd(r) {
+		return
+	}
+	r.phase = running
+	r.stopHeld = false
+	r.stopDoubtedUntil = c.now.Add(lateOrders)
+	t := r.task
+	c.do(Note{What: "stop taken back", Job: t.of.of.job.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Why: "it is at work, and others of its step are away", Inputs: c.stopInputs(r)})
+}
+
 // stopInputs are the figures that decide whether a lasting run may be stopped: which others
 // of its step are away, for how long at most, and by how old a look the run itself is known.
 func (c *Core) stopInputs(r *run) []any {
--- a/job/availability_test.go
+++ b/job/availability_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"amberway/common"
 	"amberway/platform"
 )
 
@@ -148,3 +149,39 @@
 	}
 	require.Len(t, f.stops(), 2)
 }
+
+// A stop of a lasting task that nobody was away beside was not answered, and was sent again
+// 1.1 s later, when four others of its step had gone: `stop sent again`, `sent` 1,
+// `decided_ms` 1130, `away` 4 of `may_miss` 1. The run had begun and was at work by then.
+// Only the decision had asked how many were away.
+func TestStopThatIsRepeatedAsksAnewHowManyAreAway(t *testing.T) {
+	f := newFixture(t)
+	at := threeAtWork(f)
+	w1 := at["w1"]
+	f.join("w4")
+	f.drain("w1")
+	f.pass(2 * tickEvery)
+	require.Len(t, f.stops(), 1)
+	delete(at, "w2")
+	f.workAll(at, soundFor)
+	f.step(Stopped{Worker: "w1", Run: w1.Order.Run, Task: w1.Order.Task, Err: common.ErrUnknown})
+	f.workAll(at, time.Second)
+	require.Len(t, f.stops(), 1, "it is at work, and what runs on w2 may be away")
+	require.Len(t, f.noted("stop taken back"), 1)
+}
+
+// Two stops that were not answered must not wait for one another without end.
+func TestStopsThatWereNotAnsweredDoNotWaitForOneAnother(t *testing.T) {
+	f := newFixture(t)
+	at := threeAtWork(f)
+	f.join("w4")
+	for _, id := range []platform.WorkerID{"w1", "w2"} {
+		r := f.core.workers[id].runs[runID{task: taskKey{id: idA, index: at[id].index()}, number: at[id].Order.Run}]
+		f.core.stop(r, "its worker is to be emptied")
+		r.stopSent = false
+		f.drain(id)
+	}
+	f.out = nil
+	f.workAll(at, lateOrders+2*time.Second)
+	require.Len(t, f.stops(), 1)
+}
--- a/job/looks.go
+++ b/job/looks.go
@@ -232,6 +232,7 @@
 	r.level = v.Level
 	c.checkRun(r)
 	c.prove(r)
+	c.takeStopBack(r)
 	t := r.task
 	if v.Snapshot != "" && t.of.Checkpoints {
 		t.snapshot = v.Snapshot
--- a/job/orders.go
+++ b/job/orders.go
@@ -66,10 +66,16 @@
 	c.sendStop(r)
 }
 
+// sendStop sends the order to stop that is owed. Each time it asks anew whether the run may
+// end: others of its step may be away by now that were at work when its stop was decided.
 func (c *Core) sendStop(r *run) {
 	if r.stopSent || r.stopped {
 		return
 	}
+	if !c.mayEnd(r) {
+		c.holdStop(r)
+		return
+	}
 	if r.stops > 0 {
 		c.noteStopAgain(r)
 	}
--- a/job/state.go
+++ b/job/state.go
@@ -137,6 +137,9 @@
 	stops  int
 	// stopHeld says that the log has a stop as held back.
 	stopHeld bool
+	// stopDoubtedUntil is until when an order to stop that was not answered, and was taken
+	// back, may be carried out.
+	stopDoubtedUntil time.Time
 	// absent says that the last look, which was sent after the start's answer was lost, did
 	// not list the run.
 	absent  bool
