A worker's first answer to a next owner does not speak for its lasting tasks

Callers saw a lasting task stopped at work a second after a takeover, while another of its step was away. Cause: an owner that only the store had let go had stopped the other one just before its worker first answered the next owner. A worker lists a run for as long as its stop takes, and the pause after a takeover that is meant for this, 2.1 s, was nearly over when that first answer came. Evidence: a draw of the model with such owners, whose log has run taken over at 53.97 and the stop at 55.1, away 0, by a look of 1.1 s before, while the owner before had sent its stop at 53.6.

A look speaks for lasting tasks once it was sent 0.9 s after the worker's first answer to this owner. The test failed before; the model draws owners that the store alone has let go, records that go, and cancelled jobs as well.

--- a/job/availability.go
+++ b/job/availability.go
@@ -13,6 +13,9 @@
 	// freshLook is the longest that a look may have taken, and its answer have waited, to
 	// show that a run is not at work yet: less than the fastest tasks take to be, 0.3 s.
 	freshLook = 150 * time.Millisecond
+	// stopsEnd is the longest that a worker takes to end a run: until then it lists one that
+	// it was told to stop.
+	stopsEnd = 900 * time.Millisecond
 	// slowLooksAfter is how long a run waits for such a look before an older one will do.
 	slowLooksAfter = 3 * time.Second
 	// lateOrders is how much later than it was sent an order may be carried out that was not
@@ -54,13 +57,20 @@
 		return false
 	}
 	for _, r := range t.runs {
-		if r.at.silent > 0 || now.Sub(r.at.lookedAt) > soundFor || now.Before(r.stopDoubtedUntil) {
+		if !r.at.speaksFor(now) || now.Before(r.stopDoubtedUntil) {
 			return false
 		}
 	}
 	return true
 }
 
+// speaksFor reports whether the last look at the worker tells that what it lists as at work
+// goes on. Before its first answer to this owner, it may have taken an order to stop from the
+// owner before.
+func (w *worker) speaksFor(now time.Time) bool {
+	return w.silent == 0 && now.Sub(w.lookedAt) <= soundFor && !w.askedAt.Before(w.metAt.Add(stopsEnd))
+}
+
 // notAtWork reports whether the run is known not to be at work at this moment. The age of a
 // run does not tell: where its start was carried out late, or looks came late, a run may be
 // at work by now that the last look showed on its way.
--- a/job/availability_test.go
+++ b/job/availability_test.go
@@ -185,3 +185,50 @@
 	f.workAll(at, lateOrders+2*time.Second)
 	require.Len(t, f.stops(), 1)
 }
+
+// A lasting task was stopped at work while another of its step was away, a second after a
+// takeover. The owner before, which only the store had let go, had stopped the other one just
+// before that task's worker first answered the next owner: `run taken over`, then `stop` of
+// the second, `away` 0 by a look of 1.1 s before. A worker lists a run that it was told to
+// stop for as long as the stop takes, and its first answer came so late that the pause after
+// a takeover, which is meant for that, was over a moment later.
+func TestFirstAnswerOfAWorkerDoesNotSpeakForItsLastingTasks(t *testing.T) {
+	f := newFixture(t)
+	s := oneTask()
+	s.Count, s.Lasting, s.MayMiss, s.MilliCores = 2, true, 1, 4000
+	f.submit(idA, "quick", s)
+	row := func(index int) platform.Look {
+		k := taskKey{id: idA, index: index}
+		return platform.Look{Running: []platform.RunningRow{{Task: k.String(), Run: int64(99*runsPerFence + index), Percent: 100}}}
+	}
+	answer := func(id platform.WorkerID, index int) {
+		if _, ok := f.looks[id]; ok {
+			f.answer(string(id), row(index))
+		}
+	}
+	f.step(WorkerListed{Worker: testWorker("w1")})
+	f.step(WorkerListed{Worker: testWorker("w2")})
+	for f.now.Before(f.core.evacuateAt.Add(-100 * time.Millisecond)) {
+		answer("w2", 1)
+		f.pass(tickEvery)
+	}
+	answer("w1", 0)
+	f.join("w3")
+	f.drain("w2")
+	for range 10 {
+		f.pass(tickEvery)
+		answer("w2", 1)
+	}
+	require.Empty(t, f.stops(), "the owner before may have stopped the other one")
+	for range 10 {
+		f.pass(tickEvery)
+		answer("w2", 1)
+		if f.now.After(f.core.workers["w1"].metAt.Add(stopsEnd)) {
+			answer("w1", 0)
+		}
+	}
+	f.pass(lookWait)
+	answer("w1", 0)
+	f.pass(tickEvery)
+	require.NotEmpty(t, f.stops())
+}
--- a/job/world_lasting_test.go
+++ b/job/world_lasting_test.go
@@ -340,6 +340,15 @@
 			"kill":   func(*rapid.T) { w.succeed(func(o *worldOwner) { o.dead = true }) },
 			"freeze": func(*rapid.T) { w.succeed(w.freeze) },
 			"split":  func(*rapid.T) { w.split() },
+			"abandon": func(*rapid.T) {
+				// The old owner goes on giving orders: only the store has let it go.
+				w.succeed(func(o *worldOwner) { w.after(ownerAuthority, func() { o.dead = true }) })
+			},
+			"unlist": func(*rapid.T) { w.unlist() },
+			"cancel": func(*rapid.T) { w.cancelSome() },
+			"slow": func(t *rapid.T) {
+				w.slowBy = rapid.SampledFrom([]int{1, 10}).Draw(t, "slow_by")
+			},
 		})
 	})
 }
