Soak: lasting jobs of which only some tasks may be away, waves in series and a load by turns

The stand-ins' lasting tasks were at work in their first millisecond, never failed and ended at once when stopped, and nothing counted how many of a job were away as one more was ended by an order. Lasting tasks count a third of others where room is judged, which they take, so that the older check of tasks that are away holds at least as often.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -44,11 +44,30 @@
 // succeeded is what callers get for a job that is done.
 const succeeded = `{"state":"succeeded"}`
 
+// Where the load has turns, the queues take turnCalls jobs by turns; one of offTurn goes to
+// another queue meanwhile.
+const (
+	turnCalls = 40
+	offTurn   = 10
+)
+
+// queueOf returns the queue of job n.
+func (r *Run) queueOf(n int) string {
+	if !r.Lasting {
+		return queues[n%len(queues)]
+	}
+	turn := n / turnCalls
+	if n%offTurn == 0 {
+		turn++
+	}
+	return queues[turn%len(queues)]
+}
+
 // call hands job n in, at another entry host after each answer that is no
 // success, and follows it to its end.
 func (r *Run) call(n int) {
 	id := fmt.Sprintf("%016x", n+1)
-	queue := queues[n%len(queues)]
+	queue := r.queueOf(n)
 	if !r.handIn(n, queue, id, work(n)) {
 		return
 	}
--- a/internal/soak/lasting.go
+++ b/internal/soak/lasting.go
@@ -63,6 +63,41 @@
 // lastingIDs begins the ids of lasting jobs.
 const lastingIDs = 0x1000000
 
+// Figures of the lasting jobs of which only some tasks may be away.
+const (
+	// guardedJobs is how many there are, guardedTasks how many tasks each has, of which one
+	// or two may be away, and guardedCPU what a task takes.
+	guardedJobs, guardedTasks = 6, 5
+	guardedCPU                = 300
+	guardedIDs                = 0x4000000
+	// guardedSpec has tasks need time to be at work, and fail by themselves.
+	guardedSpec = "lasts warms:1500ms fails-each:1m"
+)
+
+// beginGuarded hands in the lasting jobs of which only some tasks may be away, and returns
+// their tasks.
+func (r *Run) beginGuarded() []*lasting {
+	var l []*lasting
+	for i := range guardedJobs {
+		queue := queues[i%len(queues)]
+		id := fmt.Sprintf("%016x", guardedIDs+i)
+		mayMiss := 1 + i/len(queues)%2
+		r.jobs.Fleet.Books.Guard(id, guardedTasks, mayMiss)
+		j := fleet.Job{Spec: guardedSpec, Steps: []fleet.Step{
+			{Count: guardedTasks, CPU: guardedCPU, MemMB: 100, Daemon: true, MayMiss: mayMiss},
+		}}
+		code, body, err := r.entry(0).Call(http.MethodPost, queue, id, j)
+		if err != nil || code != http.StatusOK {
+			r.brokef("%s was not accepted before any fault: %d %s %v", id, code, body, err)
+			continue
+		}
+		for x := range guardedTasks {
+			l = append(l, &lasting{task: fmt.Sprintf("%s.0.0.%d", id, x), queue: queue})
+		}
+	}
+	return l
+}
+
 // watchLasting checks that each task is at work again in time: in calm, with
 // room, it is away for restartIn at most, and overdueFor more to count.
 func (r *Run) watchLasting(l []*lasting) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +20,9 @@
 	Workers int
 	// Crashing has jobs handed in whose task crashes each worker that starts it.
 	Crashing bool
+	// Lasting has lasting jobs handed in of which only some tasks may be away, beside waves
+	// in series and a load by turns.
+	Lasting bool
 	// Bin is the folder with the programs, Dir the one for logs.
 	Bin, Dir string
 	// Out takes a line for each event.
@@ -68,6 +73,9 @@
 	}
 	r.jobs.Fleet.Books.CheckOrder(firstStep)
 	l := r.beginLasting()
+	if r.Lasting {
+		l = append(l, r.beginGuarded()...)
+	}
 	r.endsAt = time.Now().Add(o.For + settle)
 	r.watchedTo = time.Now().Add(o.For + watchFor)
 	var wg sync.WaitGroup
@@ -133,13 +141,24 @@
 
 func (r *Run) disturb(wg *sync.WaitGroup) {
 	begun := time.Now()
-	for _, e := range Plan(r.Seed, r.Entries, r.For) {
+	for _, e := range r.plan() {
 		time.Sleep(e.At - time.Since(begun))
 		fmt.Fprintln(r.Out, e)
 		wg.Go(func() { r.hit(e) })
 	}
 }
 
+// plan returns the events of the run.
+func (r *Run) plan() []Event {
+	l := Plan(r.Seed, r.Entries, r.For)
+	if !r.Lasting {
+		return l
+	}
+	l = append(l, waves(rand.New(rand.NewPCG(r.Seed, 4)), r.For)...)
+	slices.SortStableFunc(l, func(a, b Event) int { return int(a.At - b.At) })
+	return l
+}
+
 func (r *Run) report() Report {
 	b := r.jobs.Fleet.Books
 	r.countLate()
@@ -153,6 +172,7 @@
 			r.brokef("wave %d had %d machines down, and %d may be", n+1, m, waveCap)
 		}
 	}
+	r.counts["ended at work"] = b.Endings()
 	return Report{Counts: r.counts, Starts: b.Starts(), Broken: append(r.broken, b.Broken()...)}
 }
 
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -75,6 +75,15 @@
 	return l
 }
 
+// waves returns a wave each two to six seconds.
+func waves(r *rand.Rand, until time.Duration) []Event {
+	var l []Event
+	for at := between(r, time.Second, 3*time.Second); at < until; at += between(r, 2*time.Second, 6*time.Second) {
+		l = append(l, Event{At: at, Kind: Wave})
+	}
+	return l
+}
+
 // strays returns what leaves runs behind that nobody expects: orders to stop and to
 // start that are carried out late, the last of them at the end of the burst, and the
 // loss of the owner that gave them, for good or not.
--- a/internal/standin/fleet/behaviour.go
+++ b/internal/standin/fleet/behaviour.go
@@ -9,10 +9,20 @@
 type behaviour struct {
 	work                  time.Duration
 	lasts, fails, crashes bool
+	// warms is the longest that a lasting task takes to be at work, and failsEach how long it
+	// is there in the mean before it fails by itself; never, if zero.
+	warms, failsEach time.Duration
 }
 
+// Words of a spec that name a time.
+const (
+	warmsWord     = "warms:"
+	failsEachWord = "fails-each:"
+)
+
 // behaviourOf reads how a task behaves from its job's spec: a duration, "lasts", "fails"
-// after a duration, or "crashes" its worker soon after its start.
+// after a duration, or "crashes" its worker soon after its start. A lasting task may take a
+// time to be at work ("warms:1s") and fail now and then ("fails-each:1m").
 func behaviourOf(spec string) behaviour {
 	var b behaviour
 	for _, f := range strings.Fields(spec) {
@@ -24,6 +34,7 @@
 		case "crashes":
 			b.crashes = true
 		default:
+			b.readTime(f)
 			if v, err := time.ParseDuration(f); err == nil {
 				b.work = v
 			}
@@ -32,5 +43,14 @@
 	return b
 }
 
+// readTime reads a word that names a time.
+func (b *behaviour) readTime(word string) {
+	for prefix, d := range map[string]*time.Duration{warmsWord: &b.warms, failsEachWord: &b.failsEach} {
+		if v, ok := strings.CutPrefix(word, prefix); ok {
+			*d, _ = time.ParseDuration(v)
+		}
+	}
+}
+
 // crashesAfter is how long a worker lives on once a task has started that crashes it.
 const crashesAfter = 10 * time.Millisecond
--- a/internal/standin/fleet/books.go
+++ b/internal/standin/fleet/books.go
@@ -26,6 +26,7 @@
 	firstStep int
 	// crashes counts the workers that crashed under each task.
 	crashes map[string]int
+	guards
 }
 
 // Going is a run that goes on.
@@ -39,7 +40,7 @@
 
 // NewBooks returns empty books.
 func NewBooks() *Books {
-	return &Books{going: map[string]Going{}, done: map[string]bool{}, started: map[string]bool{}, noted: map[string]bool{}, crashes: map[string]int{}}
+	return &Books{going: map[string]Going{}, done: map[string]bool{}, started: map[string]bool{}, noted: map[string]bool{}, crashes: map[string]int{}, guards: newGuards()}
 }
 
 func (b *Books) began(task string, number int64, worker string, late bool) {
@@ -120,6 +121,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.going, task)
+	b.leftWork(task)
 	if how == "done" {
 		b.done[task] = true
 	}
--- a/internal/standin/fleet/machines.go
+++ b/internal/standin/fleet/machines.go
@@ -236,6 +236,7 @@
 		answer(w, http.StatusConflict, map[string]string{"reason": "busy"})
 	default:
 		f.moves++
+		m.worker.endByOrder()
 		f.halt(m)
 		m.Pool, m.State = q.Pool, "moving"
 		time.AfterFunc(f.DownFor, func() { f.up(m, 0) })
@@ -262,6 +263,7 @@
 	case m.State != "up", m.leaving:
 		answer(w, http.StatusConflict, map[string]string{"reason": "busy"})
 	default:
+		m.worker.endByOrder()
 		f.halt(m)
 		m.wave, m.State = q.Wave, "upkeep"
 		f.down[q.Wave]++
--- a/internal/standin/fleet/removal.go
+++ b/internal/standin/fleet/removal.go
@@ -48,6 +48,7 @@
 			continue
 		}
 		m.leaving = true
+		m.worker.setLeaving()
 		if r.Drain > 0 {
 			return m, f.Store.Put("servers/"+m.ID, m.worker.record(true))
 		}
@@ -83,7 +84,8 @@
 }
 
 // HasRoom reports whether a worker of the pool answers, is not leaving and has at
-// most so many runs, or a machine is there that is switched off.
+// most so many runs, of which three lasting ones count as one, or a machine is there that
+// is switched off.
 func (f *Fleet) HasRoom(pool string, most int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -113,9 +115,19 @@
 func (w *worker) hasRoom(most int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.silent && len(w.runs) <= most
+	used := 0
+	for _, r := range w.runs {
+		used += lastingOfOne
+		if r.lasting {
+			used -= lastingOfOne - 1
+		}
+	}
+	return !w.silent && used <= most*lastingOfOne
 }
 
+// lastingOfOne is how many lasting tasks take the room of another task.
+const lastingOfOne = 3
+
 // leave ends the life for good.
 func (w *worker) leave(hangs bool) {
 	if !hangs {
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -25,6 +25,8 @@
 	mu      sync.Mutex
 	over    bool
 	silent  bool
+	// leaving says that its record tells that it leaves.
+	leaving bool
 	// late says by how much orders are late, if not nil.
 	late    func() time.Duration
 	fence   int64
@@ -39,15 +41,6 @@
 	changed chan struct{}
 }
 
-type run struct {
-	number  int64
-	began   time.Time
-	work    time.Duration
-	lasting bool
-	failing bool
-	pace    int
-}
-
 // newWorker returns a worker that listens at the address and has just started by its
 // machine's clock, which is off by a little.
 func newWorker(id, address string, off time.Duration, m *Machine, b *Books) (*worker, error) {
@@ -107,31 +100,6 @@
 	return time.Since(w.born).Milliseconds()
 }
 
-// live ends the runs that are over.
-func (w *worker) live() {
-	for t, r := range w.runs {
-		how := "done"
-		switch {
-		case w.until > 0 && w.clock() > w.until:
-			how = "lapsed"
-		case r.lasting || time.Since(r.began) < r.work:
-			continue
-		case r.failing:
-			how = "failed"
-		}
-		w.finish(t, r, how)
-	}
-}
-
-func (w *worker) finish(task string, r *run, how string) {
-	delete(w.runs, task)
-	w.number++
-	w.ended = append(w.ended, []any{w.number, task, r.number, how, ""})
-	w.books.ended(task, r.number, how)
-	close(w.changed)
-	w.changed = make(chan struct{})
-}
-
 func (w *worker) refuse(rw http.ResponseWriter, reason string) {
 	answer(rw, http.StatusConflict, map[string]any{"clock_ms": w.clock(), "reason": reason})
 }
@@ -166,7 +134,7 @@
 		w.until = max(w.until, q.UntilMs)
 		w.highest[q.Task] = q.Run
 		b := behaviourOf(q.Spec)
-		w.runs[q.Task] = &run{number: q.Run, began: time.Now(), work: b.work, lasting: b.lasts, failing: b.fails, pace: 100}
+		w.runs[q.Task] = newRun(q.Run, b)
 		if b.crashes {
 			time.AfterFunc(crashesAfter, w.crash)
 		}
@@ -193,7 +161,7 @@
 	w.fence = q.Fence
 	w.highest[q.Task] = max(w.highest[q.Task], q.Run)
 	if o := w.runs[q.Task]; o != nil && o.number == q.Run {
-		w.finish(q.Task, o, "stopped")
+		w.stop(q.Task, o, r.Header.Get(lateHeader) != "")
 	}
 	answer(rw, http.StatusOK, map[string]int64{"clock_ms": w.clock()})
 }
@@ -257,13 +225,6 @@
 	w.mu.Lock()
 }
 
-func (r *run) percent() int {
-	if r.lasting {
-		return 100
-	}
-	return int(min(99, 100*time.Since(r.began)/max(1, r.work)))
-}
-
 func (w *worker) address() string {
 	return strings.TrimPrefix(w.server.URL, "http://")
 }
