--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -148,12 +148,18 @@
 	}
 }
 
+// waveFaults is how many events of a plan come to one that stays beside waves in series:
+// where faults follow one another at once, owners do not last long enough to empty hosts.
+const waveFaults = 5
+
 // plan returns the events of the run.
 func (r *Run) plan() []Event {
 	l := Plan(r.Seed, r.Entries, r.For)
 	if !r.Lasting {
 		return l
 	}
+	n := 0
+	l = slices.DeleteFunc(l, func(Event) bool { n++; return n%waveFaults != 0 })
 	l = append(l, waves(rand.New(rand.NewPCG(r.Seed, 4)), r.For)...)
 	slices.SortStableFunc(l, func(a, b Event) int { return int(a.At - b.At) })
 	return l
