--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -14,21 +14,22 @@
 // soakSeeds are the seeds that run in each check: one at large, and each that
 // ever broke a promise, with its cause.
 var soakSeeds = []struct {
-	seed     uint64
-	lasts    time.Duration
-	crashing bool
-	cause    string
+	seed              uint64
+	lasts             time.Duration
+	crashing, lasting bool
+	cause             string
 }{
-	{1, 8 * time.Second, false, "a worker whose first clock is zero was taken for lapsed, in one of 16 plays"},
-	{2, 8 * time.Second, false, "a next owner waited for a host that was removed for good and started no lasting task for 10.5 s"},
-	{4000, 8 * time.Second, true, "a task that crashes its workers was started without end"},
-	{7306, 15 * time.Second, true, "a sound job was given up for the crash of a worker whose next incarnation ran it, once in two plays"},
+	{1, 8 * time.Second, false, false, "a worker whose first clock is zero was taken for lapsed, in one of 16 plays"},
+	{2, 8 * time.Second, false, false, "a next owner waited for a host that was removed for good and started no lasting task for 10.5 s"},
+	{4000, 8 * time.Second, true, false, "a task that crashes its workers was started without end"},
+	{7306, 15 * time.Second, true, false, "a sound job was given up for the crash of a worker whose next incarnation ran it, once in two plays"},
+	{8120, 30 * time.Second, false, true, "a lasting run whose start was not answered was stopped at work while another of its step was away, in one play"},
 }
 
 func TestPromisesHoldInTheSoak(t *testing.T) {
 	for _, s := range soakSeeds {
 		t.Run(fmt.Sprint("seed-", s.seed), func(t *testing.T) {
-			r, err := soak.Do(soak.Options{Seed: s.seed, For: s.lasts, Entries: 4, Workers: 5, Crashing: s.crashing, Bin: binaries, Dir: t.TempDir(), Out: io.Discard})
+			r, err := soak.Do(soak.Options{Seed: s.seed, For: s.lasts, Entries: 4, Workers: 5, Crashing: s.crashing, Lasting: s.lasting, Bin: binaries, Dir: t.TempDir(), Out: io.Discard})
 			require.NoError(t, err)
 			require.Empty(t, r.Broken, s.cause)
 			require.Positive(t, r.Counts["succeeded"])
