--- a/internal/soak/lasting.go
+++ b/internal/soak/lasting.go
@@ -43,19 +43,24 @@
 func (r *Run) beginLasting() []*lasting {
 	var l []*lasting
 	for i := range 2 * lastingJobs {
-		queue := queues[i%len(queues)]
-		id := fmt.Sprintf("%016x", lastingIDs+i)
-		j := fleet.Job{Spec: "lasts", Steps: []fleet.Step{
-			{Count: lastingTasks, CPU: lastingCPU, MemMB: 100, Daemon: true, MayMiss: i % 3},
-		}}
-		code, body, err := r.entry(0).Call(http.MethodPost, queue, id, j)
-		if err != nil || code != http.StatusOK {
-			r.brokef("%s was not accepted before any fault: %d %s %v", id, code, body, err)
-			continue
-		}
-		for x := range lastingTasks {
-			l = append(l, &lasting{task: fmt.Sprintf("%s.0.0.%d", id, x), queue: queue})
-		}
+		l = append(l, r.handInLasting(i, lastingIDs+i, "lasts", fleet.Step{
+			Count: lastingTasks, CPU: lastingCPU, MemMB: 100, Daemon: true, MayMiss: i % 3,
+		})...)
+	}
+	return l
+}
+
+// handInLasting hands in a job of one lasting step before any fault, and returns its tasks.
+func (r *Run) handInLasting(i, id int, spec string, s fleet.Step) []*lasting {
+	queue, name := queues[i%len(queues)], fmt.Sprintf("%016x", id)
+	code, body, err := r.entry(0).Call(http.MethodPost, queue, name, fleet.Job{Spec: spec, Steps: []fleet.Step{s}})
+	if err != nil || code != http.StatusOK {
+		r.brokef("%s was not accepted before any fault: %d %s %v", name, code, body, err)
+		return nil
+	}
+	var l []*lasting
+	for x := range s.Count {
+		l = append(l, &lasting{task: fmt.Sprintf("%s.0.0.%d", name, x), queue: queue})
 	}
 	return l
 }
@@ -79,21 +84,11 @@
 func (r *Run) beginGuarded() []*lasting {
 	var l []*lasting
 	for i := range guardedJobs {
-		queue := queues[i%len(queues)]
-		id := fmt.Sprintf("%016x", guardedIDs+i)
-		mayMiss := 1 + i/len(queues)%2
-		r.jobs.Fleet.Books.Guard(id, guardedTasks, mayMiss)
-		j := fleet.Job{Spec: guardedSpec, Steps: []fleet.Step{
-			{Count: guardedTasks, CPU: guardedCPU, MemMB: 100, Daemon: true, MayMiss: mayMiss},
-		}}
-		code, body, err := r.entry(0).Call(http.MethodPost, queue, id, j)
-		if err != nil || code != http.StatusOK {
-			r.brokef("%s was not accepted before any fault: %d %s %v", id, code, body, err)
-			continue
-		}
-		for x := range guardedTasks {
-			l = append(l, &lasting{task: fmt.Sprintf("%s.0.0.%d", id, x), queue: queue})
-		}
+		id, mayMiss := guardedIDs+i, 1+i/len(queues)%2
+		r.jobs.Fleet.Books.Guard(fmt.Sprintf("%016x", id), guardedTasks, mayMiss)
+		l = append(l, r.handInLasting(i, id, guardedSpec, fleet.Step{
+			Count: guardedTasks, CPU: guardedCPU, MemMB: 100, Daemon: true, MayMiss: mayMiss,
+		})...)
 	}
 	return l
 }
