Only runs of an earlier owner may be listed because their stop is under way

Every worker that had just joined was taken for one whose first answer says nothing, so that lasting tasks on hosts that had come into a pool counted as away for a look longer, and waves waited for them. It concerns runs that were taken over only; they are told by that now.

--- a/job/availability.go
+++ b/job/availability.go
@@ -57,18 +57,23 @@
 		return false
 	}
 	for _, r := range t.runs {
-		if !r.at.speaksFor(now) || now.Before(r.stopDoubtedUntil) {
+		if !r.at.looked(now) || r.mayBeStopping() || now.Before(r.stopDoubtedUntil) {
 			return false
 		}
 	}
 	return true
 }
 
-// speaksFor reports whether the last look at the worker tells that what it lists as at work
-// goes on. Before its first answer to this owner, it may have taken an order to stop from the
-// owner before.
-func (w *worker) speaksFor(now time.Time) bool {
-	return w.silent == 0 && now.Sub(w.lookedAt) <= soundFor && !w.askedAt.Before(w.metAt.Add(stopsEnd))
+// looked reports whether the worker has answered a look of late, and each one since.
+func (w *worker) looked(now time.Time) bool {
+	return w.silent == 0 && now.Sub(w.lookedAt) <= soundFor
+}
+
+// mayBeStopping reports whether the run, which an earlier owner started, may be listed only
+// because its stop is under way: its worker took orders of that owner until it first answered
+// this one.
+func (r *run) mayBeStopping() bool {
+	return r.adopted && r.at.askedAt.Before(r.sentAt.Add(stopsEnd))
 }
 
 // notAtWork reports whether the run is known not to be at work at this moment. The age of a
--- a/job/availability_test.go
+++ b/job/availability_test.go
@@ -213,6 +213,7 @@
 		f.pass(tickEvery)
 	}
 	answer("w1", 0)
+	adopted := f.now
 	f.join("w3")
 	f.drain("w2")
 	for range 10 {
@@ -223,7 +224,7 @@
 	for range 10 {
 		f.pass(tickEvery)
 		answer("w2", 1)
-		if f.now.After(f.core.workers["w1"].metAt.Add(stopsEnd)) {
+		if f.now.After(adopted.Add(stopsEnd)) {
 			answer("w1", 0)
 		}
 	}
--- a/job/looks.go
+++ b/job/looks.go
@@ -147,7 +147,7 @@
 	w.silent, w.missed = 0, 0
 	w.doubtful = false
 	if !w.met {
-		w.met, w.metAt = true, c.now
+		w.met = true
 		c.supersede(w)
 		// Jobs may have waited for what it would say of earlier owners' runs.
 		c.reorder(w.Service)
--- a/job/worker.go
+++ b/job/worker.go
@@ -67,9 +67,8 @@
 	// retired says that the roster leaves it out again: nothing runs there, and
 	// its machine has an order.
 	retired bool
-	// met says that it has answered a look with the owner's fence, metAt when it first did.
-	met   bool
-	metAt time.Time
+	// met says that it has answered a look with the owner's fence.
+	met bool
 	// clock is its clock at an answer that came at clockAt.
 	clock   platform.WorkerClock
 	clockAt time.Time
