--- a/job/availability.go
+++ b/job/availability.go
@@ -86,7 +86,14 @@
 // lookBound is how old the look may be that speaks for the run. Where no look is answered
 // soon, tasks that wait for one another to be at work would wait without end.
 func (r *run) lookBound(now time.Time) time.Duration {
-	if now.Sub(latest(r.knownAt, r.movedAt)) > warmUp+slowLooksAfter {
+	since := r.knownAt
+	switch {
+	case r.phase == stopping:
+		since = r.stopAt
+	case !r.absent:
+		since = r.movedAt.Add(warmUp)
+	}
+	if now.Sub(since) > slowLooksAfter {
 		return soundFor
 	}
 	return freshLook
