--- a/job/availability.go
+++ b/job/availability.go
@@ -105,6 +105,27 @@
 	return r.listed && r.percent < 100 && now.Sub(r.movedAt) > warmUp
 }
 
+// unsettled reports whether a look is to tell at once how a lasting run stands: whether it
+// has begun, or is on its way to be at work. A stop of it goes by an answer that is fresh.
+func (w *worker) unsettled(now time.Time) bool {
+	for _, r := range w.runs {
+		if r.task.of.guarded() && (r.phase == unsure || r.phase == stopping && !r.stopped || r.stuck(now)) {
+			return true
+		}
+	}
+	return false
+}
+
+// unsure reports whether a start of a guarded run has not been settled.
+func (w *worker) unsure() bool {
+	for _, r := range w.runs {
+		if r.task.of.guarded() && r.phase == unsure {
+			return true
+		}
+	}
+	return false
+}
+
 // takeStopBack lets a run go on that is at work although its stop was decided, and whose end
 // has to wait for others. Two such stops would wait for one another without end.
 func (c *Core) takeStopBack(r *run) {
--- a/job/looks.go
+++ b/job/looks.go
@@ -80,27 +80,6 @@
 	return w.kept
 }
 
-// unsettled reports whether a look is to tell at once how a lasting run stands: whether it
-// has begun, or is on its way to be at work. A stop of it goes by an answer that is fresh.
-func (w *worker) unsettled(now time.Time) bool {
-	for _, r := range w.runs {
-		if r.task.of.guarded() && (r.phase == unsure || r.phase == stopping && !r.stopped || r.stuck(now)) {
-			return true
-		}
-	}
-	return false
-}
-
-// unsure reports whether a start of a guarded run has not been settled.
-func (w *worker) unsure() bool {
-	for _, r := range w.runs {
-		if r.task.of.guarded() && r.phase == unsure {
-			return true
-		}
-	}
-	return false
-}
-
 // lookWait returns how long a worker may wait for an end. Where serving tasks
 // share it with others, their tails are looked at more often.
 func (c *Core) lookWait(w *worker) time.Duration {
--- a/job/world_lasting_test.go
+++ b/job/world_lasting_test.go
@@ -29,15 +29,14 @@
 	// looksWait has a look wait for an end, as workers do.
 	looksWait bool
 	// away are the lasting tasks that are not at work.
-	away    map[string]*worldAway
-	waves   []platform.Wave
+	away  map[string]*worldAway
+	waves []platform.Wave
+	// upkeeps are the hosts that have their upkeep now.
 	upkeeps map[string]bool
 	// done are the machines that each wave has maintained.
 	done map[int64]map[string]bool
 	// stalled are the workers on which tasks make no progress, until the time.
 	stalled map[*worldWorker]time.Time
-	// stops counts the lasting tasks at work that an order has ended.
-	stops int
 	// log has what owners have noted of jobs of late.
 	log []string
 }
@@ -153,7 +152,6 @@
 	if !r.atWork(w.now) || r.step.MayMiss == 0 {
 		return
 	}
-	w.stops++
 	k, _ := parseTaskKey(r.task)
 	_, cancelled := w.cancels[k.id]
 	if !v.Draining && !late && !cancelled {
