A worker is looked at again and again only where a fresh look is needed

Where too few others of a step are away a stop needs no fresh look, and behind a link that holds looks up the pause between two is as long as a look took.

--- a/job/availability.go
+++ b/job/availability.go
@@ -105,17 +105,35 @@
 	return r.listed && r.percent < 100 && now.Sub(r.movedAt) > warmUp
 }
 
-// unsettled reports whether a look is to tell at once how a lasting run stands: whether it
-// has begun, or is on its way to be at work. A stop of it goes by an answer that is fresh.
+// unsettled reports whether a look is to tell at once how a lasting run stands: whether its
+// start was carried out or, where too many others are away, whether it is at work.
 func (w *worker) unsettled(now time.Time) bool {
 	for _, r := range w.runs {
-		if r.task.of.guarded() && (r.phase == unsure || r.phase == stopping && !r.stopped || r.stuck(now)) {
+		if r.task.of.guarded() && r.awaitsLook(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// awaitsLook reports whether only a fresh look lets an order to stop the run go out, or a
+// start be settled.
+func (r *run) awaitsLook(now time.Time) bool {
+	switch {
+	case r.phase == unsure && !r.absent:
+		return true
+	case r.phase == unsure, r.phase == stopping && !r.stopped, r.stuck(now):
+		return len(r.task.of.awayBeside(r.task, now)) >= r.task.of.MayMiss
+	}
+	return false
+}
+
+// settlePause returns how long after an answer a worker is looked at again to settle a run: a
+// link that holds looks up is not to carry nothing else.
+func (w *worker) settlePause() time.Duration {
+	return max(settleLook, w.lookedAt.Sub(w.askedAt))
+}
+
 // unsure reports whether a start of a guarded run has not been settled.
 func (w *worker) unsure() bool {
 	for _, r := range w.runs {
--- a/job/looks.go
+++ b/job/looks.go
@@ -139,7 +139,7 @@
 	c.takeRunning(w, e.SentAt, e.Look.Running)
 	c.control(w)
 	if w.unsettled(c.now) {
-		w.lookAt = c.now.Add(settleLook)
+		w.lookAt = c.now.Add(w.settlePause())
 	}
 	if w.seen > w.kept && c.failing {
 		w.lookAt = c.now.Add(lookRetry)
