Behind a narrow link a start of a lasting task is settled a second after it was not answered

What waits for a fast look takes a slower one after a second in place of three, and only as it is answered, not for 1.5 s after that.

--- a/job/availability.go
+++ b/job/availability.go
@@ -10,14 +10,14 @@
 	// soundFor is how long a look speaks for a task's being at work. Looks come
 	// each second; one without an answer is known as that after 1.7 s.
 	soundFor = 1500 * time.Millisecond
-	// freshLook is the longest that a look may have taken, and its answer have waited, to
+	// freshLook is the longest that a look may have taken, and its answer be known, to
 	// show that a run is not at work yet: less than the fastest tasks take to be, 0.3 s.
 	freshLook = 150 * time.Millisecond
 	// stopsEnd is the longest that a worker takes to end a run: until then it lists one that
 	// it was told to stop.
 	stopsEnd = 900 * time.Millisecond
-	// slowLooksAfter is how long a run waits for such a look before an older one will do.
-	slowLooksAfter = 3 * time.Second
+	// slowLooksAfter is how long a run waits for such a look before a slower one will do.
+	slowLooksAfter = time.Second
 	// lateOrders is how much later than it was sent an order may be carried out that was not
 	// answered.
 	lateOrders = 12 * time.Second
@@ -80,12 +80,17 @@
 // run does not tell: where its start was carried out late, or looks came late, a run may be
 // at work by now that the last look showed on its way.
 func (c *Core) notAtWork(r *run) bool {
-	return (r.absent || r.stuck(c.now)) && c.now.Sub(r.at.askedAt) <= r.lookBound(c.now)
+	w := r.at
+	if !r.absent && !r.stuck(c.now) || c.now.Sub(w.lookedAt) > freshLook {
+		return false
+	}
+	return c.now.Sub(w.askedAt) <= freshLook || r.waitedForLook(c.now)
 }
 
-// lookBound is how old the look may be that speaks for the run. Where no look is answered
-// soon, tasks that wait for one another to be at work would wait without end.
-func (r *run) lookBound(now time.Time) time.Duration {
+// waitedForLook reports whether the run has waited for a fast look for so long that one which
+// has just been answered will do. Where no look is fast, tasks of one step would wait for one
+// another without end.
+func (r *run) waitedForLook(now time.Time) bool {
 	since := r.knownAt
 	switch {
 	case r.phase == stopping:
@@ -93,10 +98,7 @@
 	case !r.absent:
 		since = r.movedAt.Add(warmUp)
 	}
-	if now.Sub(since) > slowLooksAfter {
-		return soundFor
-	}
-	return freshLook
+	return now.Sub(since) > slowLooksAfter
 }
 
 // stuck reports whether the run was on its way to be at work by the last look, and has
