--- a/job/availability.go
+++ b/job/availability.go
@@ -35,7 +35,12 @@
 	if !s.guarded() || s.of.job.state.Final() {
 		return true
 	}
-	return len(s.awayBeside(r.task, c.now)) < s.MayMiss || c.notAtWork(r)
+	return s.bearsAnother(r.task, c.now) || r.notAtWork(c.now)
+}
+
+// bearsAnother reports whether the step bears that the task is away beside those that may be.
+func (s *step) bearsAnother(t *task, now time.Time) bool {
+	return len(s.awayBeside(t, now)) < s.MayMiss
 }
 
 // awayBeside returns the numbers of the step's tasks but one that are not known to be at
@@ -79,12 +84,11 @@
 // notAtWork reports whether the run is known not to be at work at this moment. The age of a
 // run does not tell: where its start was carried out late, or looks came late, a run may be
 // at work by now that the last look showed on its way.
-func (c *Core) notAtWork(r *run) bool {
-	w := r.at
-	if !r.absent && !r.stuck(c.now) || c.now.Sub(w.lookedAt) > freshLook {
+func (r *run) notAtWork(now time.Time) bool {
+	if !r.absent && !r.stuck(now) || now.Sub(r.at.lookedAt) > freshLook {
 		return false
 	}
-	return c.now.Sub(w.askedAt) <= freshLook || r.waitedForLook(c.now)
+	return now.Sub(r.at.askedAt) <= freshLook || r.waitedForLook(now)
 }
 
 // waitedForLook reports whether the run has waited for a fast look for so long that one which
@@ -110,8 +114,18 @@
 // unsettled reports whether a look is to tell at once how a lasting run stands: whether its
 // start was carried out or, where too many others are away, whether it is at work.
 func (w *worker) unsettled(now time.Time) bool {
+	return w.anyGuarded(func(r *run) bool { return r.awaitsLook(now) })
+}
+
+// unsure reports whether a start of a guarded run has not been settled.
+func (w *worker) unsure() bool {
+	return w.anyGuarded(func(r *run) bool { return r.phase == unsure })
+}
+
+// anyGuarded reports whether the function holds for a guarded run on the worker.
+func (w *worker) anyGuarded(f func(*run) bool) bool {
 	for _, r := range w.runs {
-		if r.task.of.guarded() && r.awaitsLook(now) {
+		if r.task.of.guarded() && f(r) {
 			return true
 		}
 	}
@@ -125,7 +139,7 @@
 	case r.phase == unsure && !r.absent:
 		return true
 	case r.phase == unsure, r.phase == stopping && !r.stopped, r.stuck(now):
-		return len(r.task.of.awayBeside(r.task, now)) >= r.task.of.MayMiss
+		return !r.task.of.bearsAnother(r.task, now)
 	}
 	return false
 }
@@ -136,16 +150,6 @@
 	return max(settleLook, w.lookedAt.Sub(w.askedAt))
 }
 
-// unsure reports whether a start of a guarded run has not been settled.
-func (w *worker) unsure() bool {
-	for _, r := range w.runs {
-		if r.task.of.guarded() && r.phase == unsure {
-			return true
-		}
-	}
-	return false
-}
-
 // takeStopBack lets a run go on that is at work although its stop was decided, and whose end
 // has to wait for others. Two such stops would wait for one another without end.
 func (c *Core) takeStopBack(r *run) {
@@ -155,8 +159,7 @@
 	r.phase = running
 	r.stopHeld = false
 	r.stopDoubtedUntil = c.now.Add(lateOrders)
-	t := r.task
-	c.do(Note{What: "stop taken back", Job: t.of.of.job.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Why: "it is at work, and others of its step are away", Inputs: c.stopInputs(r)})
+	c.noteRun(r, "stop taken back", "it is at work, and others of its step are away", c.stopInputs(r))
 }
 
 // stopInputs are the figures that decide whether a lasting run may be stopped: which others
@@ -185,6 +188,5 @@
 		return
 	}
 	r.stopHeld = true
-	t := r.task
-	c.do(Note{What: "stop held back", Job: t.of.of.job.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Why: "as many others of its step are away as it bears", Inputs: c.stopInputs(r)})
+	c.noteRun(r, "stop held back", "as many others of its step are away as it bears", c.stopInputs(r))
 }
--- a/job/crash.go
+++ b/job/crash.go
@@ -135,9 +135,9 @@
 		t.crashes.Seen++
 	}
 	c.crashesChanged(j)
-	c.do(Note{What: "crash counted", Job: j.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Inputs: []any{
+	c.noteRun(r, "crash counted", "", []any{
 		"crashes", t.crashes.All, "begun_at", t.crashes.Seen, "alone", alone, "lived_ms", r.lived().Milliseconds(),
-	}})
+	})
 	// Hosts that crash one after the other hit a lasting task again and again, and giving its
 	// job up would stop all tasks that are at work. It starts less often instead.
 	if t.of.Lasting {
--- a/job/looks.go
+++ b/job/looks.go
@@ -276,7 +276,7 @@
 // drop removes a run that can never go on.
 func (c *Core) drop(r *run, how loss, why string) {
 	t := r.task
-	c.do(Note{What: "run gone", Job: t.of.of.job.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Why: why, Inputs: []any{"how", string(how), "lived_ms", r.lived().Milliseconds()}})
+	c.noteRun(r, "run gone", why, []any{"how", string(how), "lived_ms", r.lived().Milliseconds()})
 	r.detach()
 	r.at.idleSince = c.now
 	if t.of.Lasting {
--- a/job/orders.go
+++ b/job/orders.go
@@ -57,12 +57,11 @@
 	if r.phase == stopping {
 		return
 	}
-	t := r.task
-	c.do(Note{What: "stop", Job: t.of.of.job.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Why: why, Inputs: c.stopInputs(r)})
+	c.noteRun(r, "stop", why, c.stopInputs(r))
 	r.phase = stopping
 	r.stopSent = false
 	r.stopAt = c.now
-	t.atWork = false
+	r.task.atWork = false
 	c.sendStop(r)
 }
 
@@ -86,9 +85,13 @@
 
 // noteStopAgain logs an order to stop that is repeated, as its answer was lost.
 func (c *Core) noteStopAgain(r *run) {
-	t := r.task
-	in := append([]any{"sent", r.stops, "decided_ms", c.now.Sub(r.stopAt).Milliseconds()}, c.stopInputs(r)...)
-	c.do(Note{What: "stop sent again", Job: t.of.of.job.id, Task: t.key().String(), Run: r.number, Worker: r.at.ID, Inputs: in})
+	in := []any{"sent", r.stops, "decided_ms", c.now.Sub(r.stopAt).Milliseconds()}
+	c.noteRun(r, "stop sent again", "", append(in, c.stopInputs(r)...))
+}
+
+// noteRun logs a decision on a run.
+func (c *Core) noteRun(r *run, what, why string, inputs []any) {
+	c.do(Note{What: what, Job: r.task.of.of.job.id, Task: r.task.key().String(), Run: r.number, Worker: r.at.ID, Why: why, Inputs: inputs})
 }
 
 func (c *Core) orderStop(w *worker, task string, run int64) {
--- a/job/stall.go
+++ b/job/stall.go
@@ -38,14 +38,13 @@
 // standsStill reports whether the run has shown no progress for too long.
 func (c *Core) standsStill(r *run) bool {
 	t := r.task
-	still := c.now.Sub(r.movedAt)
 	if t.of.Lasting {
 		return r.stuck(c.now)
 	}
 	if t.stalls >= mostStalls {
 		return false
 	}
-	return still > max(stallAfter, c.expect(t.of.of.job, t.of.Step)/stallShare)
+	return c.now.Sub(r.movedAt) > max(stallAfter, c.expect(t.of.of.job, t.of.Step)/stallShare)
 }
 
 func (c *Core) leaveWorker(r *run, why string) {
--- a/job/teams.go
+++ b/job/teams.go
@@ -182,8 +182,8 @@
 
 // countUnheard counts what earlier owners may have started for each team at workers that
 // have not answered: the tasks without a run of jobs that are not settled, but no more
-// than those workers have, where that is known. Until they answer, nothing that the count leaves no room for
-// is started, so that a team stays within its cap across owners.
+// than those workers have, where that is known. Until they answer, nothing that the count
+// leaves no room for is started, so that a team stays within its cap across owners.
 func (c *Core) countUnheard(unmet unmetRoom) {
 	for _, t := range c.teams.byName {
 		if t.unheard != (platform.Resources{}) {
