Model and soak: notes are made text only where a check breaks, and actions that stood twice stand once

Each note of an owner was formatted in every draw, and each run of a team at every start. An owner that only the store lets go was written three times, the order of events twice. Checks and draws are as they were.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -118,6 +118,11 @@
 	// Drawn apart, so that what follows from the seeds of before stays as it was.
 	l = append(l, narrows(rand.New(rand.NewPCG(seed, 2)), entries, until)...)
 	l = append(l, startsAgain(rand.New(rand.NewPCG(seed, 3)), until)...)
+	return inOrder(l)
+}
+
+// inOrder sorts the events by their times; those of one time stay as they are.
+func inOrder(l []Event) []Event {
 	slices.SortStableFunc(l, func(a, b Event) int { return int(a.At - b.At) })
 	return l
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -160,9 +160,7 @@
 	}
 	n := 0
 	l = slices.DeleteFunc(l, func(Event) bool { n++; return n%waveFaults != 0 })
-	l = append(l, waves(rand.New(rand.NewPCG(r.Seed, 4)), r.For)...)
-	slices.SortStableFunc(l, func(a, b Event) int { return int(a.At - b.At) })
-	return l
+	return inOrder(append(l, waves(rand.New(rand.NewPCG(r.Seed, 4)), r.For)...))
 }
 
 func (r *Run) report() Report {
--- a/internal/standin/fleet/behaviour.go
+++ b/internal/standin/fleet/behaviour.go
@@ -35,20 +35,22 @@
 			b.crashes = true
 		default:
 			b.readTime(f)
-			if v, err := time.ParseDuration(f); err == nil {
-				b.work = v
-			}
 		}
 	}
 	return b
 }
 
-// readTime reads a word that names a time.
+// readTime reads a time, which is that of the work unless a word names it. Other words say
+// nothing.
 func (b *behaviour) readTime(word string) {
-	for prefix, d := range map[string]*time.Duration{warmsWord: &b.warms, failsEachWord: &b.failsEach} {
-		if v, ok := strings.CutPrefix(word, prefix); ok {
-			*d, _ = time.ParseDuration(v)
-		}
+	d := &b.work
+	if v, ok := strings.CutPrefix(word, warmsWord); ok {
+		word, d = v, &b.warms
+	} else if v, ok := strings.CutPrefix(word, failsEachWord); ok {
+		word, d = v, &b.failsEach
+	}
+	if v, err := time.ParseDuration(word); err == nil {
+		*d = v
 	}
 }
 
--- a/internal/standin/fleet/removal.go
+++ b/internal/standin/fleet/removal.go
@@ -117,9 +117,10 @@
 	defer w.mu.Unlock()
 	used := 0
 	for _, r := range w.runs {
-		used += lastingOfOne
 		if r.lasting {
-			used -= lastingOfOne - 1
+			used++
+		} else {
+			used += lastingOfOne
 		}
 	}
 	return !w.silent && used <= most*lastingOfOne
--- a/job/fuzz_test.go
+++ b/job/fuzz_test.go
@@ -155,17 +155,14 @@
 			"pass": func(t *rapid.T) {
 				w.pass(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
 			},
-			"lossy":  func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
-			"cancel": func(*rapid.T) { w.cancelSome() },
-			"cut":    func(*rapid.T) { v := w.some(); v.cut = !v.cut },
-			"crash":  func(*rapid.T) { w.crash() },
-			"unlist": func(*rapid.T) { w.unlist() },
-			"kill":   func(*rapid.T) { w.succeed(func(o *worldOwner) { o.dead = true }) },
-			"freeze": func(*rapid.T) { w.succeed(w.freeze) },
-			"abandon": func(*rapid.T) {
-				// The old owner goes on giving orders: only the store has let it go.
-				w.succeed(func(o *worldOwner) { w.after(ownerAuthority, func() { o.dead = true }) })
-			},
+			"lossy":      func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
+			"cancel":     func(*rapid.T) { w.cancelSome() },
+			"cut":        func(*rapid.T) { v := w.some(); v.cut = !v.cut },
+			"crash":      func(*rapid.T) { w.crash() },
+			"unlist":     func(*rapid.T) { w.unlist() },
+			"kill":       func(*rapid.T) { w.succeed(func(o *worldOwner) { o.dead = true }) },
+			"freeze":     func(*rapid.T) { w.succeed(w.freeze) },
+			"abandon":    func(*rapid.T) { w.abandon() },
 			"remove":     func(*rapid.T) { w.remove() },
 			"cut record": func(*rapid.T) { w.cutRecord() },
 			"split":      func(*rapid.T) { w.split() },
@@ -251,6 +248,11 @@
 	w.takeOver()
 }
 
+// abandon has the store let the owner go, which goes on giving orders.
+func (w *world) abandon() {
+	w.succeed(func(o *worldOwner) { w.after(ownerAuthority, func() { o.dead = true }) })
+}
+
 // split cuts the owner off from the store and from all workers but one, which the
 // next owner does not reach for as long as the cut lasts.
 func (w *world) split() {
@@ -259,7 +261,7 @@
 	for _, v := range w.workers {
 		v.hidden[old] = v != kept
 	}
-	w.succeed(func(o *worldOwner) { w.after(ownerAuthority, func() { o.dead = true }) })
+	w.abandon()
 	next := w.owners[len(w.owners)-1]
 	kept.hidden[next] = true
 	w.after(ownerAuthority, func() { delete(kept.hidden, next) })
--- a/job/world_lasting_test.go
+++ b/job/world_lasting_test.go
@@ -37,8 +37,20 @@
 	done map[int64]map[string]bool
 	// stalled are the workers on which tasks make no progress, until the time.
 	stalled map[*worldWorker]time.Time
-	// log has what owners have noted of jobs of late.
-	log []string
+	// log has what owners have noted of late, but for moves of machines.
+	log []worldNote
+}
+
+// worldNote is a note of an owner.
+type worldNote struct {
+	at    time.Time
+	fence platform.Fence
+	Note
+}
+
+// String tells of the note on one line.
+func (n worldNote) String() string {
+	return fmt.Sprintf("%s owner %d: %s %s run %d on %s: %s %v", n.at.Format("05.000"), n.fence, n.What, n.Task, n.Run, n.Worker, n.Why, n.Inputs)
 }
 
 // keptNotes is how many notes of owners are kept for a failure.
@@ -49,7 +61,7 @@
 	if n.What == "move" || n.What == "machine ordered" || n.What == "pool" {
 		return
 	}
-	w.log = append(w.log, fmt.Sprintf("%s owner %d: %s %s run %d on %s: %s %v", w.now.Format("05.000"), o.fence, n.What, n.Task, n.Run, n.Worker, n.Why, n.Inputs))
+	w.log = append(w.log, worldNote{at: w.now, fence: o.fence, Note: n})
 	if len(w.log) > keptNotes {
 		w.log = w.log[1:]
 	}
@@ -58,15 +70,23 @@
 // notesOn returns what owners have noted of a step or a worker of late.
 func (w *world) notesOn(k taskKey, v *worldWorker) string {
 	step := fmt.Sprintf("%s.%d.%d.", k.id, k.k, k.step)
-	var l []string
+	return w.notes(func(n worldNote) bool { return strings.Contains(n.Task+" "+n.Why, step) || n.Worker == v.ID })
+}
+
+// notes returns those of the kept notes that the function holds for, a line each.
+func (w *world) notes(wanted func(worldNote) bool) string {
+	var b strings.Builder
 	for _, n := range w.log {
-		if strings.Contains(n, step) || strings.Contains(n, string(v.ID)) {
-			l = append(l, n)
+		if wanted(n) {
+			fmt.Fprintln(&b, n)
 		}
 	}
-	return strings.Join(l, "\n")
+	return b.String()
 }
 
+// anyNote holds for each note.
+func anyNote(worldNote) bool { return true }
+
 // worldAway is a lasting task that is not at work.
 type worldAway struct {
 	since time.Time
@@ -336,19 +356,16 @@
 			"pass on": func(t *rapid.T) {
 				w.pass(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
 			},
-			"lossy":  func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
-			"cut":    func(*rapid.T) { v := w.some(); v.cut = !v.cut },
-			"crash":  func(*rapid.T) { w.crash() },
-			"late":   func(*rapid.T) { w.lateUntil = w.now.Add(2 * time.Second) },
-			"kill":   func(*rapid.T) { w.succeed(func(o *worldOwner) { o.dead = true }) },
-			"freeze": func(*rapid.T) { w.succeed(w.freeze) },
-			"split":  func(*rapid.T) { w.split() },
-			"abandon": func(*rapid.T) {
-				// The old owner goes on giving orders: only the store has let it go.
-				w.succeed(func(o *worldOwner) { w.after(ownerAuthority, func() { o.dead = true }) })
-			},
-			"unlist": func(*rapid.T) { w.unlist() },
-			"cancel": func(*rapid.T) { w.cancelSome() },
+			"lossy":   func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
+			"cut":     func(*rapid.T) { v := w.some(); v.cut = !v.cut },
+			"crash":   func(*rapid.T) { w.crash() },
+			"late":    func(*rapid.T) { w.lateUntil = w.now.Add(2 * time.Second) },
+			"kill":    func(*rapid.T) { w.succeed(func(o *worldOwner) { o.dead = true }) },
+			"freeze":  func(*rapid.T) { w.succeed(w.freeze) },
+			"split":   func(*rapid.T) { w.split() },
+			"abandon": func(*rapid.T) { w.abandon() },
+			"unlist":  func(*rapid.T) { w.unlist() },
+			"cancel":  func(*rapid.T) { w.cancelSome() },
 			"slow": func(t *rapid.T) {
 				w.slowBy = rapid.SampledFrom([]int{1, 10}).Draw(t, "slow_by")
 			},
@@ -357,7 +374,7 @@
 		})
 		w.heal()
 		if l := w.stillAway(); len(l) > 0 {
-			t.Fatalf("tasks that never come to work: %v\n%s", l, strings.Join(w.log, "\n"))
+			t.Fatalf("tasks that never come to work: %v\n%s", l, w.notes(anyNote))
 		}
 	})
 }
--- a/job/world_teams_test.go
+++ b/job/world_teams_test.go
@@ -92,7 +92,7 @@
 		return
 	}
 	used := s.MilliCores
-	var running []string
+	var running []*worldRun
 	for _, v := range w.workers {
 		if !v.alive {
 			continue
@@ -101,13 +101,17 @@
 			k, _ := parseTaskKey(r.task)
 			if w.jobs[k.id].Team == rec.Team {
 				used += r.step.MilliCores
-				running = append(running, fmt.Sprintf("%s run %d on %s since %s takes %d", r.task, r.number, v.ID, r.began.Format("05.000"), r.step.MilliCores))
+				running = append(running, r)
 			}
 		}
 	}
 	if most := max(w.allowed(configShows), w.limitOrdered[strayID{task: o.Task, number: o.Run}]); used > most {
-		w.t.Fatalf("%s run %d brings its team at %s to %d beyond its cap of %d, beside\n%s\n%s",
-			o.Task, o.Run, w.now.Format("05.000"), used, most, strings.Join(running, "\n"), strings.Join(w.log, "\n"))
+		var beside strings.Builder
+		for _, r := range running {
+			fmt.Fprintf(&beside, "%s run %d since %s takes %d\n", r.task, r.number, r.began.Format("05.000"), r.step.MilliCores)
+		}
+		w.t.Fatalf("%s run %d brings its team at %s to %d beyond its cap of %d, beside\n%s%s",
+			o.Task, o.Run, w.now.Format("05.000"), used, most, &beside, w.notes(anyNote))
 	}
 }
 
@@ -123,17 +127,15 @@
 			"pass": func(t *rapid.T) {
 				w.pass(time.Duration(rapid.IntRange(1, 20).Draw(t, "tenths")) * 100 * time.Millisecond)
 			},
-			"cap":    func(*rapid.T) { w.changeCap() },
-			"lossy":  func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
-			"cancel": func(*rapid.T) { w.cancelSome() },
-			"cut":    func(*rapid.T) { v := w.some(); v.cut = !v.cut },
-			"crash":  func(*rapid.T) { w.crash() },
-			"kill":   func(*rapid.T) { w.succeed(func(o *worldOwner) { o.dead = true }) },
-			"freeze": func(*rapid.T) { w.succeed(w.freeze) },
-			"split":  func(*rapid.T) { w.split() },
-			"abandon": func(*rapid.T) {
-				w.succeed(func(o *worldOwner) { w.after(ownerAuthority, func() { o.dead = true }) })
-			},
+			"cap":     func(*rapid.T) { w.changeCap() },
+			"lossy":   func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
+			"cancel":  func(*rapid.T) { w.cancelSome() },
+			"cut":     func(*rapid.T) { v := w.some(); v.cut = !v.cut },
+			"crash":   func(*rapid.T) { w.crash() },
+			"kill":    func(*rapid.T) { w.succeed(func(o *worldOwner) { o.dead = true }) },
+			"freeze":  func(*rapid.T) { w.succeed(w.freeze) },
+			"split":   func(*rapid.T) { w.split() },
+			"abandon": func(*rapid.T) { w.abandon() },
 		})
 		w.heal()
 		require.Empty(t, w.store.records, "jobs that never end")
