Orders to hosts: a late one no longer undoes a newer one

A move that was not answered was repeated and done, and the host was moved on later. Where the platform then carries out the first call, the host goes back with all that runs there killed, lasting tasks as well.

Cause: all orders of an owner had the fence of its claim, so a platform that refuses lower fences could not tell an old order from a newer one.

Now the fence of an order is the revision of the write that records it. That write precedes the order and is conditional on the ownership, so the revision rises from order to order and stays below the next owner's claim.

Ruled out: a wait of 12 s after each unanswered call, which holds hosts back over a turn of the load whenever an answer is lost.

--- a/job/core_test.go
+++ b/job/core_test.go
@@ -28,6 +28,8 @@
 	// own are the owners' keys as the writes so far leave them, answered or not.
 	own   ownStore
 	clock platform.WorkerClock
+	// revision is that of the last write.
+	revision platform.Revision
 }
 
 // ownStore holds the owners' keys but for the jobs' progress.
@@ -69,7 +71,7 @@
 }
 
 func newOwnerFixture(t *testing.T, fence platform.Fence) *fixture {
-	f := &fixture{t: t, now: time.Unix(1e9, 0), looks: map[platform.WorkerID]LookAt{}, own: ownStore{}, clock: 1000}
+	f := &fixture{t: t, now: time.Unix(1e9, 0), looks: map[platform.WorkerID]LookAt{}, own: ownStore{}, clock: 1000, revision: platform.Revision(fence)}
 	f.core = New(fence, "entry-1", Size{}, f.now)
 	f.step(ConfigTaken{Config: testConfig()})
 	return f
@@ -97,7 +99,8 @@
 		case Keep:
 			f.own.take(a)
 			if !f.holdWrites {
-				f.step(Kept{Number: a.Number})
+				f.revision++
+				f.step(Kept{Number: a.Number, At: f.revision})
 			}
 		}
 	}
--- a/job/events.go
+++ b/job/events.go
@@ -74,7 +74,9 @@
 // Kept says whether the store has taken what a Keep holds.
 type Kept struct {
 	Number int64
-	Err    error
+	// At is the revision of the write, unless it failed.
+	At  platform.Revision
+	Err error
 }
 
 // KeepSlow says that the store has not answered the write under way.
--- a/job/keep.go
+++ b/job/keep.go
@@ -189,7 +189,7 @@
 		w.rostered = !w.retired
 		c.replan(w.Service)
 	}
-	c.recorded(k.ordered)
+	c.recorded(k.ordered, e.At)
 	for j, s := range k.states {
 		j.kept = s.State
 		if j.crashChangesKept != s.crashChanges {
--- a/job/machine_orders.go
+++ b/job/machine_orders.go
@@ -8,8 +8,8 @@
 	"amberway/platform"
 )
 
-func (c *Core) orderHolder() platform.Holder {
-	return platform.Holder{Name: c.holder, Fence: c.fence}
+func (c *Core) orderHolder(o *machineOrder) platform.Holder {
+	return platform.Holder{Name: c.holder, Fence: o.fence}
 }
 
 // settleOrder ends an order whose machine is up in a list that was asked for
@@ -152,11 +152,12 @@
 }
 
 // recorded sends the orders that the store now names to a next owner.
-func (c *Core) recorded(ordered []string) {
+func (c *Core) recorded(ordered []string, at platform.Revision) {
 	for _, n := range ordered {
 		m := c.byName[n]
 		if m != nil && m.order != nil && !m.order.recorded {
 			m.order.recorded = true
+			m.order.fence = platform.Fence(at)
 			c.send(m)
 		}
 	}
@@ -177,8 +178,8 @@
 	m.orderedAt = c.now
 	o.sentAt = c.now
 	if o.wave != nil {
-		c.do(MaintainMachine{Holder: c.orderHolder(), Machine: m.Name, Wave: o.wave.Number})
+		c.do(MaintainMachine{Holder: c.orderHolder(o), Machine: m.Name, Wave: o.wave.Number})
 		return
 	}
-	c.do(MoveMachine{Holder: c.orderHolder(), Machine: m.Name, Pool: o.pool})
+	c.do(MoveMachine{Holder: c.orderHolder(o), Machine: m.Name, Pool: o.pool})
 }
--- a/job/machines.go
+++ b/job/machines.go
@@ -81,6 +81,10 @@
 	givenAt time.Time
 	// recorded says that the roster in the store names the machine.
 	recorded bool
+	// fence is the revision of the write that recorded the order. It rises with each order
+	// of an owner, so that the platform refuses one that it carries out after a newer one,
+	// and it is below the fence of the next owner, before whose claim the write was made.
+	fence platform.Fence
 	// takenAt is when the platform answered with success.
 	takenAt time.Time
 }
--- a/job/perform.go
+++ b/job/perform.go
@@ -95,7 +95,7 @@
 		o.resign(err.Error())
 		return
 	}
-	o.send(ctx, Kept{Number: a.Number, Err: err})
+	o.send(ctx, Kept{Number: a.Number, At: o.keeper.last, Err: err})
 }
 
 func (o *owner) listMachines(ctx context.Context, sentAt time.Time) {
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -353,7 +353,7 @@
 		}
 	}
 	w.deleted(a.Deletes)
-	w.tell(o, Kept{Number: a.Number})
+	w.tell(o, Kept{Number: a.Number, At: w.store.revision})
 }
 
 func (v *worldWorker) clock(now time.Time) platform.WorkerClock {
