Soak: orders to hosts carried out late, after newer ones

The stand-in of the platform refuses lower fences, and an order that undoes a newer one breaks a promise.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -23,6 +23,8 @@
 	// Lasting has lasting jobs handed in of which only some tasks may be away, beside waves
 	// in series and a load by turns.
 	Lasting bool
+	// LateHosts has some orders to machines carried out late, after newer ones.
+	LateHosts bool
 	// Bin is the folder with the programs, Dir the one for logs.
 	Bin, Dir string
 	// Out takes a line for each event.
@@ -78,6 +80,9 @@
 	}
 	r.endsAt = time.Now().Add(o.For + settle)
 	r.watchedTo = time.Now().Add(o.For + watchFor)
+	if r.LateHosts {
+		r.postponeHostOrders()
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() { r.watchLasting(l) })
 	wg.Go(r.watchCancelled)
@@ -177,6 +182,7 @@
 		}
 	}
 	r.counts["ended at work"] = b.Endings()
+	r.counts["late host orders"] = r.jobs.Fleet.PostponedOrders()
 	return Report{Counts: r.counts, Starts: b.Starts(), Broken: append(r.broken, b.Broken()...)}
 }
 
--- /dev/null
+++ b/internal/standin/fleet/hostorders_test.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// moveWith asks for a move under the fence, and returns the status or zero.
+func moveWith(t *testing.T, f *Fleet, pool string, fence int) int {
+	t.Helper()
+	q, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+f.MachinesAddress()+"/machine-move",
+		strings.NewReader(fmt.Sprintf(`{"machine":"m-000","pool":%q}`, pool)))
+	require.NoError(t, err)
+	q.Header.Set("Amberway-Fence-Token", fmt.Sprint(fence))
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0
+	}
+	require.NoError(t, r.Body.Close())
+	return r.StatusCode
+}
+
+func TestLateOrderIsRefusedByItsFenceOrBreaksAPromise(t *testing.T) {
+	for name, c := range map[string]struct {
+		fence  int
+		broken int
+		pool   string
+	}{"lower": {1, 0, "green"}, "equal": {2, 1, "blue"}} {
+		t.Run(name, func(t *testing.T) {
+			f := New("spare", time.Millisecond)
+			t.Cleanup(f.Close)
+			require.NoError(t, f.Add("spare", 1, Capacity{CPU: 1000}))
+			f.PostponeOrders(func() time.Duration { return 100 * time.Millisecond })
+			require.Zero(t, moveWith(t, f, "blue", c.fence), "no answer")
+			f.PostponeOrders(nil)
+			require.Equal(t, http.StatusOK, moveWith(t, f, "green", 2))
+			require.Eventually(t, func() bool { return f.PostponedOrders() == 1 }, time.Second, time.Millisecond)
+			require.Equal(t, []string{"m-000"}, f.Names(c.pool))
+			require.Len(t, f.Books.Broken(), c.broken)
+		})
+	}
+}
+
+func TestLateOrderThatIsDoneAlreadyChangesNothing(t *testing.T) {
+	f := New("spare", time.Millisecond)
+	t.Cleanup(f.Close)
+	require.NoError(t, f.Add("spare", 1, Capacity{CPU: 1000}))
+	f.PostponeOrders(func() time.Duration { return 50 * time.Millisecond })
+	require.Zero(t, moveWith(t, f, "blue", 1))
+	f.PostponeOrders(nil)
+	require.Equal(t, http.StatusOK, moveWith(t, f, "blue", 1))
+	require.Eventually(t, func() bool { return f.PostponedOrders() == 1 }, time.Second, time.Millisecond)
+	require.Empty(t, f.Books.Broken())
+	require.Equal(t, 1, f.Moves())
+}
--- a/internal/standin/fleet/machines.go
+++ b/internal/standin/fleet/machines.go
@@ -29,6 +29,9 @@
 	wave     int64
 	// leaving says that it is being taken away for good.
 	leaving bool
+	// fence is the highest of its orders, newest the number of the last one carried out.
+	fence  int64
+	newest int
 }
 
 // Fleet is the store, machines with workers, and the interface to machines.
@@ -51,6 +54,7 @@
 	// MostDown is the most machines of each wave that were down at once.
 	mostDown map[int64]int
 	moves    int
+	hostOrders
 }
 
 // New returns a running fleet without machines.
@@ -219,60 +223,6 @@
 	return nil
 }
 
-func (f *Fleet) serveMove(w http.ResponseWriter, r *http.Request) {
-	var q struct{ Machine, Pool string }
-	if !decode(w, r, &q) {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	m := f.find(q.Machine)
-	switch {
-	case m == nil:
-		http.Error(w, "no such machine", http.StatusBadRequest)
-	case m.Pool == q.Pool:
-		answer(w, http.StatusOK, map[string]string{})
-	case m.State != "up", m.leaving:
-		answer(w, http.StatusConflict, map[string]string{"reason": "busy"})
-	default:
-		f.moves++
-		m.worker.endByOrder()
-		f.halt(m)
-		m.Pool, m.State = q.Pool, "moving"
-		time.AfterFunc(f.DownFor, func() { f.up(m, 0) })
-		answer(w, http.StatusOK, map[string]string{})
-	}
-}
-
-func (f *Fleet) serveUpkeep(w http.ResponseWriter, r *http.Request) {
-	var q struct {
-		Machine string
-		Wave    int64
-	}
-	if !decode(w, r, &q) {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	m := f.find(q.Machine)
-	switch {
-	case m == nil:
-		http.Error(w, "no such machine", http.StatusBadRequest)
-	case m.wave == q.Wave:
-		answer(w, http.StatusOK, map[string]string{})
-	case m.State != "up", m.leaving:
-		answer(w, http.StatusConflict, map[string]string{"reason": "busy"})
-	default:
-		m.worker.endByOrder()
-		f.halt(m)
-		m.wave, m.State = q.Wave, "upkeep"
-		f.down[q.Wave]++
-		f.mostDown[q.Wave] = max(f.mostDown[q.Wave], f.down[q.Wave])
-		time.AfterFunc(f.DownFor, func() { f.up(m, q.Wave) })
-		answer(w, http.StatusOK, map[string]string{})
-	}
-}
-
 func (f *Fleet) up(m *Machine, wave int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/standin/fleet/run.go
+++ b/internal/standin/fleet/run.go
@@ -108,8 +108,9 @@
 	}
 }
 
-// endByOrder notes that an order to the worker's machine ends all that runs.
-func (w *worker) endByOrder() {
+// endByOrder notes that an order to the worker's machine, which may have been held up, ends
+// all that runs.
+func (w *worker) endByOrder(late bool) {
 	if w == nil {
 		return
 	}
@@ -117,7 +118,7 @@
 	defer w.mu.Unlock()
 	for t, r := range w.runs {
 		if r.stopsAt.IsZero() {
-			w.books.endedByOrder(order{task: t, run: r.number, worker: w.id})
+			w.books.endedByOrder(order{task: t, run: r.number, worker: w.id, exempt: late})
 		}
 	}
 }
