Orders to hosts: the pause after one is not the time to repeat the next

An order was sent before the store named its host, and again once it did, where the order before it for that host had not been carried out. A next owner leaves alone only the hosts that the store names.

Cause: the pause after an order that is not carried out and the time to repeat one that was not answered were one field of the host.

The time of the repeat is kept with the order now. The new test failed before, with the refusals busy and not sent.

--- a/job/machine_orders.go
+++ b/job/machine_orders.go
@@ -45,7 +45,7 @@
 		}
 	case errors.Is(e.Err, platform.ErrUnknown):
 		// It may be carried out late: the same order again settles it.
-		m.retryAt = c.now.Add(orderRetry)
+		o.repeatAt = c.now.Add(orderRetry)
 	case e.Verdict == platform.OrderFence:
 		c.do(StepDown{Why: "a machine has had orders with a higher fence"})
 	case e.Verdict == platform.OrderWave:
@@ -122,14 +122,15 @@
 
 // resend repeats an order whose answer was lost.
 func (c *Core) resend(m *machine) {
-	if m.order == nil || !m.order.takenAt.IsZero() || m.retryAt.IsZero() || c.now.Before(m.retryAt) {
+	o := m.order
+	if o == nil || !o.takenAt.IsZero() || o.repeatAt.IsZero() || c.now.Before(o.repeatAt) {
 		return
 	}
 	if !c.mayOrder() {
 		return
 	}
 	c.budget.spend()
-	m.retryAt = time.Time{}
+	o.repeatAt = time.Time{}
 	c.send(m)
 }
 
--- a/job/machines.go
+++ b/job/machines.go
@@ -57,7 +57,8 @@
 	platform.Machine
 	// order is the order under way, if any.
 	order *machineOrder
-	// retryAt holds back the next order.
+	// retryAt holds back the next order. It is no time of the order under way, which is not
+	// sent again before it was sent.
 	retryAt time.Time
 	// orderedAt is when it last got an order.
 	orderedAt time.Time
@@ -85,6 +86,8 @@
 	// of an owner, so that the platform refuses one that it carries out after a newer one,
 	// and it is below the fence of the next owner, before whose claim the write was made.
 	fence platform.Fence
+	// repeatAt is when it is sent again, if it was not answered.
+	repeatAt time.Time
 	// takenAt is when the platform answered with success.
 	takenAt time.Time
 }
--- a/job/machines_test.go
+++ b/job/machines_test.go
@@ -374,6 +374,42 @@
 	require.Equal(t, []string{"host-of-w1"}, f.roster().Ordered)
 }
 
+// TestNextOrderAfterARefusedOneIsSentOnceItIsRecorded tells how two orders for one host went
+// out by one owner, the first of them before the store named the host. The store had been
+// away, so an order was not sent ("not sent: the owner's lease has not been renewed in
+// time"). The host was ordered anew half a second later, and "machine ordered" came twice for
+// that one order: the pause after the first order was read as the time to repeat the second.
+// A next owner that took over in between would have ordered the host as well. Calls with a
+// lower fence than one seen before showed it, as the order had no fence of its own yet.
+func TestNextOrderAfterARefusedOneIsSentOnceItIsRecorded(t *testing.T) {
+	for name, refused := range map[string]MachineOrdered{
+		"not sent": {Err: errLeaseDoubtful},
+		"busy":     {Verdict: platform.OrderBusy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			host := machineOf("s1", "spare")
+			host.Worker = ""
+			f.machinesAre(host)
+			m := f.core.byName[host.Name]
+			f.core.move(m, "blue", &demand{})
+			f.pass(tickEvery)
+			refused.Machine = host.Name
+			f.step(refused)
+			require.Nil(t, m.order)
+			f.pass(orderRetry + tickEvery)
+			f.out = nil
+			f.holdWrites = true
+			f.core.move(m, "blue", &demand{})
+			f.pass(time.Second)
+			require.Empty(t, f.moves())
+			f.step(Kept{Number: f.core.number, At: f.revision + 1})
+			f.pass(time.Second)
+			require.Len(t, f.moves(), 1)
+		})
+	}
+}
+
 // An owner that takes over many jobs which came long ago does not take them for
 // the load of now: pools with a real need would wait for their hosts.
 func TestInheritedJobsAreNoNewLoad(t *testing.T) {
