Pace: an order whose answer was lost is repeated, and once more when it can no longer come late

A filling task went on at three quarters of its pace, or at none, until it ended, where the order that gave it its full pace back was lost: only lower paces were ordered again. An order that is carried out seconds late could undo a newer one in the same way.

Cause: a lost answer was told apart by changing the pace by one percent, which a full pace cannot be. The run now says when its pace has to be ordered again.

Found by reading.

--- a/job/orders.go
+++ b/job/orders.go
@@ -25,7 +25,7 @@
 
 // start orders a run of the task on the worker.
 func (c *Core) start(t *task, w *worker, number int64, ticket string) {
-	r := &run{number: number, task: t, at: w, phase: starting, sentAt: c.now, movedAt: c.now, pace: 100}
+	r := &run{number: number, task: t, at: w, phase: starting, sentAt: c.now, movedAt: c.now, pacing: pacing{pace: fullPace}}
 	r.attach()
 	w.tryAlone(t, c.now)
 	if t.awaySince.IsZero() {
--- a/job/pace.go
+++ b/job/pace.go
@@ -18,12 +18,44 @@
 	// and below which it rises.
 	tailHigh = 0.9
 	tailLow  = 0.6
-	// paceRise is how many percent the pace rises at a time.
+	// paceRise is how many percent the pace rises at a time, and fullPace where it ends and
+	// each run begins.
 	paceRise = 25
+	fullPace = 100
 	// sharedPenalty makes filling and serving tasks prefer separate workers.
 	sharedPenalty = 400
 )
 
+// pacing is the pace of a run.
+type pacing struct {
+	// pace is what was ordered last, in percent.
+	pace int
+	// paceAgainAt is when it has to be ordered again, zero if it holds. lateUntil is until
+	// when one that was not answered may still be carried out.
+	paceAgainAt, lateUntil time.Time
+}
+
+// doubtPace notes that an order that sets the pace was not answered: the pace is ordered
+// again at once, and once more when the first can no longer come late and undo it.
+func (p *pacing) doubtPace(now time.Time) {
+	p.paceAgainAt = now
+	p.lateUntil = now.Add(lateOrders)
+}
+
+// order notes that the pace is ordered.
+func (p *pacing) order(percent int, now time.Time) {
+	p.pace = percent
+	p.paceAgainAt = time.Time{}
+	if now.Before(p.lateUntil) {
+		p.paceAgainAt = p.lateUntil
+	}
+}
+
+// paceDue reports whether the pace has to be ordered again.
+func (p *pacing) paceDue(now time.Time) bool {
+	return !p.paceAgainAt.IsZero() && !now.Before(p.paceAgainAt)
+}
+
 func (s *step) serves() bool {
 	return s.TailTarget > 0
 }
@@ -74,11 +106,11 @@
 			continue
 		}
 		p := nextPace(r.pace, worst)
-		if p == r.pace {
+		if p == r.pace && !r.paceDue(c.now) {
 			continue
 		}
-		c.do(Note{What: "pace", Job: r.task.of.of.job.id, Task: r.task.key().String(), Run: r.number, Worker: w.ID, Inputs: []any{"from", r.pace, "to", p, "tail_share", worst}})
-		r.pace = p
+		c.noteRun(r, "pace", "", []any{"from", r.pace, "to", p, "tail_share", worst})
+		r.order(p, c.now)
 		w.paceAt = c.now.Add(paceSettle)
 		c.do(PaceRun{Worker: w.Worker, Task: r.task.key().String(), Run: r.number, Percent: p, Fence: c.fence})
 	}
@@ -104,7 +136,7 @@
 	case tail > tailHigh:
 		return p / 2
 	case tail < tailLow:
-		return min(100, p+paceRise)
+		return min(fullPace, p+paceRise)
 	}
 	return p
 }
@@ -118,7 +150,7 @@
 	Err       error
 }
 
-// apply forgets a pace that may not hold, so that the next look sets it anew.
+// apply notes that a pace may not hold.
 func (e Paced) apply(c *Core) {
 	w := c.heir(e.Worker)
 	if w == nil || (e.Err == nil && e.Rejection == platform.Accepted) {
@@ -129,8 +161,8 @@
 		return
 	}
 	k, _ := parseTaskKey(e.Task)
-	if r := w.find(k, e.Run); r != nil && r.pace < 100 {
-		r.pace = min(100, r.pace+1)
+	if r := w.find(k, e.Run); r != nil {
+		r.doubtPace(c.now)
 		w.paceAt = c.now
 	}
 }
--- /dev/null
+++ b/job/pace_test.go
@@ -0,0 +1,112 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/common"
+	"amberway/platform"
+)
+
+// tailTarget is the target of the serving tasks here.
+const tailTarget = 100 * time.Millisecond
+
+// shared is a worker on which a task that fills runs beside one that serves.
+type shared struct {
+	*fixture
+	fills, serves StartRun
+	// gone says that the serving task runs there no longer.
+	gone bool
+	// answers counts the looks: the filling task gets on a little in each.
+	answers int
+}
+
+// newShared returns an owner with such a worker, in whose answers the serving task is over
+// its target until rested is called.
+func newShared(t *testing.T) *shared {
+	f := newFixture(t)
+	f.join("w1")
+	fills, serves := oneTask(), oneTask()
+	fills.Fills = true
+	serves.Lasting, serves.TailTarget = true, tailTarget
+	f.submit(idA, "quick", fills)
+	f.submit(idB, "quick", serves)
+	l := f.starts()
+	require.Len(t, l, 2)
+	s := &shared{fixture: f, fills: l[0], serves: l[1]}
+	if l[0].Order.Task != idA+".0.0.0" {
+		s.fills, s.serves = l[1], l[0]
+	}
+	for _, o := range l {
+		f.took(o)
+	}
+	return s
+}
+
+// look lets time pass, with looks in which the serving task's tail is such a share of its
+// target.
+func (s *shared) look(d time.Duration, tail float64) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.pass(tickEvery)
+		if _, asked := s.looks["w1"]; !asked {
+			continue
+		}
+		s.answers++
+		running := []platform.RunningRow{{Task: s.fills.Order.Task, Run: s.fills.Order.Run, Percent: 1 + s.answers%90}}
+		if !s.gone {
+			running = append(running, platform.RunningRow{Task: s.serves.Order.Task, Run: s.serves.Order.Run, Percent: 100, Level: tail * float64(tailTarget.Milliseconds())})
+		}
+		s.answer("w1", platform.Look{Running: running})
+	}
+}
+
+// paces takes the paces ordered since the last call.
+func (f *fixture) paces() []int {
+	var l []int
+	var rest []Action
+	for _, a := range f.out {
+		if p, ok := a.(PaceRun); ok {
+			l = append(l, p.Percent)
+		} else {
+			rest = append(rest, a)
+		}
+	}
+	f.out = rest
+	return l
+}
+
+// unanswered tells the owner that its last order to pace the filling task was not answered.
+func (s *shared) unanswered() {
+	s.step(Paced{Worker: "w1", Task: s.fills.Order.Task, Run: s.fills.Order.Run, Err: common.ErrUnknown})
+}
+
+// A filling task went on at three quarters of its pace, or at none, until it ended: the
+// order that gave it its full pace back was lost, and only lower paces were ordered again.
+func TestFullPaceIsOrderedAgainWhereItsAnswerWasLost(t *testing.T) {
+	s := newShared(t)
+	s.look(time.Second, 2)
+	require.Equal(t, []int{0}, s.paces())
+	s.look(3*time.Second, 0.1)
+	require.Equal(t, []int{25, 50, 75, 100}, s.paces())
+	s.unanswered()
+	s.look(2*time.Second, 0.1)
+	require.Equal(t, []int{100}, s.paces())
+}
+
+// An order that was not answered may be carried out seconds later, after newer ones.
+func TestPaceIsOrderedOnceMoreWhenNoEarlierOneCanComeLate(t *testing.T) {
+	s := newShared(t)
+	s.look(time.Second, 2)
+	require.Equal(t, []int{0}, s.paces())
+	s.unanswered()
+	s.look(2*time.Second, 2)
+	require.Equal(t, []int{0}, s.paces())
+	s.look(4*time.Second, 0.1)
+	require.Equal(t, []int{25, 50, 75, 100}, s.paces())
+	s.look(lateOrders, 0.1)
+	require.Equal(t, []int{100}, s.paces())
+	s.look(lateOrders, 0.1)
+	require.Empty(t, s.paces())
+}
--- a/job/state.go
+++ b/job/state.go
@@ -154,7 +154,7 @@
 	// adopted says that an earlier owner started it: its worker has borne it for longer
 	// than since sentAt.
 	adopted bool
-	pace    int
+	pacing
 }
 
 // taskKey names a task across the system.
