Pace: filling tasks get their full pace back where nothing serves any more

A filling task went on below its full pace until it ended where the task that serves beside it had ended or been moved: paces were ordered only on workers that run both. Found by reading; the new test failed before.

--- a/job/pace.go
+++ b/job/pace.go
@@ -95,9 +95,10 @@
 }
 
 // control sets the pace of the filling tasks on a worker from the tails of its
-// serving tasks: down at once, up again slowly.
+// serving tasks: down at once, up again slowly. Where nothing serves any more they get their
+// full pace back as well.
 func (c *Core) control(w *worker) {
-	if c.now.Before(w.paceAt) || !w.shared() {
+	if c.now.Before(w.paceAt) {
 		return
 	}
 	worst := w.worstTail()
--- a/job/pace_test.go
+++ b/job/pace_test.go
@@ -110,3 +110,18 @@
 	s.look(lateOrders, 0.1)
 	require.Empty(t, s.paces())
 }
+
+// A filling task went on at the pace that it had when the task that serves beside it ended
+// or was moved, until it ended itself: paces were ordered only where both run.
+func TestFillingTaskGetsItsFullPaceBackWhereNothingServes(t *testing.T) {
+	s := newShared(t)
+	s.look(time.Second, 2)
+	require.Equal(t, []int{0}, s.paces())
+	s.step(CancelAsked{ID: idB})
+	s.step(Stopped{Worker: "w1", Task: s.serves.Order.Task, Run: s.serves.Order.Run, Clock: s.clock})
+	s.gone = true
+	s.look(4*time.Second, 0)
+	require.Equal(t, []int{25, 50, 75, 100}, s.paces())
+	s.look(4*time.Second, 0)
+	require.Empty(t, s.paces())
+}
