Pace: a next owner orders the pace of filling tasks that it takes over

It took each run for one at full pace, so a task that the owner before had slowed down stayed slow until it ended. Found by reading; the new test failed before.

--- a/job/looks.go
+++ b/job/looks.go
@@ -238,7 +238,7 @@
 		}
 		return nil
 	}
-	r := &run{number: v.Run, task: t, at: w, phase: running, sentAt: c.now, knownAt: c.now, movedAt: c.now, pacing: pacing{pace: fullPace}, percent: v.Percent, adoptedAt: v.Percent, begun: true, adopted: true}
+	r := &run{number: v.Run, task: t, at: w, phase: running, sentAt: c.now, knownAt: c.now, movedAt: c.now, pacing: pacing{pace: fullPace, paceAgainAt: c.now}, percent: v.Percent, adoptedAt: v.Percent, begun: true, adopted: true}
 	r.attach()
 	c.do(Note{What: "run taken over", Job: k.id, Task: v.Task, Run: v.Run, Worker: w.ID})
 	return r
--- a/job/pace.go
+++ b/job/pace.go
@@ -30,7 +30,8 @@
 type pacing struct {
 	// pace is what was ordered last, in percent.
 	pace int
-	// paceAgainAt is when it has to be ordered again, zero if it holds. lateUntil is until
+	// paceAgainAt is when it has to be ordered again, zero if it holds: an owner does not
+	// know the pace of a run that it takes over. lateUntil is until
 	// when one that was not answered may still be carried out.
 	paceAgainAt, lateUntil time.Time
 }
--- a/job/pace_test.go
+++ b/job/pace_test.go
@@ -125,3 +125,22 @@
 	s.look(4*time.Second, 0)
 	require.Empty(t, s.paces())
 }
+
+// A next owner took each run for one at full pace, and never gave it back to one that the
+// owner before had slowed down.
+func TestNextOwnerOrdersThePaceOfAFillingTaskAnew(t *testing.T) {
+	s := newShared(t)
+	s.look(time.Second, 2)
+	require.Equal(t, []int{0}, s.paces())
+
+	next := &shared{fixture: newOwnerFixture(t, 2000), fills: s.fills, serves: s.serves}
+	var jobs []Accepted
+	for _, id := range []ID{idA, idB} {
+		jobs = append(jobs, Accepted{ID: id, Record: s.core.jobs[id].Record, Created: 50})
+	}
+	next.step(Inherited{Config: testConfig(), Workers: []platform.Worker{testWorker("w1")}, Jobs: jobs, Roster: s.roster()})
+	next.look(2*time.Second, 0.1)
+	require.Equal(t, []int{100}, next.paces())
+	next.look(2*time.Second, 0.1)
+	require.Empty(t, next.paces())
+}
