--- a/job/machines.go
+++ b/job/machines.go
@@ -57,8 +57,8 @@
 	platform.Machine
 	// order is the order under way, if any.
 	order *machineOrder
-	// retryAt holds back the next order. It is no time of the order under way, which is not
-	// sent again before it was sent.
+	// retryAt holds back the next order. It is kept apart from the repeatAt of an order, so
+	// that a new order is not taken for one to repeat before it is recorded.
 	retryAt time.Time
 	// orderedAt is when it last got an order.
 	orderedAt time.Time
--- a/job/pace.go
+++ b/job/pace.go
@@ -31,8 +31,8 @@
 	// pace is what was ordered last, in percent.
 	pace int
 	// paceAgainAt is when it has to be ordered again, zero if it holds: an owner does not
-	// know the pace of a run that it takes over. lateUntil is until
-	// when one that was not answered may still be carried out.
+	// know the pace of a run that it takes over. lateUntil is until when an order that was
+	// not answered may still be carried out.
 	paceAgainAt, lateUntil time.Time
 }
 
@@ -43,8 +43,8 @@
 	p.lateUntil = now.Add(lateOrders)
 }
 
-// order notes that the pace is ordered.
-func (p *pacing) order(percent int, now time.Time) {
+// setPace notes that the pace is ordered.
+func (p *pacing) setPace(percent int, now time.Time) {
 	p.pace = percent
 	p.paceAgainAt = time.Time{}
 	if now.Before(p.lateUntil) {
@@ -112,7 +112,7 @@
 			continue
 		}
 		c.noteRun(r, "pace", "", []any{"from", r.pace, "to", p, "tail_share", worst})
-		r.order(p, c.now)
+		r.setPace(p, c.now)
 		w.paceAt = c.now.Add(paceSettle)
 		c.do(PaceRun{Worker: w.Worker, Task: r.task.key().String(), Run: r.number, Percent: p, Fence: c.fence})
 	}
