Configuration: a watch of what is large goes on while it brings something

An owner behind a link of 2 Mbit/s lost most workers and the renewals of its own lease for five seconds as a configuration of 1,163 queues was deployed. The leases of its workers ended, and all that ran there with them.

Cause: the watch of the configuration was given up after 1.8 s in the middle of its answer, and the configuration read from its beginning, again and again, over the link that was full because of it.

Now such a watch fails only once nothing has come for as long as before.

--- a/job/follow.go
+++ b/job/follow.go
@@ -149,6 +149,9 @@
 }
 
 func (f *follower) watchOnce(ctx context.Context, at platform.Revision) ([]platform.Event, platform.Revision, error) {
+	if f.newest {
+		return f.kv.WatchLarge(ctx, f.prefix, at, f.wait, f.within-f.wait)
+	}
 	ctx, cancel := context.WithTimeout(ctx, f.within)
 	defer cancel()
 	return f.kv.Watch(ctx, f.prefix, at, f.wait)
--- /dev/null
+++ b/job/follow_slow_test.go
@@ -0,0 +1,95 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sirupsen/logrus"
+
+	"amberway/platform"
+)
+
+// slowStore answers watches over a link that takes a while for the one change there is.
+type slowStore struct {
+	lists, watches atomic.Int64
+	// takes is how long the change is on its way, and stalls whether its second half never
+	// comes.
+	takes  time.Duration
+	stalls bool
+}
+
+func (s *slowStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/kv-range") {
+		s.lists.Add(1)
+		_ = json.NewEncoder(w).Encode(map[string]any{"items": []any{}, "more": false, "at": 1})
+		return
+	}
+	if s.watches.Add(1) > 1 && r.URL.Query().Get("after") != "1" {
+		<-r.Context().Done()
+		return
+	}
+	b, _ := json.Marshal(map[string]any{"at": 2, "events": []any{map[string]any{"key": "op/config", "rev": 2, "value": strings.Repeat("YWFh", 10000)}}})
+	const parts = 20
+	for n := range parts {
+		if s.stalls && n >= parts/2 {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = w.Write(b[n*len(b)/parts : (n+1)*len(b)/parts])
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(s.takes / parts)
+	}
+}
+
+// followSlow follows the store until a change came, and returns the time that took.
+func followSlow(t *testing.T, s *slowStore) time.Duration {
+	t.Helper()
+	h := httptest.NewServer(s)
+	t.Cleanup(h.Close)
+	at := netip.MustParseAddrPort(strings.TrimPrefix(h.URL, "http://"))
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	begun := time.Now()
+	var took time.Duration
+	f := &follower{
+		kv: platform.NewKV(at, &platform.Calls{}), prefix: "op/", newest: true,
+		watchTimes: watchTimes{wait: 100 * time.Millisecond, within: 500 * time.Millisecond},
+		log:        NewJournal(logrus.New(), time.Now, ctx.Done()),
+		listed:     func([]platform.Entry) {},
+		changed: func([]platform.Event) {
+			took = time.Since(begun)
+			cancel()
+		},
+	}
+	f.run(ctx)
+	return took
+}
+
+// TestConfigurationThatIsReadSlowlyIsReadOnce tells how an owner behind a narrow link lost
+// its lease and most workers for five seconds and more. A configuration of 1,163 queues takes
+// longer over 2 Mbit/s than a watch was given, so that the watch was given up in the middle,
+// and the configuration was read again from its beginning. All that kept the link full: the
+// answers of workers and of the owner's own renewals came late ("lease not renewed", "cut
+// off"), other entry hosts had the configuration in force five seconds before the owner.
+func TestConfigurationThatIsReadSlowlyIsReadOnce(t *testing.T) {
+	s := &slowStore{takes: time.Second}
+	require.Positive(t, followSlow(t, s), "no change was read")
+	require.EqualValues(t, 1, s.lists.Load(), "lists")
+	require.EqualValues(t, 1, s.watches.Load(), "watches")
+}
+
+// A watch that brings nothing more is given up all the same.
+func TestWatchThatStallsIsGivenUp(t *testing.T) {
+	s := &slowStore{takes: 200 * time.Millisecond, stalls: true}
+	require.Zero(t, followSlow(t, s))
+	require.Greater(t, s.watches.Load(), int64(1))
+}
