--- a/job/follow_slow_test.go
+++ b/job/follow_slow_test.go
@@ -33,7 +33,8 @@
 		_ = json.NewEncoder(w).Encode(map[string]any{"items": []any{}, "more": false, "at": 1})
 		return
 	}
-	if s.watches.Add(1) > 1 && r.URL.Query().Get("after") != "1" {
+	s.watches.Add(1)
+	if r.URL.Query().Get("after") != "1" {
 		<-r.Context().Done()
 		return
 	}
--- a/job/looks.go
+++ b/job/looks.go
@@ -198,7 +198,7 @@
 	r.begun, r.listed, r.absent, r.accused = true, true, false, false
 	if r.phase == unsure || r.phase == starting {
 		if r.phase == unsure {
-			c.do(Note{What: "start settled", Job: r.task.of.of.job.id, Task: v.Task, Run: v.Run, Worker: r.at.ID, Why: "its run is there"})
+			c.noteRun(r, "start settled", "its run is there", nil)
 		}
 		r.phase = running
 		r.knownAt = c.now
--- a/job/machines_test.go
+++ b/job/machines_test.go
@@ -283,9 +283,7 @@
 	s.Count = 8
 	f.submit(idA, "quick", s)
 	f.pass(300 * time.Millisecond)
-	l := f.moves()
-	require.NotEmpty(t, l)
-	o := l[len(l)-1]
+	o := f.lastMove()
 	require.Greater(t, o.Holder.Fence, platform.Fence(100))
 	require.Equal(t, MoveMachine{Holder: platform.Holder{Name: "entry-1", Fence: o.Holder.Fence}, Machine: "host-of-s1", Pool: "blue"}, o)
 }
--- a/job/orders.go
+++ b/job/orders.go
@@ -187,7 +187,7 @@
 	if e.Err != nil {
 		why = e.Err.Error()
 	}
-	c.do(Note{What: "start refused", Job: t.of.of.job.id, Task: e.Task, Run: e.Run, Worker: w.ID, Why: why, Inputs: []any{"used", w.used.MilliCores, "room", w.Capacity.MilliCores}})
+	c.noteRun(r, "start refused", why, []any{"used", w.used.MilliCores, "room", w.Capacity.MilliCores})
 	switch {
 	case errors.Is(e.Err, platform.ErrNotSent):
 		w.silent = max(w.silent, 1)
@@ -236,7 +236,7 @@
 		r.stopped = true
 		w.lookAt = c.now
 	} else {
-		c.do(Note{What: "stop not answered", Job: k.id, Task: e.Task, Run: e.Run, Worker: w.ID, Why: e.Err.Error()})
+		c.noteRun(r, "stop not answered", e.Err.Error(), nil)
 	}
 	c.tend(w)
 }
