A planned stop answers the requests that it has read

Callers saw: a request on an open connection ended with EOF and no answer, after the stopping host had read it.

Cause: http.Server, once Shutdown has been called, closes a connection whose request it has just read without calling the handler (conn.serve looks at shuttingDown between the two). Connections that have not carried a request are kept open by Shutdown for five seconds, and all while another request is in flight, so that this is no race: whatever comes on them is lost.

Ruled out on the present code: the stop's first wait does not cover it, since Shutdown is called after it.

Mend: a stop no longer calls Shutdown. Open connections are counted from the accept on; each answer closes its connection, and an idle connection is ended by the goroutine that reads it, after a last look at what has come: only that one knows whether it holds a part of a request.

--- a/request/callers.go
+++ b/request/callers.go
@@ -28,6 +28,9 @@
 	// keptWithin bounds the wait for callers that go on using open connections.
 	// Each of them is closed by its next answer.
 	keptWithin = 5 * time.Second
+	// unusedWithin bounds the wait for the first request of connections that callers have
+	// opened and not used.
+	unusedWithin = 5 * time.Second
 	// waitShare is the part of the time left that one of these waits may take: half
 	// of it stays for what is in flight.
 	waitShare = 4
@@ -43,6 +46,9 @@
 type Callers struct {
 	handler http.Handler
 	server  *http.Server
+	conns   *callerConns
+	// served is closed once the listener brings no more connections.
+	served chan struct{}
 	// leaving says that each further answer closes its connection.
 	leaving atomic.Bool
 	// begun counts connections and requests that began.
@@ -51,7 +57,7 @@
 
 // NewCallers returns the listener's side of the handler.
 func NewCallers(h http.Handler) *Callers {
-	c := &Callers{handler: h}
+	c := &Callers{handler: h, conns: newCallerConns(), served: make(chan struct{})}
 	c.server = &http.Server{Handler: c, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ConnState: c.note}
 	return c
 }
@@ -69,16 +75,25 @@
 	c.handler.ServeHTTP(w, r)
 }
 
-// note counts what a caller begins.
-func (c *Callers) note(_ net.Conn, s http.ConnState) {
+// note counts what a caller begins, and follows which connections are idle.
+func (c *Callers) note(conn net.Conn, s http.ConnState) {
 	if s == http.StateNew || s == http.StateActive {
 		c.begun.Add(1)
 	}
+	k, ok := conn.(*callerConn)
+	switch {
+	case !ok:
+	case s == http.StateActive:
+		k.begin(false)
+	case s == http.StateIdle:
+		k.rest()
+	}
 }
 
-// Serve serves the listener's connections until it is closed.
-func (c *Callers) Serve(l net.Listener) error {
-	return c.server.Serve(l)
+// Serve serves the listener's connections until it is closed. It is called once.
+func (c *Callers) Serve(l *CallerListener) error {
+	defer close(c.served)
+	return c.server.Serve(connListener{l, c.conns})
 }
 
 // StopReport tells what a stop met, so that the cause of a request that it lost can be
@@ -88,6 +103,8 @@
 	// Quiet says that callers had stopped opening connections before the listener was
 	// closed, KeptQuiet that they had stopped using kept ones before those were.
 	Quiet, KeptQuiet bool
+	// Closed is how many idle connections the stop closed.
+	Closed int
 	// CloseErr is the error of the listener's close.
 	CloseErr error
 }
@@ -95,7 +112,7 @@
 // Inputs returns the report as names and values by turns, for a log line.
 func (r StopReport) Inputs() []any {
 	l := []any{
-		"quiet", r.Quiet, "kept_quiet", r.KeptQuiet,
+		"quiet", r.Quiet, "kept_quiet", r.KeptQuiet, "idle_closed", r.Closed,
 		"half_open", r.Most, "half_open_given_up", r.Left, "waited_for_accept", r.Waited,
 		"close_took_us", r.ClosedAt.Sub(r.KeptOutAt).Microseconds(),
 	}
@@ -114,7 +131,28 @@
 	r.CloseErr = l.Close()
 	r.Handshakes = l.Handshakes()
 	r.KeptQuiet = c.waitQuiet(ctx, keptWithin)
-	return r, c.server.Shutdown(ctx)
+	var err error
+	r.Closed, err = c.drain(ctx)
+	return r, errors.Join(err, c.server.Close())
+}
+
+// drain waits until no connection is open and returns how many idle ones it closed. It does
+// without Shutdown, which drops the requests that are read from then on.
+func (c *Callers) drain(ctx context.Context) (closed int, err error) {
+	select {
+	case <-c.served:
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	unused := time.Now().Add(unusedWithin)
+	for c.conns.count() > 0 && ctx.Err() == nil {
+		closed += c.conns.release(time.Now().After(unused))
+		common.Sleep(ctx, quietTick)
+	}
+	if c.conns.count() > 0 {
+		return closed, ctx.Err()
+	}
+	return closed, nil
 }
 
 // waitQuiet waits until no caller has begun anything for a while. It reports whether that
