A planned stop keeps idle connections until their callers have come back

Callers saw: a request sent on a kept connection after a pause of more than a quarter of a second ended with EOF, a reset or a broken pipe, as the stopping host closed the connection in that moment.

Mend: the stop ends when the last connection is closed, which each answer does; those that are still idle after 3 s, or half of the time left, are ended by their readers. A request that has come by then is found by their last look and served (TestRequestThatComesAsItsConnectionIsToEndIsServed).

The wait is 3 s, as a stop without anything in flight has to end within 5 s (TestSlotsAreSharedWithoutBeingExceeded). The log line of a stop tells how many idle connections it closed, for how long those were idle, and how many requests a last look found.

Not mended by this: a caller that pauses for longer than the wait.

--- a/request/callerconn.go
+++ b/request/callerconn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -15,10 +16,9 @@
 	*net.TCPConn
 	conns *callerConns
 	mu    sync.Mutex
-	// idle says that nothing of a next request has been read.
-	idle bool
-	// answered says that the connection has carried a request.
-	answered bool
+	// idle says that nothing of a next request has been read, since when.
+	idle  bool
+	since time.Time
 	// released asks the reader to end the connection unless a request has come.
 	released bool
 }
@@ -84,7 +84,7 @@
 func (k *callerConn) rest() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.idle, k.answered = true, true
+	k.idle, k.since = true, time.Now()
 }
 
 // begin notes that a request has begun. One that came late, or on a connection that was
@@ -95,29 +95,31 @@
 	k.idle = false
 	if late || k.released {
 		k.released = false
+		k.conns.late.Add(1)
 		// It fails on a closed connection only, which the next read tells of.
 		_ = k.TCPConn.SetReadDeadline(time.Now().Add(headerTimeout))
 	}
 }
 
-// release asks the reader to end the connection if it is idle, and has been used or is not
-// expected to be. It reports whether it did.
-func (k *callerConn) release(unused bool) bool {
+// release asks the reader to end the connection if it is idle, and returns since when it is.
+func (k *callerConn) release() (since time.Time, idle bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.idle || k.released || !(k.answered || unused) {
-		return false
+	if !k.idle || k.released {
+		return time.Time{}, false
 	}
 	k.released = true
 	// It fails on a closed connection only, whose reader ends by itself.
 	_ = k.TCPConn.SetReadDeadline(time.Unix(1, 0))
-	return true
+	return k.since, true
 }
 
 // callerConns are the open connections of callers.
 type callerConns struct {
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
+	// late counts requests that came as their connections were to end, and were served.
+	late atomic.Int64
 }
 
 func newCallerConns() *callerConns {
@@ -127,7 +129,7 @@
 func (o *callerConns) add(c *net.TCPConn) *callerConn {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	k := &callerConn{TCPConn: c, conns: o, idle: true}
+	k := &callerConn{TCPConn: c, conns: o, idle: true, since: time.Now()}
 	o.open[k] = struct{}{}
 	return k
 }
@@ -144,17 +146,38 @@
 	return len(o.open)
 }
 
-// release asks idle connections to end, also unused ones if told so, and returns how many.
-func (o *callerConns) release(unused bool) int {
+// release asks idle connections to end, and notes them.
+func (o *callerConns) release(to *IdleReport, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	n := 0
 	for k := range o.open {
-		if k.release(unused) {
-			n++
+		if since, idle := k.release(); idle {
+			to.note(since, now)
 		}
 	}
-	return n
+}
+
+// IdleReport tells of the idle connections that a stop closed. A caller may lose a request
+// that was on its way on one of them.
+type IdleReport struct {
+	Closed int
+	// At is when the last of them was closed. Oldest and Newest are since when the one that
+	// was idle for longest and the one that was idle for the shortest time were.
+	At, Oldest, Newest time.Time
+	// Late is how many requests came just as their connections were to be closed, since the
+	// start of the process, and were served.
+	Late int
+}
+
+func (r *IdleReport) note(since, now time.Time) {
+	if r.Closed == 0 || since.Before(r.Oldest) {
+		r.Oldest = since
+	}
+	if since.After(r.Newest) {
+		r.Newest = since
+	}
+	r.At = now
+	r.Closed++
 }
 
 // connListener hands out connections that are kept account of.
--- a/request/callers.go
+++ b/request/callers.go
@@ -25,24 +25,20 @@
 	// quietWithin bounds the wait for callers that go on opening connections:
 	// they are past the delay that the balancer needs.
 	quietWithin = 5 * time.Second
-	// keptWithin bounds the wait for callers that go on using open connections.
-	// Each of them is closed by its next answer.
-	keptWithin = 5 * time.Second
-	// unusedWithin bounds the wait for the first request of connections that callers have
-	// opened and not used.
-	unusedWithin = 5 * time.Second
-	// waitShare is the part of the time left that one of these waits may take: half
-	// of it stays for what is in flight.
-	waitShare = 4
+	// keptWithin bounds the wait for callers that keep connections open and pause: each
+	// connection is closed by its next answer.
+	keptWithin = 3 * time.Second
+	// quietShare and keptShare are the parts of the time left that these waits may take:
+	// the rest stays for what is in flight.
+	quietShare, keptShare = 4, 2
 	// callerIdle closes connections that carry nothing: callers ask again within
 	// seconds or not at all.
 	callerIdle = time.Minute
 )
 
-// Callers is the listener's side of the callers' interface. Its stop loses no
-// request: HTTP/1.1 has no way to tell a caller that an idle connection is about
-// to be closed, so that one is closed only after no caller has used any for a
-// while.
+// Callers is the listener's side of the callers' interface. Its stop loses no request of
+// callers that come back while it waits for them: HTTP/1.1 has no way to tell a caller that
+// an idle connection is about to be closed.
 type Callers struct {
 	handler http.Handler
 	server  *http.Server
@@ -100,11 +96,10 @@
 // told from its log line.
 type StopReport struct {
 	Handshakes
+	Idle IdleReport
 	// Quiet says that callers had stopped opening connections before the listener was
-	// closed, KeptQuiet that they had stopped using kept ones before those were.
-	Quiet, KeptQuiet bool
-	// Closed is how many idle connections the stop closed.
-	Closed int
+	// closed.
+	Quiet bool
 	// CloseErr is the error of the listener's close.
 	CloseErr error
 }
@@ -112,9 +107,13 @@
 // Inputs returns the report as names and values by turns, for a log line.
 func (r StopReport) Inputs() []any {
 	l := []any{
-		"quiet", r.Quiet, "kept_quiet", r.KeptQuiet, "idle_closed", r.Closed,
+		"quiet", r.Quiet,
 		"half_open", r.Most, "half_open_given_up", r.Left, "waited_for_accept", r.Waited,
 		"close_took_us", r.ClosedAt.Sub(r.KeptOutAt).Microseconds(),
+		"idle_closed", r.Idle.Closed, "served_late", r.Idle.Late,
+	}
+	if r.Idle.Closed > 0 {
+		l = append(l, "idle_least_ms", r.Idle.At.Sub(r.Idle.Newest).Milliseconds(), "idle_most_ms", r.Idle.At.Sub(r.Idle.Oldest).Milliseconds())
 	}
 	if err := errors.Join(r.Err, r.CloseErr); err != nil {
 		l = append(l, "error", err.Error())
@@ -130,38 +129,47 @@
 	r.Quiet = c.waitQuiet(ctx, quietWithin)
 	r.CloseErr = l.Close()
 	r.Handshakes = l.Handshakes()
-	r.KeptQuiet = c.waitQuiet(ctx, keptWithin)
 	var err error
-	r.Closed, err = c.drain(ctx)
+	r.Idle, err = c.drain(ctx)
 	return r, errors.Join(err, c.server.Close())
 }
 
-// drain waits until no connection is open and returns how many idle ones it closed. It does
-// without Shutdown, which drops the requests that are read from then on.
-func (c *Callers) drain(ctx context.Context) (closed int, err error) {
+// drain waits until no connection is open. It closes those that are still idle after a
+// while. It does without Shutdown, which drops the requests that are read from then on.
+func (c *Callers) drain(ctx context.Context) (IdleReport, error) {
+	var r IdleReport
 	select {
 	case <-c.served:
 	case <-ctx.Done():
-		return 0, ctx.Err()
+		return r, ctx.Err()
 	}
-	unused := time.Now().Add(unusedWithin)
+	end := time.Now().Add(waitFor(ctx, keptWithin, keptShare))
 	for c.conns.count() > 0 && ctx.Err() == nil {
-		closed += c.conns.release(time.Now().After(unused))
+		if !time.Now().Before(end) {
+			c.conns.release(&r, time.Now())
+		}
 		common.Sleep(ctx, quietTick)
 	}
+	r.Late = int(c.conns.late.Load())
 	if c.conns.count() > 0 {
-		return closed, ctx.Err()
+		return r, ctx.Err()
+	}
+	return r, nil
+}
+
+// waitFor returns how long a wait may take that has a part of the time left.
+func waitFor(ctx context.Context, most time.Duration, part int) time.Duration {
+	end, bounded := ctx.Deadline()
+	if !bounded {
+		return most
 	}
-	return closed, nil
+	return min(most, time.Until(end)/time.Duration(part))
 }
 
 // waitQuiet waits until no caller has begun anything for a while. It reports whether that
 // came before the time had passed.
 func (c *Callers) waitQuiet(ctx context.Context, within time.Duration) bool {
-	if end, bounded := ctx.Deadline(); bounded {
-		within = min(within, time.Until(end)/waitShare)
-	}
-	ctx, cancel := context.WithTimeout(ctx, within)
+	ctx, cancel := context.WithTimeout(ctx, waitFor(ctx, within, quietShare))
 	defer cancel()
 	seen := c.begun.Load()
 	for n := 0; n < quietTicks && ctx.Err() == nil; n++ {
--- a/request/callerstop_test.go
+++ b/request/callerstop_test.go
@@ -3,11 +3,17 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -125,3 +131,138 @@
 	require.NoError(t, err)
 	wait()
 }
+
+// TestStopServesACallerThatPauses guards against a request lost on a kept connection that
+// the stop closes while its caller pauses.
+func TestStopServesACallerThatPauses(t *testing.T) {
+	c, l := callersOf(t, echo)
+	k := dialRaw(t, l)
+	require.NoError(t, k.ask("before"))
+	wait := stop(t, c, l)
+	time.Sleep(2 * time.Second)
+	require.NoError(t, k.ask("after the pause"))
+	require.Zero(t, wait().Idle.Closed)
+}
+
+// TestStopEndsOnceNoConnectionIsOpen guards against stops that wait without need.
+func TestStopEndsOnceNoConnectionIsOpen(t *testing.T) {
+	c, l := callersOf(t, echo)
+	k := dialRaw(t, l)
+	require.NoError(t, k.ask("before"))
+	wait := stop(t, c, l)
+	require.NoError(t, k.ask("last"))
+	began := time.Now()
+	wait()
+	require.Less(t, time.Since(began), keptWithin)
+}
+
+// TestStopClosesConnectionsThatStayIdle guards against a stop that waits for callers without
+// end, and tells how many it gave up.
+func TestStopClosesConnectionsThatStayIdle(t *testing.T) {
+	c, l := callersOf(t, echo)
+	used, unused := dialRaw(t, l), dialRaw(t, l)
+	require.NoError(t, used.ask("before"))
+	r := stop(t, c, l)()
+	require.Equal(t, 2, r.Idle.Closed)
+	require.False(t, r.Idle.Newest.Before(r.Idle.Oldest))
+	for _, k := range []*rawConn{used, unused} {
+		_, err := k.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+	}
+}
+
+// TestRequestThatComesAsItsConnectionIsToEndIsServed guards against a request lost between
+// the decision to close an idle connection and its end: the reader looks once more.
+func TestRequestThatComesAsItsConnectionIsToEndIsServed(t *testing.T) {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	host, err := l.AcceptTCP()
+	require.NoError(t, err)
+	k := newCallerConns().add(host)
+	defer k.Close()
+	_, err = caller.Write([]byte("request"))
+	require.NoError(t, err)
+	_, idle := k.release()
+	require.True(t, idle)
+	b := make([]byte, 16)
+	n, err := k.Read(b)
+	require.NoError(t, err)
+	require.Equal(t, "request", string(b[:n]))
+	_, idle = k.release()
+	require.False(t, idle, "a connection with a request is not idle")
+	k.rest()
+	_, idle = k.release()
+	require.True(t, idle)
+	_, err = k.Read(b)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	_, err = caller.Read(b)
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// TestStopServesCallersThatPause guards against requests sent on kept connections that a
+// stop closes while their callers pause. Each caller has a connection pool of its own and
+// bodies that cannot be sent again.
+func TestStopServesCallersThatPause(t *testing.T) {
+	const stops, callers = 60, 10
+	var lost atomic.Int64
+	var g sync.WaitGroup
+	for range stops {
+		g.Go(func() { lost.Add(lostByStop(t, callers)) })
+	}
+	g.Wait()
+	require.Zero(t, lost.Load(), "requests lost in %d stops", stops)
+}
+
+// lostByStop stops a listener under callers that pause for 0.4 to 2 s, and returns how many
+// requests were lost.
+func lostByStop(t *testing.T, callers int) int64 {
+	c, l := callersOf(t, echo)
+	var lost atomic.Int64
+	var g sync.WaitGroup
+	for range callers {
+		g.Go(func() { askWithPauses(t, l.Addr().String(), &lost) })
+	}
+	time.Sleep(600 * time.Millisecond)
+	stop(t, c, l)()
+	g.Wait()
+	return lost.Load()
+}
+
+// askWithPauses posts until connections are refused, and counts what is sent and not
+// answered.
+func askWithPauses(t *testing.T, address string, lost *atomic.Int64) {
+	p := &http.Transport{}
+	defer p.CloseIdleConnections()
+	client := &http.Client{Transport: p}
+	for {
+		// A body of this type has no GetBody, so that the client sends it once at most.
+		body := io.NopCloser(strings.NewReader("body"))
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address, body)
+		if err != nil {
+			lost.Add(1)
+			return
+		}
+		res, err := client.Do(req)
+		if isRefusal(err) {
+			return
+		}
+		if err != nil {
+			lost.Add(1)
+			t.Logf("lost: %v", err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		time.Sleep(400*time.Millisecond + time.Duration(rand.Int64N(int64(1600*time.Millisecond))))
+	}
+}
+
+// isRefusal reports whether no connection was had, so that nothing was sent.
+func isRefusal(err error) bool {
+	var o *net.OpError
+	return errors.As(err, &o) && o.Op == "dial"
+}
