Callers are told for how long they may use an idle connection

Callers saw: nothing tells them when an idle connection may be closed under their next request; one that pauses for longer than a stop waits loses it.

Cause: HTTP/1.1 has no announcement of a close. An answer's Keep-Alive header (RFC 2068, section 19.7.1.1) can say for how long the connection stays open.

Mend: each answer names the time, in whole seconds, that any stop with the daemon's settings keeps an idle connection for: 3 s at most, and 3 and 2 s with the stops of 4.5 s (2.5 s of delay) and 4 s of the deployments. KeepFor works it out, drain keeps it, also for an answer that ended when the stop had waited for kept connections already (TestStopKeepsWhatItsLastAnswersPromised).

Not mended by this: callers that do not read the header, among them those of net/http, and pause for longer than the wait.

The whole check was not run on this commit.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -110,7 +110,7 @@
 	}
 	g := peers.NewServer(d.settings.PeerToken)
 	d.offer(g)
-	callers := request.NewCallers(d.server)
+	callers := request.NewCallers(d.server, d.settings.keep())
 	operators := &http.Server{Handler: d.admin, ReadHeaderTimeout: 10 * time.Second}
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Serve(l.callers) }()
--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -90,6 +90,11 @@
 	return ExitOK
 }
 
+// keep returns for how long callers may use an idle connection.
+func (s Settings) keep() time.Duration {
+	return request.KeepFor(s.StopDelay, s.StopWithin)
+}
+
 // size returns what the host has.
 func (s Settings) size() job.Size {
 	return job.Size{Cores: s.Cores, Link: s.LinkMbps, Memory: s.MemoryMB, OrdersPerSecond: s.OrderRate}
@@ -103,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	callers := request.NewCallers(d.node.Callers())
+	callers := request.NewCallers(d.node.Callers(), d.settings.keep())
 	go func() {
 		if err := callers.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			failed <- err
--- a/request/callerconn.go
+++ b/request/callerconn.go
@@ -19,6 +19,8 @@
 	// idle says that nothing of a next request has been read, since when.
 	idle  bool
 	since time.Time
+	// promised is until when the caller has been told that it may use the idle connection.
+	promised time.Time
 	// released asks the reader to end the connection unless a request has come.
 	released bool
 }
@@ -80,11 +82,13 @@
 	return k.idle
 }
 
-// rest notes that the connection waits for its next request.
-func (k *callerConn) rest() {
+// rest notes that the connection waits for its next request, which its caller may send
+// within a time.
+func (k *callerConn) rest(keep time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.idle, k.since = true, time.Now()
+	k.promised = k.since.Add(keep)
 }
 
 // begin notes that a request has begun. One that came late, or on a connection that was
@@ -101,11 +105,12 @@
 	}
 }
 
-// release asks the reader to end the connection if it is idle, and returns since when it is.
-func (k *callerConn) release() (since time.Time, idle bool) {
+// release asks the reader to end the connection if it is idle and no longer promised to its
+// caller, and returns since when it is idle.
+func (k *callerConn) release(now time.Time) (since time.Time, idle bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.idle || k.released {
+	if !k.idle || k.released || now.Before(k.promised) {
 		return time.Time{}, false
 	}
 	k.released = true
@@ -146,12 +151,24 @@
 	return len(o.open)
 }
 
+// busy reports whether a request is in flight on any of them.
+func (o *callerConns) busy() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for k := range o.open {
+		if !k.isIdle() {
+			return true
+		}
+	}
+	return false
+}
+
 // release asks idle connections to end, and notes them.
 func (o *callerConns) release(to *IdleReport, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for k := range o.open {
-		if since, idle := k.release(); idle {
+		if since, idle := k.release(now); idle {
 			to.note(since, now)
 		}
 	}
--- a/request/callers.go
+++ b/request/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -43,6 +44,8 @@
 	handler http.Handler
 	server  *http.Server
 	conns   *callerConns
+	// keep is for how long callers are told that they may use an idle connection.
+	keep time.Duration
 	// served is closed once the listener brings no more connections.
 	served chan struct{}
 	// leaving says that each further answer closes its connection.
@@ -51,13 +54,20 @@
 	begun atomic.Int64
 }
 
-// NewCallers returns the listener's side of the handler.
-func NewCallers(h http.Handler) *Callers {
-	c := &Callers{handler: h, conns: newCallerConns(), served: make(chan struct{})}
+// NewCallers returns the listener's side of the handler. Answers tell callers for how long
+// they may use an idle connection, in whole seconds; KeepFor says what a stop bears.
+func NewCallers(h http.Handler, keep time.Duration) *Callers {
+	c := &Callers{handler: h, conns: newCallerConns(), keep: keep.Truncate(time.Second), served: make(chan struct{})}
 	c.server = &http.Server{Handler: c, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ConnState: c.note}
 	return c
 }
 
+// KeepFor returns for how long an idle connection stays open at least in a stop that delays
+// for one time and ends within another.
+func KeepFor(delay, within time.Duration) time.Duration {
+	return min(keptWithin, within, delay+(within-delay)/keptShare)
+}
+
 // Leave makes every further answer close its connection.
 func (c *Callers) Leave() {
 	c.leaving.Store(true)
@@ -65,8 +75,13 @@
 
 // ServeHTTP answers one caller.
 func (c *Callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if c.leaving.Load() {
+	switch {
+	case c.leaving.Load():
 		w.Header().Set("Connection", "close")
+	case c.keep > 0:
+		// RFC 2068, section 19.7.1.1.
+		w.Header().Set("Connection", "keep-alive")
+		w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", c.keep/time.Second))
 	}
 	c.handler.ServeHTTP(w, r)
 }
@@ -82,7 +97,7 @@
 	case s == http.StateActive:
 		k.begin(false)
 	case s == http.StateIdle:
-		k.rest()
+		k.rest(c.keep)
 	}
 }
 
@@ -135,7 +150,7 @@
 }
 
 // drain waits until no connection is open. It closes those that are still idle after a
-// while. It does without Shutdown, which drops the requests that are read from then on.
+// while, unless their callers have been told that they may use them for longer. It does without Shutdown, which drops the requests that are read from then on.
 func (c *Callers) drain(ctx context.Context) (IdleReport, error) {
 	var r IdleReport
 	select {
@@ -151,7 +166,7 @@
 		common.Sleep(ctx, quietTick)
 	}
 	r.Late = int(c.conns.late.Load())
-	if c.conns.count() > 0 {
+	if c.conns.busy() {
 		return r, ctx.Err()
 	}
 	return r, nil
--- a/request/callerstop_test.go
+++ b/request/callerstop_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	l, err := ListenForCallers(t.Context(), netip.AddrPortFrom(unsharedLoopback(), 0))
 	require.NoError(t, err)
-	c := NewCallers(h)
+	c := NewCallers(h, KeepFor(0, stopWithin))
 	go func() { _ = c.Serve(l) }()
 	return c, l
 }
@@ -186,16 +186,16 @@
 	defer k.Close()
 	_, err = caller.Write([]byte("request"))
 	require.NoError(t, err)
-	_, idle := k.release()
+	_, idle := k.release(time.Now())
 	require.True(t, idle)
 	b := make([]byte, 16)
 	n, err := k.Read(b)
 	require.NoError(t, err)
 	require.Equal(t, "request", string(b[:n]))
-	_, idle = k.release()
+	_, idle = k.release(time.Now())
 	require.False(t, idle, "a connection with a request is not idle")
-	k.rest()
-	_, idle = k.release()
+	k.rest(0)
+	_, idle = k.release(time.Now())
 	require.True(t, idle)
 	_, err = k.Read(b)
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
@@ -203,6 +203,60 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// TestCallersAreToldHowLongAStopKeepsTheirConnections guards against callers that cannot
+// know when an idle connection may be closed under their next request.
+func TestCallersAreToldHowLongAStopKeepsTheirConnections(t *testing.T) {
+	c, l := callersOf(t, echo)
+	k := dialRaw(t, l)
+	require.NoError(t, k.send("before"))
+	res, err := k.answer("before")
+	require.NoError(t, err)
+	require.Equal(t, "keep-alive", res.Header.Get("Connection"))
+	require.Equal(t, "timeout=3", res.Header.Get("Keep-Alive"))
+	wait := stop(t, c, l)
+	require.NoError(t, k.send("last"))
+	res, err = k.answer("last")
+	require.NoError(t, err)
+	require.True(t, res.Close)
+	require.Empty(t, res.Header.Get("Keep-Alive"))
+	wait()
+}
+
+// TestStopKeepsWhatItsLastAnswersPromised guards against a request lost on a connection
+// whose answer began before the stop, told that it may be used, and ended when the stop had
+// waited for kept connections already.
+func TestStopKeepsWhatItsLastAnswersPromised(t *testing.T) {
+	c, l := callersOf(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Length", "4")
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(4 * time.Second)
+		_, _ = w.Write([]byte("long"))
+	})
+	k := dialRaw(t, l)
+	require.NoError(t, k.send("long"))
+	time.Sleep(50 * time.Millisecond)
+	wait := stop(t, c, l)
+	_, err := k.answer("long")
+	require.NoError(t, err)
+	time.Sleep(2 * time.Second)
+	require.NoError(t, k.ask("long"))
+	wait()
+}
+
+func TestKeepFitsIntoAStop(t *testing.T) {
+	for _, v := range []struct{ delay, within, keep time.Duration }{
+		{time.Second, time.Hour, 3 * time.Second},
+		{2500 * time.Millisecond, 4500 * time.Millisecond, 3 * time.Second},
+		{300 * time.Millisecond, 4 * time.Second, 2150 * time.Millisecond},
+		{0, time.Second, 500 * time.Millisecond},
+		{3 * time.Second, 2 * time.Second, 2 * time.Second},
+	} {
+		require.Equal(t, v.keep, KeepFor(v.delay, v.within), "%s, %s", v.delay, v.within)
+	}
+}
+
 // TestStopServesCallersThatPause guards against requests sent on kept connections that a
 // stop closes while their callers pause. Each caller has a connection pool of its own and
 // bodies that cannot be sent again.
