A stopping host answers other entry hosts until it is gone

Other entry hosts saw: a call on a kept connection to a host that stops ended with EOF, and their callers were told that a job may have been handed in, or waited for the store.

The listener for other entry hosts was stopped by http.Server's Shutdown, which closes idle connections at once and drops what it reads.

By reading, not by a play: a host that the store does not reach goes on asking the one that was the owner.

Mend: that listener is stopped in the same way, beside the callers'. What its stop met has a log line. Calls that are cut off when the time is over are not taken for a failed stop, as before: who asks them asks again or settles them.

--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -31,8 +32,7 @@
 	// jobsMemory is the soft limit of the heap, in bytes.
 	jobsMemory = 120 << 20
 	// headerTimeout bounds the reading of a request's headers, idleTimeout closes
-	// connections that carry nothing: the balancer and other entry hosts ask again
-	// within seconds.
+	// connections that carry nothing: the balancer asks again within seconds.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
 	// flushWithin bounds the wait for a reader of the log's last lines: they tell how a
@@ -104,21 +104,15 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 3)
-	l, err := request.ListenForCallers(work, d.checked.callers)
+	callers, err := d.serveCallers(work, d.checked.callers, d.node.Callers(), failed)
 	if err != nil {
 		return err
 	}
-	callers := request.NewCallers(d.node.Callers(), d.settings.keep())
-	go func() {
-		if err := callers.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			failed <- err
-		}
-	}()
 	ready, err := serve(work, d.checked.ready, http.HandlerFunc(d.serveReady), failed)
 	if err != nil {
 		return err
 	}
-	peers, err := serve(work, d.checked.peers, d.peers(), failed)
+	peers, err := d.serveCallers(work, d.checked.peers, d.peers(), failed)
 	if err != nil {
 		return err
 	}
@@ -130,7 +124,28 @@
 		return err
 	case <-ctx.Done():
 	}
-	return d.stop(callers, l, ready, peers)
+	return d.stop(callers, peers, ready)
+}
+
+// callersSide is a listener whose stop loses no request, with what serves it.
+type callersSide struct {
+	*request.Callers
+	listener *request.CallerListener
+}
+
+// serveCallers serves the handler at the address, beside its caller.
+func (d *jobsDaemon) serveCallers(ctx context.Context, at netip.AddrPort, h http.Handler, failed chan<- error) (callersSide, error) {
+	l, err := request.ListenForCallers(ctx, at)
+	if err != nil {
+		return callersSide{}, err
+	}
+	c := request.NewCallers(h, d.settings.keep())
+	go func() {
+		if err := c.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			failed <- err
+		}
+	}()
+	return callersSide{c, l}, nil
 }
 
 // peers serves other entry hosts, metrics and, if the settings ask for them, profiles.
@@ -173,21 +188,35 @@
 
 // stop hands ownership on, has callers sent elsewhere, and ends once nothing is
 // in flight.
-func (d *jobsDaemon) stop(callers *request.Callers, l *request.CallerListener, ready, peers *http.Server) error {
+func (d *jobsDaemon) stop(callers, peers callersSide, ready *http.Server) error {
 	d.log.Write(job.Note{What: "stopping"})
 	d.node.Leave()
 	callers.Leave()
+	peers.Leave()
 	within, cancel := context.WithTimeout(context.Background(), d.settings.StopWithin)
 	defer cancel()
 	common.Sleep(within, d.settings.StopDelay)
-	r, err := callers.Stop(within, l)
-	d.log.Write(job.Note{What: "callers' listener closed", Inputs: r.Inputs()})
+	var g sync.WaitGroup
+	// A call of another entry host that is cut off is asked again or settled there.
+	g.Go(func() { _ = d.stopSide(within, peers, "peers' listener closed") })
+	err := d.stopSide(within, callers, "callers' listener closed")
+	g.Wait()
 	_ = ready.Close()
-	_ = peers.Shutdown(within)
 	d.log.Write(job.Note{What: "stopped"})
 	return err
 }
 
+// stopSide stops one side and logs what its stop met.
+func (d *jobsDaemon) stopSide(ctx context.Context, s callersSide, what string) error {
+	r, err := s.Stop(ctx, s.listener)
+	n := job.Note{What: what, Inputs: r.Inputs()}
+	if err != nil {
+		n.Why = err.Error()
+	}
+	d.log.Write(n)
+	return err
+}
+
 // followSettings reads the settings anew after a SIGHUP and when the file has
 // changed. Only the log's level can change while the daemon runs.
 func (d *jobsDaemon) followSettings(ctx context.Context) {
--- a/tests/stop_test.go
+++ b/tests/stop_test.go
@@ -102,3 +102,20 @@
 	require.NoError(t, err)
 	require.Zero(t, code)
 }
+
+// TestPlannedStopAnswersOtherEntryHostsThatPause guards against a call between entry hosts
+// that is lost since the stopping one has closed the kept connection it comes on: a host
+// that has not heard of the next owner asks the one that stops.
+func TestPlannedStopAnswersOtherEntryHostsThatPause(t *testing.T) {
+	j := startJobs(t)
+	e := j.Entries[1]
+	k := keep(t, e.Peers)
+	const call = "GET /metrics HTTP/1.1\r\nHost: entry\r\n\r\n"
+	require.NoError(t, k.send(call, "#"))
+	require.NoError(t, e.Signal(syscall.SIGTERM))
+	time.Sleep(1200 * time.Millisecond)
+	require.NoError(t, k.send(call, "#"))
+	code, err := e.Wait(10 * time.Second)
+	require.NoError(t, err)
+	require.Zero(t, code)
+}
