A kept connection is not used once its other side may close it

Other entry hosts, and the platform's callers in us, saw: a call on a kept connection that the other side closes in that moment is lost, and what it asked may have been done.

Cause: connections were kept for 30 s, whatever the other side's Keep-Alive header said.

Mend: a connection is used again for the time that the answer names less half a second, in which the call has to arrive; 30 s at most, as before, and where nothing is named.

Not mended by this: encrypted calls, which net/http's client makes.

--- a/common/caller.go
+++ b/common/caller.go
@@ -34,7 +34,7 @@
 
 // connect returns a kept connection or a new one, and begins the call on it.
 func (c *caller) connect(a *attempt) (*kept, error) {
-	k := c.pool.take(a.address)
+	k := c.pool.take(a.address, time.Now())
 	reused := k != nil
 	if !reused {
 		n, err := c.conns.Dial(a.ctx, "tcp", a.address)
@@ -90,7 +90,7 @@
 		return Reply{}, errors.Join(err, context.Cause(a.ctx))
 	}
 	if reusable {
-		c.pool.put(k, time.Now())
+		c.pool.put(k, time.Now(), usableIdle(r.Header))
 	}
 	return r, nil
 }
--- a/common/pool.go
+++ b/common/pool.go
@@ -4,12 +4,18 @@
 	"bufio"
 	"container/list"
 	"net"
+	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
+// arrivesWithin is what a request may take to the other side on a kept connection.
+const arrivesWithin = 500 * time.Millisecond
+
 // kept is an open connection with what is read ahead of it.
 type kept struct {
 	net.Conn
@@ -35,11 +41,12 @@
 	return &pool{Limits: l, byAddress: map[string][]*kept{}, idle: list.New()}
 }
 
-// take returns an idle connection to the address on which nothing has come since, or nil.
-func (p *pool) take(address string) *kept {
+// take returns an idle connection to the address whose time has not passed and on which
+// nothing has come since, or nil.
+func (p *pool) take(address string, now time.Time) *kept {
 	for {
 		k := p.last(address)
-		if k == nil || k.quiet() {
+		if k == nil || (now.Before(k.idleUntil) && k.quiet()) {
 			return k
 		}
 		_ = k.Close()
@@ -69,22 +76,22 @@
 	}
 }
 
-// put keeps the connection until now has passed its time, and closes those that are
-// beyond the pool's limits or their time.
-func (p *pool) put(k *kept, now time.Time) {
-	for _, o := range p.keep(k, now) {
+// put keeps the connection for a time, and closes those that are beyond the pool's limits
+// or their time.
+func (p *pool) put(k *kept, now time.Time, idle time.Duration) {
+	for _, o := range p.keep(k, now, idle) {
 		_ = o.Close()
 	}
 }
 
 // keep returns the connections that are kept no more.
-func (p *pool) keep(k *kept, now time.Time) []*kept {
+func (p *pool) keep(k *kept, now time.Time, idle time.Duration) []*kept {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.byAddress[k.address]) >= max(1, p.PerAddress) {
 		return []*kept{k}
 	}
-	k.idleUntil = now.Add(idleTimeout)
+	k.idleUntil = now.Add(idle)
 	k.element = p.idle.PushFront(k)
 	p.byAddress[k.address] = append(p.byAddress[k.address], k)
 	var over []*kept
@@ -128,3 +135,19 @@
 	})
 	return err == nil && quiet
 }
+
+// usableIdle returns for how long a connection may be used again after an answer with the
+// headers, which may tell when the other side closes it (RFC 2068, section 19.7.1.1). A
+// request has to arrive before that.
+func usableIdle(h http.Header) time.Duration {
+	for p := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, v, _ := strings.Cut(strings.TrimSpace(p), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.ParseUint(v, 10, 16); err == nil {
+			return min(idleTimeout, max(0, time.Duration(n)*time.Second-arrivesWithin))
+		}
+	}
+	return idleTimeout
+}
