Tests: a planned stop of a process that is held up, and requests at the end of an idle time

TestRequestAtTheEndOfAnIdleTimeIsServed is about the close without a stop, after a minute without a request: a reader looks once more there as well. On a plain connection the read fails with "i/o timeout" though the request has come.

--- a/request/callerstop_test.go
+++ b/request/callerstop_test.go
@@ -171,38 +171,81 @@
 	}
 }
 
-// TestRequestThatComesAsItsConnectionIsToEndIsServed guards against a request lost between
-// the decision to close an idle connection and its end: the reader looks once more.
-func TestRequestThatComesAsItsConnectionIsToEndIsServed(t *testing.T) {
+// acceptedPair returns a host's side of a connection with the caller's.
+func acceptedPair(t *testing.T) (host *callerConn, caller net.Conn) {
+	t.Helper()
 	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
 	defer l.Close()
-	caller, err := net.Dial("tcp", l.Addr().String())
-	require.NoError(t, err)
-	defer caller.Close()
-	host, err := l.AcceptTCP()
+	caller, err = net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
-	k := newCallerConns().add(host)
-	defer k.Close()
-	_, err = caller.Write([]byte("request"))
+	t.Cleanup(func() { _ = caller.Close() })
+	c, err := l.AcceptTCP()
 	require.NoError(t, err)
-	_, idle := k.release(time.Now())
-	require.True(t, idle)
+	host = newCallerConns().add(c)
+	t.Cleanup(func() { _ = host.Close() })
+	return host, caller
+}
+
+// requireRead requires that the host reads a text next.
+func requireRead(t *testing.T, host *callerConn, want string) {
+	t.Helper()
 	b := make([]byte, 16)
-	n, err := k.Read(b)
+	n, err := host.Read(b)
 	require.NoError(t, err)
-	require.Equal(t, "request", string(b[:n]))
-	_, idle = k.release(time.Now())
+	require.Equal(t, want, string(b[:n]))
+}
+
+// TestRequestThatComesAsItsConnectionIsToEndIsServed guards against a request lost between
+// the decision to close an idle connection and its end: the reader looks once more.
+func TestRequestThatComesAsItsConnectionIsToEndIsServed(t *testing.T) {
+	host, caller := acceptedPair(t)
+	_, err := caller.Write([]byte("request"))
+	require.NoError(t, err)
+	_, idle := host.release(time.Now())
+	require.True(t, idle)
+	requireRead(t, host, "request")
+	_, idle = host.release(time.Now())
 	require.False(t, idle, "a connection with a request is not idle")
-	k.rest(0)
-	_, idle = k.release(time.Now())
+	host.rest(0)
+	_, idle = host.release(time.Now())
 	require.True(t, idle)
-	_, err = k.Read(b)
+	b := make([]byte, 1)
+	_, err = host.Read(b)
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 	_, err = caller.Read(b)
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// TestRequestAtTheEndOfAnIdleTimeIsServed guards against the same without any stop: a
+// connection is closed after a minute without a request, or ten seconds without a first one,
+// and a host that is held up then finds both the end of that time and a request.
+func TestRequestAtTheEndOfAnIdleTimeIsServed(t *testing.T) {
+	host, caller := acceptedPair(t)
+	_, err := caller.Write([]byte("request"))
+	require.NoError(t, err)
+	require.NoError(t, host.SetReadDeadline(time.Now().Add(-time.Second)))
+	requireRead(t, host, "request")
+	_, err = caller.Write([]byte(" goes on"))
+	require.NoError(t, err)
+	requireRead(t, host, " goes on")
+	require.NoError(t, host.SetReadDeadline(time.Now().Add(-time.Second)))
+	_, err = host.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "the time for a request that has begun is not prolonged")
+}
+
+// TestPromisedConnectionIsNotReleased guards against a connection closed while its caller
+// has been told that it may use it.
+func TestPromisedConnectionIsNotReleased(t *testing.T) {
+	host, _ := acceptedPair(t)
+	now := time.Now()
+	host.rest(time.Minute)
+	_, idle := host.release(now.Add(50 * time.Second))
+	require.False(t, idle)
+	_, idle = host.release(now.Add(61 * time.Second))
+	require.True(t, idle)
+}
+
 // TestCallersAreToldHowLongAStopKeepsTheirConnections guards against callers that cannot
 // know when an idle connection may be closed under their next request.
 func TestCallersAreToldHowLongAStopKeepsTheirConnections(t *testing.T) {
--- a/tests/stop_test.go
+++ b/tests/stop_test.go
@@ -81,6 +81,28 @@
 	require.Zero(t, code)
 }
 
+// TestPlannedStopOfAHostThatIsHeldUpLosesNothing guards against requests lost where the
+// process that stops gets no time again and again: what it finds then has come long before,
+// and its own waits are over.
+func TestPlannedStopOfAHostThatIsHeldUpLosesNothing(t *testing.T) {
+	d := start(t)
+	e := d.Entries[1]
+	s := during(t, d, 400, func() {
+		require.NoError(t, e.Signal(syscall.SIGTERM))
+		for range 4 {
+			time.Sleep(150 * time.Millisecond)
+			require.NoError(t, e.Signal(syscall.SIGSTOP))
+			time.Sleep(300 * time.Millisecond)
+			require.NoError(t, e.Signal(syscall.SIGCONT))
+		}
+		code, err := e.Wait(10 * time.Second)
+		require.NoError(t, err)
+		require.Zero(t, code)
+	})
+	requireTrue(t, d, s)
+	require.Equal(t, s.Sent, s.Answered, "%+v", s)
+}
+
 // TestPlannedStopOfAJobsHostServesConnectionsThatAreKept is the same for an entry host
 // that serves jobs.
 func TestPlannedStopOfAJobsHostServesConnectionsThatAreKept(t *testing.T) {
