A stopping host answers operators until it is gone

Operators saw: a call on a kept connection was reset by a stop, so that nobody knew whether a configuration had been accepted or a drain begun.

Cause: the operators' listener was closed with all of its connections, whatever was on them.

Mend: one type (side) is a listener with what serves it, for callers, operators and the other entry hosts of the daemon of jobs. Operators are answered until all else has stopped, as before, and then for 10 s at most. The sides of operators and of other entry hosts keep an idle connection for as long as its last answer said; only callers, of whom many do not read that, are waited for beyond it.

Calls between entry hosts by gRPC are still cut off by the end of the process: by reading, probes, claims and fetches are made again by who makes them.

The whole check was not run on this commit.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -57,6 +57,9 @@
 // default of 100, as an entry host is small.
 const gcPercent = 50
 
+// operatorsWithin bounds the wait for operators' calls once nothing else is in flight.
+const operatorsWithin = 10 * time.Second
+
 // RunDaemon is amberwayd: it returns the exit code.
 func RunDaemon(args []string, out, errs io.Writer) int {
 	debug.SetGCPercent(gcPercent)
@@ -110,11 +113,9 @@
 	}
 	g := peers.NewServer(d.settings.PeerToken)
 	d.offer(g)
-	callers := request.NewCallers(d.server, d.settings.keep())
-	operators := &http.Server{Handler: d.admin, ReadHeaderTimeout: 10 * time.Second}
 	failed := make(chan error, 3)
-	go func() { failed <- callers.Serve(l.callers) }()
-	go func() { failed <- operators.Serve(l.admin) }()
+	go func() { failed <- l.callers.serve() }()
+	go func() { failed <- l.operators.serve() }()
 	go func() { failed <- g.Serve(l.peers) }()
 	d.work(work)
 	d.log.Infof("%s serves callers on %s", d.settings.Name, d.checked.callers)
@@ -123,23 +124,23 @@
 		return merry.Prepend(err, "daemon: listener")
 	case <-ctx.Done():
 	}
-	return d.stop(callers, l.callers, operators, g)
+	return d.stop(l, g)
 }
 
 type listeners struct {
-	callers *request.CallerListener
-	admin   net.Listener
-	peers   net.Listener
+	callers   side
+	operators side
+	peers     net.Listener
 }
 
 func (d *Daemon) listen(ctx context.Context) (listeners, error) {
 	var l listeners
 	var err error
 	var c net.ListenConfig
-	if l.callers, err = request.ListenForCallers(ctx, d.checked.callers); err != nil {
+	if l.callers, err = listenSide(ctx, d.checked.callers, d.server, d.settings.keep(), request.CallerPause); err != nil {
 		return l, merry.Prepend(err, "daemon: callers' listener")
 	}
-	if l.admin, err = c.Listen(ctx, "tcp", d.checked.admin.String()); err != nil {
+	if l.operators, err = listenSide(ctx, d.checked.admin, d.admin, d.settings.keep(), 0); err != nil {
 		return l, merry.Prepend(err, "daemon: operators' listener")
 	}
 	if l.peers, err = c.Listen(ctx, "tcp", d.checked.peers.String()); err != nil {
@@ -167,21 +168,24 @@
 
 // stop takes no more requests once the balancer had time to learn of it, and
 // waits for those in flight.
-func (d *Daemon) stop(callers *request.Callers, l *request.CallerListener, operators *http.Server, g *grpc.Server) error {
+func (d *Daemon) stop(l listeners, g *grpc.Server) error {
 	d.log.Infof("stopping")
 	d.stopping.Store(true)
-	callers.Leave()
+	l.callers.Leave()
+	l.operators.Leave()
 	within, cancel := context.WithTimeout(context.Background(), d.settings.StopWithin)
 	defer cancel()
 	common.Sleep(within, d.settings.StopDelay)
-	r, err := callers.Stop(within, l)
-	d.log.Infof("callers' listener closed: %v", r.Inputs())
+	err := d.stopSide(within, l.callers, "callers'")
 	d.server.Drain(within)
 	leave, done := context.WithTimeout(context.Background(), 2*time.Second)
 	defer done()
 	d.members.Leave(leave)
 	g.Stop()
-	_ = operators.Close()
+	// An operator's call that is cut off is no failed stop.
+	ending, ended := context.WithTimeout(context.Background(), operatorsWithin)
+	defer ended()
+	_ = d.stopSide(ending, l.operators, "operators'")
 	d.dialer.Close()
 	if errors.Is(err, context.DeadlineExceeded) {
 		return merry.Prepend(err, "daemon: requests in flight were cut off")
@@ -189,3 +193,10 @@
 	d.log.Infof("stopped")
 	return err
 }
+
+// stopSide stops one side and logs what its stop met.
+func (d *Daemon) stopSide(ctx context.Context, s side, whose string) error {
+	r, err := s.stop(ctx)
+	d.log.Infof("%s listener closed: %v %v", whose, r.Inputs(), err)
+	return err
+}
--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -104,7 +104,7 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 3)
-	callers, err := d.serveCallers(work, d.checked.callers, d.node.Callers(), failed)
+	callers, err := d.serveSide(work, d.checked.callers, d.node.Callers(), request.CallerPause, failed)
 	if err != nil {
 		return err
 	}
@@ -112,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := d.serveCallers(work, d.checked.peers, d.peers(), failed)
+	peers, err := d.serveSide(work, d.checked.peers, d.peers(), 0, failed)
 	if err != nil {
 		return err
 	}
@@ -127,25 +127,18 @@
 	return d.stop(callers, peers, ready)
 }
 
-// callersSide is a listener whose stop loses no request, with what serves it.
-type callersSide struct {
-	*request.Callers
-	listener *request.CallerListener
-}
-
-// serveCallers serves the handler at the address, beside its caller.
-func (d *jobsDaemon) serveCallers(ctx context.Context, at netip.AddrPort, h http.Handler, failed chan<- error) (callersSide, error) {
-	l, err := request.ListenForCallers(ctx, at)
+// serveSide serves the handler at the address, beside its caller.
+func (d *jobsDaemon) serveSide(ctx context.Context, at netip.AddrPort, h http.Handler, pause time.Duration, failed chan<- error) (side, error) {
+	s, err := listenSide(ctx, at, h, d.settings.keep(), pause)
 	if err != nil {
-		return callersSide{}, err
+		return s, err
 	}
-	c := request.NewCallers(h, d.settings.keep())
 	go func() {
-		if err := c.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := s.serve(); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			failed <- err
 		}
 	}()
-	return callersSide{c, l}, nil
+	return s, nil
 }
 
 // peers serves other entry hosts, metrics and, if the settings ask for them, profiles.
@@ -188,7 +181,7 @@
 
 // stop hands ownership on, has callers sent elsewhere, and ends once nothing is
 // in flight.
-func (d *jobsDaemon) stop(callers, peers callersSide, ready *http.Server) error {
+func (d *jobsDaemon) stop(callers, peers side, ready *http.Server) error {
 	d.log.Write(job.Note{What: "stopping"})
 	d.node.Leave()
 	callers.Leave()
@@ -207,8 +200,8 @@
 }
 
 // stopSide stops one side and logs what its stop met.
-func (d *jobsDaemon) stopSide(ctx context.Context, s callersSide, what string) error {
-	r, err := s.Stop(ctx, s.listener)
+func (d *jobsDaemon) stopSide(ctx context.Context, s side, what string) error {
+	r, err := s.stop(ctx)
 	n := job.Note{What: what, Inputs: r.Inputs()}
 	if err != nil {
 		n.Why = err.Error()
--- /dev/null
+++ b/commands/side.go
@@ -0,0 +1,36 @@
+package commands
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"amberway/request"
+)
+
+// side is a listener whose stop loses no request, with what serves it.
+type side struct {
+	*request.Callers
+	listener *request.CallerListener
+}
+
+// listenSide listens at the address for the handler. Callers are told for how long idle
+// connections are kept, and a stop waits for those that pause for longer.
+func listenSide(ctx context.Context, at netip.AddrPort, h http.Handler, keep, pause time.Duration) (side, error) {
+	l, err := request.ListenForCallers(ctx, at)
+	if err != nil {
+		return side{}, err
+	}
+	return side{request.NewCallers(h, keep, pause), l}, nil
+}
+
+// serve serves until the listener is closed.
+func (s side) serve() error {
+	return s.Serve(s.listener)
+}
+
+// stop stops the side and returns what that met.
+func (s side) stop(ctx context.Context) (request.StopReport, error) {
+	return s.Stop(ctx, s.listener)
+}
--- a/request/callers.go
+++ b/request/callers.go
@@ -26,9 +26,9 @@
 	// quietWithin bounds the wait for callers that go on opening connections:
 	// they are past the delay that the balancer needs.
 	quietWithin = 5 * time.Second
-	// keptWithin bounds the wait for callers that keep connections open and pause: each
-	// connection is closed by its next answer.
-	keptWithin = 3 * time.Second
+	// CallerPause is how long a stop waits for callers that keep connections open and
+	// pause: each connection is closed by its next answer.
+	CallerPause = 3 * time.Second
 	// quietShare and keptShare are the parts of the time left that these waits may take:
 	// the rest stays for what is in flight.
 	quietShare, keptShare = 4, 2
@@ -46,6 +46,8 @@
 	conns   *callerConns
 	// keep is for how long callers are told that they may use an idle connection.
 	keep time.Duration
+	// pause is how long a stop waits for callers that pause, whatever they were told.
+	pause time.Duration
 	// served is closed once the listener brings no more connections.
 	served chan struct{}
 	// leaving says that each further answer closes its connection.
@@ -55,9 +57,10 @@
 }
 
 // NewCallers returns the listener's side of the handler. Answers tell callers for how long
-// they may use an idle connection, in whole seconds; KeepFor says what a stop bears.
-func NewCallers(h http.Handler, keep time.Duration) *Callers {
-	c := &Callers{handler: h, conns: newCallerConns(), keep: keep.Truncate(time.Second), served: make(chan struct{})}
+// they may use an idle connection, in whole seconds; KeepFor says what a stop bears. A stop
+// waits for pausing callers that have not been told.
+func NewCallers(h http.Handler, keep, pause time.Duration) *Callers {
+	c := &Callers{handler: h, conns: newCallerConns(), keep: keep.Truncate(time.Second), pause: pause, served: make(chan struct{})}
 	c.server = &http.Server{Handler: c, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ConnState: c.note}
 	return c
 }
@@ -65,7 +68,7 @@
 // KeepFor returns for how long an idle connection stays open at least in a stop that delays
 // for one time and ends within another.
 func KeepFor(delay, within time.Duration) time.Duration {
-	return min(keptWithin, within, delay+(within-delay)/keptShare)
+	return min(CallerPause, within, delay+(within-delay)/keptShare)
 }
 
 // Leave makes every further answer close its connection.
@@ -158,7 +161,7 @@
 	case <-ctx.Done():
 		return r, ctx.Err()
 	}
-	end := time.Now().Add(waitFor(ctx, keptWithin, keptShare))
+	end := time.Now().Add(waitFor(ctx, c.pause, keptShare))
 	for c.conns.count() > 0 && ctx.Err() == nil {
 		if !time.Now().Before(end) {
 			c.conns.release(&r, time.Now())
--- a/request/callerstop_test.go
+++ b/request/callerstop_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	l, err := ListenForCallers(t.Context(), netip.AddrPortFrom(unsharedLoopback(), 0))
 	require.NoError(t, err)
-	c := NewCallers(h, KeepFor(0, stopWithin))
+	c := NewCallers(h, KeepFor(0, stopWithin), CallerPause)
 	go func() { _ = c.Serve(l) }()
 	return c, l
 }
@@ -153,7 +153,7 @@
 	require.NoError(t, k.ask("last"))
 	began := time.Now()
 	wait()
-	require.Less(t, time.Since(began), keptWithin)
+	require.Less(t, time.Since(began), CallerPause)
 }
 
 // TestStopClosesConnectionsThatStayIdle guards against a stop that waits for callers without
--- a/tests/stop_test.go
+++ b/tests/stop_test.go
@@ -125,6 +125,22 @@
 	require.Zero(t, code)
 }
 
+// TestPlannedStopAnswersOperatorsThatPause guards against an operator's call on a kept
+// connection that is reset by the stop, so that nobody knows whether it was carried out.
+func TestPlannedStopAnswersOperatorsThatPause(t *testing.T) {
+	d := start(t)
+	e := d.Entries[1]
+	k := keep(t, e.Admin)
+	const call = "GET /healthz HTTP/1.1\r\nHost: entry\r\n\r\n"
+	require.NoError(t, k.send(call, "alive"))
+	require.NoError(t, e.Signal(syscall.SIGTERM))
+	time.Sleep(1200 * time.Millisecond)
+	require.NoError(t, k.send(call, "alive"))
+	code, err := e.Wait(10 * time.Second)
+	require.NoError(t, err)
+	require.Zero(t, code)
+}
+
 // TestPlannedStopAnswersOtherEntryHostsThatPause guards against a call between entry hosts
 // that is lost since the stopping one has closed the kept connection it comes on: a host
 // that has not heard of the next owner asks the one that stops.
