--- a/job/front.go
+++ b/job/front.go
@@ -37,9 +37,6 @@
 	n := f.node
 	now := n.now()
 	routes := n.routes.Load()
-	if n.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if routes == nil {
 		f.refuse(w, "no configuration yet")
 		return
