--- a/request/callerconn.go
+++ b/request/callerconn.go
@@ -97,9 +97,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.idle = false
+	if k.released {
+		k.conns.late.Add(1)
+	}
 	if late || k.released {
 		k.released = false
-		k.conns.late.Add(1)
 		// It fails on a closed connection only, which the next read tells of.
 		_ = k.TCPConn.SetReadDeadline(time.Now().Add(headerTimeout))
 	}
@@ -123,7 +125,7 @@
 type callerConns struct {
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
-	// late counts requests that came as their connections were to end, and were served.
+	// late counts requests that came as their connections were released, and were served.
 	late atomic.Int64
 }
 
@@ -181,8 +183,7 @@
 	// At is when the last of them was closed. Oldest and Newest are since when the one that
 	// was idle for longest and the one that was idle for the shortest time were.
 	At, Oldest, Newest time.Time
-	// Late is how many requests came just as their connections were to be closed, since the
-	// start of the process, and were served.
+	// Late is how many others were to be closed as a request came, which was served.
 	Late int
 }
 
--- a/request/callers.go
+++ b/request/callers.go
@@ -169,6 +169,7 @@
 		common.Sleep(ctx, quietTick)
 	}
 	r.Late = int(c.conns.late.Load())
+	r.Closed -= r.Late
 	if c.conns.busy() {
 		return r, ctx.Err()
 	}
