Deployments of tests have a loopback address of their own

Cause: all test processes shared 127.0.0.1. While an entry host was down, another soak's host took its port, whose callers went on with that one; ids are the same in each soak. Evidence: the logs of entry-0 and entry-2 end with "listen tcp 127.0.0.1:27829: bind: address already in use" and the same for 27835, at the moment of the first broken promise. A fault of the tests, not of the daemon.

Mend: each process of tests has its servers on an address of its own, as the listeners of request/ had.

The tests' kept connection moves to internal/local, where the soak can use it.

--- a/internal/local/entry.go
+++ b/internal/local/entry.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -37,6 +38,12 @@
 	return e.CallWith(teamKey, method, queue, id, body)
 }
 
+// Waiting returns the request for how many jobs of a queue wait, as it goes over a
+// connection.
+func (e *JobsEntry) Waiting(queue string) string {
+	return fmt.Sprintf("GET %s%s/ HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n\r\n", fleet.QueuePrefix, queue, fleet.JobsHost, teamKey)
+}
+
 // CallWith is Call with another key.
 func (e *JobsEntry) CallWith(key, method, queue, id string, body any) (int, string, error) {
 	b, err := json.Marshal(body)
--- /dev/null
+++ b/internal/local/kept.go
@@ -0,0 +1,50 @@
+package local
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// Kept is a connection to an entry host that its caller keeps open. Unlike a client's, it is
+// used whatever the host has done with it meanwhile, as by a caller whose request and the
+// host's close cross each other.
+type Kept struct {
+	net.Conn
+	answers *bufio.Reader
+}
+
+// Answer is one that was read to its end.
+type Answer struct {
+	Status int
+	Body   string
+	// Last says that the host closes the connection.
+	Last bool
+}
+
+// Keep opens a connection that is used until a time.
+func Keep(at netip.AddrPort, until time.Time) (*Kept, error) {
+	c, err := net.Dial("tcp", at.String())
+	if err != nil {
+		return nil, err
+	}
+	return &Kept{Conn: c, answers: bufio.NewReader(c)}, c.SetDeadline(until)
+}
+
+// Ask sends a request, given as it goes over the connection, and reads the answer.
+func (k *Kept) Ask(request string) (Answer, error) {
+	if _, err := fmt.Fprint(k, request); err != nil {
+		return Answer{}, err
+	}
+	res, err := http.ReadResponse(k.answers, nil)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return Answer{Status: res.StatusCode, Body: string(b), Last: res.Close}, err
+}
--- a/internal/local/process.go
+++ b/internal/local/process.go
@@ -17,6 +17,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"amberway/internal/loopback"
 )
 
 // Process is one running process.
@@ -157,12 +159,15 @@
 
 var nextPort atomic.Int64
 
+// host is where all processes that this one starts listen.
+var host = loopback.Unshared()
+
 // freePort returns a loopback address that nothing listened on a moment ago
 // and that this process has not returned before.
 func freePort() (netip.AddrPort, error) {
 	for range portRange {
-		n := firstPort + (int64(os.Getpid())*101+nextPort.Add(1))%portRange
-		a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n))
+		n := firstPort + nextPort.Add(1)%portRange
+		a := netip.AddrPortFrom(host, uint16(n))
 		l, err := net.Listen("tcp", a.String())
 		if err != nil {
 			continue
--- a/request/callers_test.go
+++ b/request/callers_test.go
@@ -1,7 +1,6 @@
 package request
 
 import (
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -12,6 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/net/bpf"
+
+	"amberway/internal/loopback"
 )
 
 // TestCloseOfTheListenerLosesNoConnection opens connections that nobody accepts
@@ -83,7 +84,7 @@
 // lostByCloseBefore calls next with the listener's address once it is closed.
 func lostByCloseBefore(t *testing.T, callers int, next func(netip.AddrPort)) int64 {
 	t.Helper()
-	l, err := ListenForCallers(t.Context(), netip.AddrPortFrom(unsharedLoopback(), 0))
+	l, err := ListenForCallers(t.Context(), netip.AddrPortFrom(loopback.Unshared(), 0))
 	require.NoError(t, err)
 	s := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.Serve(l) }()
@@ -103,14 +104,6 @@
 	return lost.Load()
 }
 
-// unsharedLoopback returns an address that no server of another test listens on. On a shared
-// one the kernel may give the port of a closed listener to another server while callers
-// still repeat their requests for a connection.
-func unsharedLoopback() netip.Addr {
-	n := rand.Uint32()
-	return netip.AddrFrom4([4]byte{127, byte(n>>16) | 1, byte(n >> 8), byte(n) | 1})
-}
-
 // TestCallersOfAClosedListenerReachNoOther tells how TestCloseUnderNewConnections failed
 // once in CI, with two lost connections at one of 200 closes. A caller whose request for a
 // connection is dropped by the close repeats it a second later. The kernel had given the
--- a/request/callerstop_test.go
+++ b/request/callerstop_test.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"amberway/internal/loopback"
 )
 
 // stopWithin is how long the stops of these tests may take: more than their callers pause.
@@ -26,7 +28,7 @@
 // callersOf returns a listener's side of the handler that serves, with its listener.
 func callersOf(t *testing.T, h http.HandlerFunc) (*Callers, *CallerListener) {
 	t.Helper()
-	l, err := ListenForCallers(t.Context(), netip.AddrPortFrom(unsharedLoopback(), 0))
+	l, err := ListenForCallers(t.Context(), netip.AddrPortFrom(loopback.Unshared(), 0))
 	require.NoError(t, err)
 	c := NewCallers(h, KeepFor(0, stopWithin), CallerPause)
 	go func() { _ = c.Serve(l) }()
--- a/tests/stop_test.go
+++ b/tests/stop_test.go
@@ -1,9 +1,7 @@
 package tests
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,22 +12,21 @@
 
 	"github.com/stretchr/testify/require"
 
+	"amberway/internal/local"
 	"amberway/internal/standin/fleet"
 )
 
 // keptConn is a connection to an entry host that its caller keeps open.
 type keptConn struct {
-	net.Conn
-	answers *bufio.Reader
+	*local.Kept
 }
 
 func keep(t *testing.T, at netip.AddrPort) *keptConn {
 	t.Helper()
-	c, err := net.Dial("tcp", at.String())
+	k, err := local.Keep(at, time.Now().Add(20*time.Second))
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = c.Close() })
-	require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
-	return &keptConn{Conn: c, answers: bufio.NewReader(c)}
+	t.Cleanup(func() { _ = k.Close() })
+	return &keptConn{k}
 }
 
 // ask sends one request and reads its answer to the end.
@@ -37,24 +34,14 @@
 	return k.send("POST /tint/quick HTTP/1.1\r\nHost: entry\r\nContent-Length: 4\r\n\r\nbody", "/tint/quick ")
 }
 
-// send sends a request and reads its answer, which has to begin with a text, to the
-// end. It does not look whether the host has closed the connection meanwhile, as a
-// caller does not whose request and the host's close cross each other.
+// send sends a request and reads its answer, which has to begin with a text, to the end.
 func (k *keptConn) send(request, begins string) error {
-	if _, err := fmt.Fprint(k, request); err != nil {
-		return err
-	}
-	res, err := http.ReadResponse(k.answers, nil)
-	if err != nil {
-		return err
-	}
-	defer res.Body.Close()
-	b, err := io.ReadAll(res.Body)
+	a, err := k.Ask(request)
 	if err != nil {
 		return err
 	}
-	if res.StatusCode != http.StatusOK || !strings.HasPrefix(string(b), begins) {
-		return fmt.Errorf("status %d: %s", res.StatusCode, b)
+	if a.Status != http.StatusOK || !strings.HasPrefix(a.Body, begins) {
+		return fmt.Errorf("status %d: %s", a.Status, a.Body)
 	}
 	return nil
 }
@@ -157,3 +144,17 @@
 	require.NoError(t, err)
 	require.Zero(t, code)
 }
+
+// TestEntryHostThatStartsAgainFindsItsAddressFree guards against deployments of other
+// processes that take the port of an entry host while it is down: its callers reached the
+// other one, heard of jobs that were not theirs, and it could not start.
+func TestEntryHostThatStartsAgainFindsItsAddressFree(t *testing.T) {
+	j := startJobs(t)
+	e := j.Entries[1]
+	e.Kill()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", e.Callers.Port()))
+	require.NoError(t, err)
+	defer l.Close()
+	require.NoError(t, j.Launch(e))
+	require.Eventually(t, e.Ready, eventually, tick)
+}
