--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -90,11 +90,6 @@
 	return ExitOK
 }
 
-// keep returns for how long callers may use an idle connection.
-func (s Settings) keep() time.Duration {
-	return request.KeepFor(s.StopDelay, s.StopWithin)
-}
-
 // size returns what the host has.
 func (s Settings) size() job.Size {
 	return job.Size{Cores: s.Cores, Link: s.LinkMbps, Memory: s.MemoryMB, OrdersPerSecond: s.OrderRate}
--- a/commands/side.go
+++ b/commands/side.go
@@ -34,3 +34,8 @@
 func (s side) stop(ctx context.Context) (request.StopReport, error) {
 	return s.Stop(ctx, s.listener)
 }
+
+// keep returns for how long a stop keeps an idle connection open at least.
+func (s Settings) keep() time.Duration {
+	return request.KeepFor(s.StopDelay, s.StopWithin)
+}
--- a/tests/stop_test.go
+++ b/tests/stop_test.go
@@ -115,32 +115,29 @@
 // TestPlannedStopAnswersOperatorsThatPause guards against an operator's call on a kept
 // connection that is reset by the stop, so that nobody knows whether it was carried out.
 func TestPlannedStopAnswersOperatorsThatPause(t *testing.T) {
-	d := start(t)
-	e := d.Entries[1]
-	k := keep(t, e.Admin)
-	const call = "GET /healthz HTTP/1.1\r\nHost: entry\r\n\r\n"
-	require.NoError(t, k.send(call, "alive"))
-	require.NoError(t, e.Signal(syscall.SIGTERM))
-	time.Sleep(1200 * time.Millisecond)
-	require.NoError(t, k.send(call, "alive"))
-	code, err := e.Wait(10 * time.Second)
-	require.NoError(t, err)
-	require.Zero(t, code)
+	e := start(t).Entries[1]
+	requireStopAnswersAfterAPause(t, e.Process, e.Admin, "/healthz", "alive")
 }
 
 // TestPlannedStopAnswersOtherEntryHostsThatPause guards against a call between entry hosts
 // that is lost since the stopping one has closed the kept connection it comes on: a host
 // that has not heard of the next owner asks the one that stops.
 func TestPlannedStopAnswersOtherEntryHostsThatPause(t *testing.T) {
-	j := startJobs(t)
-	e := j.Entries[1]
-	k := keep(t, e.Peers)
-	const call = "GET /metrics HTTP/1.1\r\nHost: entry\r\n\r\n"
-	require.NoError(t, k.send(call, "#"))
-	require.NoError(t, e.Signal(syscall.SIGTERM))
+	e := startJobs(t).Entries[1]
+	requireStopAnswersAfterAPause(t, e.Process, e.Peers, "/metrics", "#")
+}
+
+// requireStopAnswersAfterAPause requires that a process that is told to stop answers on a
+// connection that was idle for longer than the stop takes where nobody uses any.
+func requireStopAnswersAfterAPause(t *testing.T, p *local.Process, at netip.AddrPort, path, begins string) {
+	t.Helper()
+	k := keep(t, at)
+	call := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: entry\r\n\r\n", path)
+	require.NoError(t, k.send(call, begins))
+	require.NoError(t, p.Signal(syscall.SIGTERM))
 	time.Sleep(1200 * time.Millisecond)
-	require.NoError(t, k.send(call, "#"))
-	code, err := e.Wait(10 * time.Second)
+	require.NoError(t, k.send(call, begins))
+	code, err := p.Wait(10 * time.Second)
 	require.NoError(t, err)
 	require.Zero(t, code)
 }
