Tests: drawn callers that send in pieces and pause around a stop

Forty stops under eight callers each, drawn from a seed that is logged. On a Shutdown in place of the drain it has not been played.

--- a/request/callerstop_test.go
+++ b/request/callerstop_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"amberway/internal/loopback"
@@ -302,6 +303,73 @@
 	}
 }
 
+// TestStopAnswersDrawnCallers draws callers that open connections, send requests in pieces and
+// pause before and between them, around stops. Whoever begins a request within CallerPause of
+// the stop, on a connection that no answer has closed, has to be answered.
+func TestStopAnswersDrawnCallers(t *testing.T) {
+	const plays, callers = 40, 8
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	var g sync.WaitGroup
+	for n := range plays {
+		d := rand.New(rand.NewPCG(seed, uint64(n)))
+		g.Go(func() { playDrawnStop(t, d, callers) })
+	}
+	g.Wait()
+}
+
+// playDrawnStop stops a listener under drawn callers.
+func playDrawnStop(t *testing.T, d *rand.Rand, callers int) {
+	c, l := callersOf(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		time.Sleep(time.Duration(len(b)) * 10 * time.Millisecond)
+		_, _ = w.Write(b)
+	})
+	stopAt := time.Now().Add(drawn(d, time.Second))
+	var g sync.WaitGroup
+	for range callers {
+		k := dialRaw(t, l)
+		own := rand.New(rand.NewPCG(d.Uint64(), d.Uint64()))
+		g.Go(func() { k.askInPieces(t, own, stopAt.Add(CallerPause)) })
+	}
+	time.Sleep(time.Until(stopAt))
+	stop(t, c, l)()
+	g.Wait()
+}
+
+// askInPieces sends drawn requests until a time, and requires an answer to each, up to the one
+// that closes the connection.
+func (k *rawConn) askInPieces(t *testing.T, d *rand.Rand, until time.Time) {
+	for {
+		time.Sleep(drawn(d, 1500*time.Millisecond))
+		if time.Now().After(until) {
+			return
+		}
+		body := strings.Repeat("x", d.IntN(40))
+		request := fmt.Sprintf("POST / HTTP/1.1\r\nHost: entry\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		for first := true; request != ""; first = false {
+			if !first {
+				time.Sleep(drawn(d, 300*time.Millisecond))
+			}
+			n := 1 + d.IntN(len(request))
+			if _, err := io.WriteString(k, request[:n]); !assert.NoError(t, err) {
+				return
+			}
+			request = request[n:]
+		}
+		res, err := k.answer(body)
+		if !assert.NoError(t, err) || res.Close {
+			return
+		}
+	}
+}
+
+// drawn returns a time below a bound, short ones more often.
+func drawn(d *rand.Rand, below time.Duration) time.Duration {
+	f := d.Float64()
+	return time.Duration(f * f * float64(below))
+}
+
 // TestStopServesCallersThatPause guards against requests sent on kept connections that a
 // stop closes while their callers pause. Each caller has a connection pool of its own and
 // bodies that cannot be sent again.
