--- a/job/load.go
+++ b/job/load.go
@@ -16,8 +16,13 @@
 // watch is a priced call, and a job has some hundred milliseconds to spare.
 const watchGather = 20 * time.Millisecond
 
-// caughtUpWithin is how long an answer may take that leaves nothing of note behind it.
-const caughtUpWithin = 100 * time.Millisecond
+// Figures of catching up.
+const (
+	// caughtUpWithin is how long an answer may take that leaves nothing of note behind it.
+	caughtUpWithin = 100 * time.Millisecond
+	// catchUpReads bounds the answers, where changes come as fast as they can be read.
+	catchUpReads = 4
+)
 
 // listRevisions are the revisions from which to follow what was listed.
 type listRevisions struct {
@@ -76,7 +81,7 @@
 // revision from which to follow them. Over a narrow link that takes seconds, in which
 // callers have cancelled jobs whose tasks must not be started any more.
 func (o *owner) catchUp(ctx context.Context, e *Inherited, from platform.Revision) platform.Revision {
-	for ctx.Err() == nil {
+	for range catchUpReads {
 		sent := o.now()
 		l, next, err := o.KV.WatchLarge(ctx, jobsPrefix, from, time.Millisecond, jobsWatch.within)
 		if err != nil {
