--- a/request/callers.go
+++ b/request/callers.go
@@ -46,6 +46,8 @@
 	conns   *callerConns
 	// keep is for how long callers are told that they may use an idle connection.
 	keep time.Duration
+	// keepAlive says so in an answer's header; it is empty where nothing is told.
+	keepAlive string
 	// pause is how long a stop waits for callers that pause, whatever they were told.
 	pause time.Duration
 	// served is closed once the listener brings no more connections.
@@ -61,6 +63,9 @@
 // waits for pausing callers that have not been told.
 func NewCallers(h http.Handler, keep, pause time.Duration) *Callers {
 	c := &Callers{handler: h, conns: newCallerConns(), keep: keep.Truncate(time.Second), pause: pause, served: make(chan struct{})}
+	if c.keep > 0 {
+		c.keepAlive = fmt.Sprintf("timeout=%d", c.keep/time.Second)
+	}
 	c.server = &http.Server{Handler: c, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ConnState: c.note}
 	return c
 }
@@ -81,10 +86,10 @@
 	switch {
 	case c.leaving.Load():
 		w.Header().Set("Connection", "close")
-	case c.keep > 0:
+	case c.keepAlive != "":
 		// RFC 2068, section 19.7.1.1.
 		w.Header().Set("Connection", "keep-alive")
-		w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", c.keep/time.Second))
+		w.Header().Set("Keep-Alive", c.keepAlive)
 	}
 	c.handler.ServeHTTP(w, r)
 }
