--- a/job/availability_test.go
+++ b/job/availability_test.go
@@ -186,7 +186,7 @@
 // A ready lasting task was stopped a second after a takeover while another task of its step
 // was being stopped by the previous owner. A worker goes on listing a run while it stops it,
 // so its first answer to the new owner does not prove that the run is ready. The pause in
-// evacuations after a takeover does not cover a first answer that comes late.
+// evictions after a takeover does not cover a first answer that comes late.
 func TestFirstPollDoesNotConfirmAdoptedTasksReady(t *testing.T) {
 	f := newFixture(t)
 	s := oneTask()
@@ -203,7 +203,7 @@
 	}
 	f.step(WorkerListed{Worker: testWorker("w1")})
 	f.step(WorkerListed{Worker: testWorker("w2")})
-	for f.now.Before(f.core.evacuateFrom.Add(-100 * time.Millisecond)) {
+	for f.now.Before(f.core.evictFrom.Add(-100 * time.Millisecond)) {
 		answer("w2", 1)
 		f.advance(tickEvery)
 	}
--- a/job/lasting.go
+++ b/job/lasting.go
@@ -37,10 +37,10 @@
 	return longRunRestartDelay
 }
 
-// evacuate stops the lasting runs on a worker that is being drained, as far as the disruption
+// evictLasting stops the lasting runs on a worker that is being drained, as far as the disruption
 // budgets of their steps allow it now. It reports whether there are none left.
-func (c *Core) evacuate(w *worker) bool {
-	if c.now.Before(c.evacuateFrom) {
+func (c *Core) evictLasting(w *worker) bool {
+	if c.now.Before(c.evictFrom) {
 		return !w.hasLasting()
 	}
 	empty := true
--- a/job/lasting_log_test.go
+++ b/job/lasting_log_test.go
@@ -43,7 +43,7 @@
 		runs[r.Worker.ID] = r
 		f.acceptStart(r)
 	}
-	f.passReady(runs, evacuationDelay+warmUp)
+	f.passReady(runs, evictionDelay+warmUp)
 	return runs
 }
 
--- a/job/machines.go
+++ b/job/machines.go
@@ -15,10 +15,10 @@
 	// firstOrderDelay is how long a new owner waits for the first poll results of its workers
 	// before it sends orders to machines.
 	firstOrderDelay = 300 * time.Millisecond
-	// evacuationDelay is how long a new owner evacuates no lasting tasks: a run that the
+	// evictionDelay is how long a new owner evicts no lasting tasks: a run that the
 	// previous owner stopped is still listed for the 0.4 s that the stop takes, and a poll from
 	// that time shows the task as ready for another pollFreshFor.
-	evacuationDelay = pollFreshFor + 600*time.Millisecond
+	evictionDelay = pollFreshFor + 600*time.Millisecond
 	// listEvery is the interval between reads of the machine list while orders are under way,
 	// listIdleEvery otherwise.
 	listEvery     = 600 * time.Millisecond
@@ -42,8 +42,8 @@
 	// to machines that got one from the previous owner.
 	ordersFrom    time.Time
 	noOrdersUntil map[string]time.Time
-	// evacuateFrom is when the owner knows which lasting tasks are ready.
-	evacuateFrom   time.Time
+	// evictFrom is when the owner knows which lasting tasks are ready.
+	evictFrom      time.Time
 	machinesByName map[string]*machine
 	listing        bool
 	listAt         time.Time
@@ -134,7 +134,7 @@
 		orderBudget:    newOrderBudget(ordersPerSecond, now),
 		ordersFrom:     now.Add(firstOrderDelay),
 		noOrdersUntil:  map[string]time.Time{},
-		evacuateFrom:   now.Add(evacuationDelay),
+		evictFrom:      now.Add(evictionDelay),
 		machinesByName: map[string]*machine{},
 		waves:          map[int64]*wave{},
 		balance:        newPoolBalancer(),
@@ -249,7 +249,7 @@
 	return c.dormant(w) || w.contacted && w.missedPolls == 0
 }
 
-// drainMachine keeps new runs from the machine and evacuates it. It reports whether the
+// drainMachine keeps new runs from the machine and evicts its lasting tasks. It reports whether the
 // machine is ready for an order: it is empty, or its lasting tasks have left and the others
 // have had the timeout to end.
 func (c *Core) drainMachine(m *machine, timeout time.Duration) bool {
@@ -264,7 +264,7 @@
 		m.drainingSince = c.now
 	}
 	w.cordoned = true
-	if !c.evacuate(w) {
+	if !c.evictLasting(w) {
 		return false
 	}
 	return len(w.runs) == 0 || !c.now.Before(m.drainingSince.Add(timeout))
--- a/job/machines_test.go
+++ b/job/machines_test.go
@@ -125,16 +125,16 @@
 	}
 	w := f.core.workers[l[0].Worker.ID]
 	other := f.core.workers[l[1].Worker.ID]
-	f.core.evacuate(w)
+	f.core.evictLasting(w)
 	require.Empty(t, f.stops(), "the previous owner may have stopped one of them just now")
-	f.advance(evacuationDelay)
-	f.core.evacuate(w)
+	f.advance(evictionDelay)
+	f.core.evictLasting(w)
 	require.Empty(t, f.stops(), "the other's worker has not answered lately")
 	for _, r := range l {
 		f.answer(string(r.Worker.ID), platform.PollReply{Running: []platform.RunningRow{runningRow(r, 100)}})
 	}
-	f.core.evacuate(w)
-	f.core.evacuate(other)
+	f.core.evictLasting(w)
+	f.core.evictLasting(other)
 	f.step(Tick{})
 	require.Len(t, f.stops(), 1, "the second would leave none of the two ready")
 }
@@ -143,7 +143,7 @@
 func TestLastingTasksThatHaveJustBegunAreNotEvacuatedTogether(t *testing.T) {
 	f := newFixture(t)
 	f.join("w1")
-	f.advance(evacuationDelay)
+	f.advance(evictionDelay)
 	s := oneTask()
 	s.Count, s.Lasting, s.MaxUnavailable = 2, true, 1
 	f.submit(idA, "quick", s)
@@ -160,7 +160,7 @@
 	if _, ok := f.polls["w1"]; ok {
 		f.answer("w1", rows(60))
 	}
-	f.core.evacuate(f.core.workers["w1"])
+	f.core.evictLasting(f.core.workers["w1"])
 	f.step(Tick{})
 	require.Empty(t, f.stops())
 	for range 8 {
@@ -169,7 +169,7 @@
 			f.answer("w1", rows(60))
 		}
 	}
-	f.core.evacuate(f.core.workers["w1"])
+	f.core.evictLasting(f.core.workers["w1"])
 	f.step(Tick{})
 	require.NotEmpty(t, f.stops(), "tasks that never become ready must not defer stops forever")
 }
@@ -218,7 +218,7 @@
 func TestLastingTaskLeavesAWorkerThatDrains(t *testing.T) {
 	f := newFixture(t)
 	r := lastingOn(f)
-	f.passWhileReady(r, evacuationDelay+time.Second)
+	f.passWhileReady(r, evictionDelay+time.Second)
 	require.Empty(t, f.stops())
 	w := testWorker("w1")
 	w.Draining = true
@@ -231,7 +231,7 @@
 func TestLastingTaskLeavesAWorkerWhoseRecordDoesNotComeBack(t *testing.T) {
 	f := newFixture(t)
 	r := lastingOn(f)
-	f.passWhileReady(r, evacuationDelay+time.Second)
+	f.passWhileReady(r, evictionDelay+time.Second)
 	f.step(WorkerUnlisted{Name: "w1"})
 	f.passWhileReady(r, relistedWithin-200*time.Millisecond)
 	require.Empty(t, f.stops(), "the store may have been unreachable, and the record may come back")
@@ -244,7 +244,7 @@
 func TestLastingTaskStaysWhileRecordsComeBackAfterAnOutage(t *testing.T) {
 	f := newFixture(t)
 	r := lastingOn(f)
-	f.passWhileReady(r, evacuationDelay+time.Second)
+	f.passWhileReady(r, evictionDelay+time.Second)
 	f.step(WorkerUnlisted{Name: "w1"})
 	for range 40 {
 		f.advanceWithoutStore(100 * time.Millisecond)
--- a/job/poll.go
+++ b/job/poll.go
@@ -8,7 +8,7 @@
 )
 
 // reconcileWorker does what is due for one worker: it drops the runs of an expired lease, sends
-// pending stops, evacuates a worker that shuts down, and polls.
+// pending stops, evicts the lasting tasks of a worker that shuts down, and polls.
 func (c *Core) reconcileWorker(w *worker) {
 	if w.missedPolls > 0 || !w.listed {
 		c.expireLease(w)
@@ -18,7 +18,7 @@
 	}
 	c.reconcileRuns(w)
 	if c.shuttingDown(w) && w.contacted && w.missedPolls == 0 {
-		c.evacuate(w)
+		c.evictLasting(w)
 	}
 	if !w.polling && !c.dormant(w) && !c.now.Before(c.nextPoll(w)) && c.flow.mayPoll(w.contacted, w.pollSentAt, c.now) {
 		c.poll(w)
--- a/job/world_lasting_test.go
+++ b/job/world_lasting_test.go
@@ -330,7 +330,7 @@
 	return w.submitSteps(platform.Step{Count: count, Lasting: true, MaxUnavailable: maxUnavailable, Resources: platform.Resources{MilliCores: 300}})
 }
 
-// TestLastingTasksStayWithinMaxUnavailable evacuates workers for waves and drains, together with
+// TestLastingTasksStayWithinMaxUnavailable evicts tasks for waves and drains, together with
 // lost and late orders, tasks that fail or stall, and changes of owner. Each order that ends a
 // ready task is checked against the availability of the other tasks of its step.
 func TestLastingTasksStayWithinMaxUnavailable(t *testing.T) {
