job: an evacuated data centre gets no starts

What callers saw: nothing at first sight; the operator did.

Cause: nothing read op/evacuate/. Each entry host follows all keys of the operator and passed over those that are neither the configuration nor a wave.

Now an owner keeps the evacuated data centres as of a revision of the store, as a takeover lists them beside the watch. Their workers get no starts and do not count as hosts of their pools. An owner that the store turns away learns nothing from peers, as it is the one that peers ask; it holds starts back 0.8 s before an evacuation that it has not read could have to be in force. An answer to a watch counts from when the watch was sent, unless it waited until its end: the answer may have been on its way for long.

--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -73,7 +73,7 @@
 		return ExitFailed
 	}
 	deps := common.NewDeps(d.logger, meter)
-	d.node, err = job.NewNode(job.Settings{Name: s.Name, DataCentre: s.DataCentre, Peer: c.peers, Size: s.size(), ConfigWithin: s.ConfigWithin, KeysWithin: s.KeysWithin}, job.Clients{
+	d.node, err = job.NewNode(job.Settings{Name: s.Name, DataCentre: s.DataCentre, Peer: c.peers, Size: s.size(), ConfigWithin: s.ConfigWithin, KeysWithin: s.KeysWithin, EvacuationWithin: s.EvacuationWithin}, job.Clients{
 		KV:       platform.NewKV(c.store, &d.platformCalls),
 		Workers:  platform.NewWorkers(),
 		Machines: platform.NewMachines(c.machines, &d.platformCalls),
--- a/commands/settings.go
+++ b/commands/settings.go
@@ -45,10 +45,11 @@
 	LogLevel   string   `arg:"--log-level,env:AMBERWAY_LOG_LEVEL" yaml:"log-level" help:"error, warning, info or debug" placeholder:"LEVEL"`
 	// The following are durations; deadlines are computed from them when a watch or the stop
 	// begins.
-	ConfigWithin time.Duration `arg:"--config-within,env:AMBERWAY_CONFIG_WITHIN" yaml:"config-within" help:"time from the store's acknowledgement of a configuration until it has to be in force; with --store" placeholder:"TIME"`
-	KeysWithin   time.Duration `arg:"--keys-within,env:AMBERWAY_KEYS_WITHIN" yaml:"keys-within" help:"how long a team's key that was taken away may go on working; if given, callers of queues that are not public need a key; with --store" placeholder:"TIME"`
-	StopDelay    time.Duration `arg:"--stop-delay,env:AMBERWAY_STOP_DELAY" yaml:"stop-delay" help:"how long a stopping daemon takes requests while the balancer learns of it" placeholder:"TIME"`
-	StopWithin   time.Duration `arg:"--stop-within,env:AMBERWAY_STOP_WITHIN" yaml:"stop-within" help:"how long a stopping daemon waits for requests in flight" placeholder:"TIME"`
+	ConfigWithin     time.Duration `arg:"--config-within,env:AMBERWAY_CONFIG_WITHIN" yaml:"config-within" help:"time from the store's acknowledgement of a configuration until it has to be in force; with --store" placeholder:"TIME"`
+	KeysWithin       time.Duration `arg:"--keys-within,env:AMBERWAY_KEYS_WITHIN" yaml:"keys-within" help:"how long a team's key that was taken away may go on working; if given, callers of queues that are not public need a key; with --store" placeholder:"TIME"`
+	EvacuationWithin time.Duration `arg:"--evacuation-within,env:AMBERWAY_EVACUATION_WITHIN" yaml:"evacuation-within" help:"time from the store's acknowledgement of a data centre's evacuation until no task may start there; if given, an owner that cannot read the operator's keys for nearly as long holds starts back; with --store" placeholder:"TIME"`
+	StopDelay        time.Duration `arg:"--stop-delay,env:AMBERWAY_STOP_DELAY" yaml:"stop-delay" help:"how long a stopping daemon takes requests while the balancer learns of it" placeholder:"TIME"`
+	StopWithin       time.Duration `arg:"--stop-within,env:AMBERWAY_STOP_WITHIN" yaml:"stop-within" help:"how long a stopping daemon waits for requests in flight" placeholder:"TIME"`
 }
 
 // defaultSettings returns the settings that apply unless others are given.
@@ -161,6 +162,10 @@
 // four calls a second, and that fifth would be too short for most answers.
 const minConfigWithin = 500 * time.Millisecond
 
+// minEvacuationWithin is the smallest valid EvacuationWithin. A watch waits for half of it, and a
+// start may take 0.8 s to reach its worker: with less, starts would be held back between watches.
+const minEvacuationWithin = 2 * time.Second
+
 // checkJobSettings parses and checks the settings that only a daemon for jobs needs.
 func (s *Settings) checkJobSettings(c *parsedSettings, report reportFunc) {
 	c.store = parseAddress("--store", s.Store, report)
@@ -175,6 +180,9 @@
 	if s.ConfigWithin < minConfigWithin {
 		report("--config-within: %s is below %s, in which no configuration is sure to be in force", s.ConfigWithin, minConfigWithin)
 	}
+	if s.EvacuationWithin != 0 && s.EvacuationWithin < minEvacuationWithin {
+		report("--evacuation-within: %s is below %s, in which no evacuation is sure to be known", s.EvacuationWithin, minEvacuationWithin)
+	}
 	if s.KeysWithin != 0 && s.KeysWithin < s.ConfigWithin {
 		report("--keys-within: %s is below --config-within, the time in which entry hosts learn of changed keys", s.KeysWithin)
 	}
--- a/commands/tool_jobs.go
+++ b/commands/tool_jobs.go
@@ -60,7 +60,10 @@
 				float64(p.Used.MilliCores)/1000, float64(p.Capacity.MilliCores)/1000, p.Used.MemoryMB, p.Capacity.MemoryMB)
 		}
 	})
-	if err != nil || len(o.Waves) == 0 {
+	if err != nil {
+		return err
+	}
+	if err := t.evacuations(o); err != nil || len(o.Waves) == 0 {
 		return err
 	}
 	fmt.Fprintln(t.out)
@@ -71,6 +74,19 @@
 	})
 }
 
+// evacuations shows the evacuated data centres, if there are any.
+func (t *tool) evacuations(o job.Overview) error {
+	if len(o.Evacuations) == 0 {
+		return nil
+	}
+	fmt.Fprintln(t.out)
+	return t.table(o, "EVACUATED\tSINCE REVISION\tWORKERS\tRUNS", func(w io.Writer) {
+		for _, v := range o.Evacuations {
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\n", v.DataCentre, v.Revision, v.Workers, v.Runs)
+		}
+	})
+}
+
 // teams shows teams as the owner knows them, with how many of their jobs the entry host
 // a.Entry has refused.
 func (t *tool) teams(ctx context.Context, a *entryArgs) error {
--- a/internal/local/jobs.go
+++ b/internal/local/jobs.go
@@ -28,6 +28,8 @@
 	// KeysWithin, if not zero, requires callers to have a team key, and is how long a
 	// revoked key may still be accepted.
 	KeysWithin time.Duration
+	// EvacuationWithin, if not zero, is how long an evacuation may take to be in force.
+	EvacuationWithin time.Duration
 	// Downtime is how long a move or maintenance takes, 300 milliseconds by default.
 	Downtime time.Duration
 	// ProxyAddress returns the address at which an entry host reaches an address of the
@@ -153,6 +155,9 @@
 	if j.KeysWithin > 0 {
 		text += fmt.Sprintf("keys-within: %s\n", j.KeysWithin)
 	}
+	if j.EvacuationWithin > 0 {
+		text += fmt.Sprintf("evacuation-within: %s\n", j.EvacuationWithin)
+	}
 	if j.Profile {
 		text += "profile: true\n"
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -68,6 +68,8 @@
 		r.configure()
 	case Wave:
 		r.requestWave()
+	case Evacuation:
+		r.evacuate(e)
 	case ConnSilence:
 		r.silenceConns(x.Name, e)
 	case RunOrderDelay:
@@ -84,7 +86,7 @@
 // host, like a reset of its links.
 func (e Event) scope(entry string) string {
 	switch e.Kind {
-	case Configure, Wave, Hup:
+	case Configure, Wave, Hup, Evacuation:
 		return ""
 	case KillAll:
 		return scopeAll
@@ -191,6 +193,7 @@
 	defer r.release(x.Name)
 	_ = x.Signal(syscall.SIGSTOP)
 	time.Sleep(d)
+	r.noteThaw()
 	_ = x.Signal(syscall.SIGCONT)
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,7 @@
 	ConnSilence      Kind = "stale"     // open connections lose everything they carry, for good
 	BandwidthLimit   Kind = "narrow"    // little bandwidth between an entry host and the platform
 	WorkerRestart    Kind = "again"     // a worker crashes and restarts under its id
+	Evacuation       Kind = "evacuate"  // a data centre is evacuated for Duration
 )
 
 // weights are the relative frequencies of the kinds that drawEvent chooses from.
@@ -63,8 +64,8 @@
 type Event struct {
 	At time.Duration
 	Kind
-	// Entry is the entry host that is affected. If Owner is set, it is the present owner
-	// instead.
+	// Entry is the entry host that is affected, or the data centre. If Owner is set, it is the
+	// present owner instead.
 	Entry     int
 	Owner     bool
 	LinkState LinkState
@@ -87,6 +88,9 @@
 	if e.Owner {
 		host = "the owner"
 	}
+	if e.Kind == Evacuation {
+		return e.evacuationString()
+	}
 	if e.Kind == WorkerRestart {
 		return fmt.Sprintf("%6.2fs %-9s %+v", e.At.Seconds(), e.Kind, e.Restart)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -26,6 +26,8 @@
 	DisruptionBudgets bool
 	// DelayMachineOrders has some machine orders executed late, after newer ones.
 	DelayMachineOrders bool
+	// Evacuations has data centres evacuated.
+	Evacuations bool
 	// BinDir holds the programs, LogDir takes the logs.
 	BinDir, LogDir string
 	// Out gets a line for each event.
@@ -51,7 +53,9 @@
 	configs       []configuration
 	cancellations []*cancellation
 	// busy has the entry hosts whose processes are reserved for a fault.
-	busy      map[string]bool
+	busy map[string]bool
+	// thaws are the times at which frozen processes went on.
+	thaws     []time.Time
 	waveCount int64
 	// refusedJobs are ids of jobs that every answer refused.
 	refusedJobs []string
@@ -73,7 +77,7 @@
 	defer r.close()
 	var err error
 	r.deployment, err = local.StartJobsDeployment(o.BinDir, o.LogDir, local.JobsOptions{
-		Entries: o.Entries, Workers: map[string]int{"blue": o.Workers, "green": o.Workers}, SpareMachines: 2, ProxyAddress: r.proxyAddress, KeysWithin: keysWithin,
+		Entries: o.Entries, Workers: map[string]int{"blue": o.Workers, "green": o.Workers}, SpareMachines: 2, ProxyAddress: r.proxyAddress, KeysWithin: keysWithin, EvacuationWithin: evacuationWithin,
 	})
 	if err != nil {
 		return Report{}, err
@@ -167,6 +171,9 @@
 // plan returns the events of the run.
 func (r *Run) plan() []Event {
 	l := Plan(r.Seed, r.Entries, r.Duration)
+	if r.Evacuations {
+		l = sortByTime(append(l, evacuations(rand.New(rand.NewPCG(r.Seed, 6)), r.Duration)...))
+	}
 	if !r.DisruptionBudgets {
 		return l
 	}
@@ -178,6 +185,7 @@
 func (r *Run) report() Report {
 	c := r.deployment.Fleet.Checker
 	r.countLateStarts()
+	r.checkEvacuated()
 	for _, id := range r.refusedJobs {
 		if c.Started(id) {
 			r.violationf("%s was refused by every answer, but has run", id)
--- a/internal/standin/fleet/checker.go
+++ b/internal/standin/fleet/checker.go
@@ -27,6 +27,7 @@
 	// crashes counts the workers that crashed while they ran each task.
 	crashes map[string]int
 	disruptionChecks
+	evacuationChecks
 }
 
 // StartedRun is a run that has started.
@@ -40,10 +41,10 @@
 
 // NewChecker returns a checker that has recorded nothing.
 func NewChecker() *Checker {
-	return &Checker{active: map[string]StartedRun{}, done: map[string]bool{}, started: map[string]bool{}, acknowledged: map[string]bool{}, crashes: map[string]int{}, disruptionChecks: newDisruptionChecks()}
+	return &Checker{active: map[string]StartedRun{}, done: map[string]bool{}, started: map[string]bool{}, acknowledged: map[string]bool{}, crashes: map[string]int{}, disruptionChecks: newDisruptionChecks(), evacuationChecks: newEvacuationChecks()}
 }
 
-func (c *Checker) recordStart(task string, number int64, worker string, late bool) {
+func (c *Checker) recordStart(task string, number int64, worker, dataCentre string, late bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.startCount++
@@ -61,6 +62,7 @@
 		c.delayedStarts = append(c.delayedStarts, r)
 	}
 	c.active[task] = r
+	c.evacuationChecks.recordStart(r, dataCentre)
 }
 
 // checkStepOrder checks that a task of the second step starts after the first step is done.
--- a/internal/standin/fleet/machines.go
+++ b/internal/standin/fleet/machines.go
@@ -103,7 +103,7 @@
 		i := f.nextMachine
 		f.nextMachine++
 		m := &Machine{
-			Name: fmt.Sprintf("m-%03d", i), Pool: pool, State: "up", Zone: fmt.Sprint("dc-", i%2),
+			Name: fmt.Sprintf("m-%03d", i), Pool: pool, State: "up", Zone: DataCentre(i),
 			Labels: []string{"a", fmt.Sprintf("r1-%d", i/4)}, Capacity: c,
 		}
 		f.machines = append(f.machines, m)
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -138,7 +138,7 @@
 		if b.crashes {
 			time.AfterFunc(crashDelay, w.crash)
 		}
-		w.checker.recordStart(q.Task, q.Run, w.id, r.Header.Get(delayedHeader) != "")
+		w.checker.recordStart(q.Task, q.Run, w.id, w.machine.Zone, r.Header.Get(delayedHeader) != "")
 		writeJSON(rw, http.StatusOK, map[string]int64{"clock_ms": w.clockMs()})
 	}
 }
--- a/job/advice.go
+++ b/job/advice.go
@@ -78,7 +78,7 @@
 		t, has := a.tickets[w.ID]
 		fresh := has && c.now.Add(ticketMargin).Before(t.until)
 		rejected := a.asked[w.ID] && !has
-		if !fresh && !rejected && w.fitsEmpty(s.Step) && (s.Requires == "" || slices.Contains(w.Labels, s.Requires)) {
+		if !fresh && !rejected && !w.evacuated && w.fitsEmpty(s.Step) && (s.Requires == "" || slices.Contains(w.Labels, s.Requires)) {
 			l = append(l, w.ID)
 		}
 	}
--- a/job/core.go
+++ b/job/core.go
@@ -42,6 +42,7 @@
 	takeover
 	writeQueue
 	machines
+	evacuationState
 	waitlists
 	flow         flowControl
 	admission    admissionState
@@ -118,6 +119,7 @@
 	}
 	c.rebuildPools()
 	c.checkConnectivity()
+	c.checkOperatorRead()
 	c.forgetJobs()
 	c.reconcileMachines()
 	c.reconcileAdmission()
--- a/job/demand.go
+++ b/job/demand.go
@@ -77,6 +77,7 @@
 			"cores_used", used.MilliCores / 1000, "cores", capacity.MilliCores / 1000, "cores_waiting", waiting.MilliCores / 1000,
 			"mb_used", used.MemoryMB, "mb", capacity.MemoryMB,
 		}})
+		c.logHeldStarts(d.service, waiting)
 	}
 }
 
@@ -105,10 +106,10 @@
 }
 
 // inService reports whether the worker counts as a host of its pool: it accepts starts, or
-// will do so once it has answered.
+// will do so once it has answered. Hosts in evacuated data centres do not count.
 func (c *Core) inService(w *worker) bool {
-	ending := w.Draining || w.cordoned || w.stale || w.tainted
-	return !ending && w.missedPolls < maxMissedPolls && c.listedByHost[w.Host] == w
+	unusable := w.Draining || w.cordoned || w.stale || w.tainted || w.evacuated
+	return !unusable && w.missedPolls < maxMissedPolls && c.listedByHost[w.Host] == w
 }
 
 // wantedHosts returns how many hosts a pool needs for its running, waiting and expected
@@ -118,8 +119,9 @@
 	host := platform.Resources{}
 	hosts := 0
 	for _, w := range c.pools[service] {
-		need.MilliCores += w.used.MilliCores
-		need.MemoryMB += w.used.MemoryMB
+		if !w.evacuated {
+			need = need.AddTimes(w.used, 1)
+		}
 		host.MilliCores = max(host.MilliCores, w.Capacity.MilliCores)
 		host.MemoryMB = max(host.MemoryMB, w.Capacity.MemoryMB)
 	}
@@ -149,7 +151,7 @@
 	var n int64
 	for _, w := range c.pools[service] {
 		for _, r := range w.runs {
-			if r.task.step.Lasting && !r.task.step.BestEffort {
+			if r.task.step.Lasting && !w.evacuated && !r.task.step.BestEffort {
 				n += r.task.step.MilliCores
 			}
 		}
@@ -158,7 +160,8 @@
 }
 
 // hostsForSpread returns how many hosts a pool needs so that every unblocked step can keep
-// to its MaxPerWorker. Jobs that may not run yet are left out.
+// to its MaxPerWorker. Jobs that may not run yet, and tasks that run in evacuated data centres,
+// are left out.
 func (c *Core) hostsForSpread(service string) int {
 	most := 0
 	for _, j := range c.active {
@@ -168,7 +171,7 @@
 		for _, n := range j.instances {
 			for _, s := range n.steps {
 				if s.MaxPerWorker > 0 && s.remaining > 0 && s.unblocked() {
-					most = max(most, (s.remaining+s.MaxPerWorker-1)/s.MaxPerWorker)
+					most = max(most, (c.remainingOutside(s)+s.MaxPerWorker-1)/s.MaxPerWorker)
 				}
 			}
 		}
@@ -190,6 +193,7 @@
 	n := map[string]int{}
 	for _, m := range c.machinesByName {
 		switch {
+		case c.isEvacuated(m.DataCentre):
 		case m.order == nil && m.transferTo != "":
 			n[m.transferTo]++
 		case m.order != nil && m.order.pool != "" && c.listedByHost[m.Name] == nil:
--- a/job/elect.go
+++ b/job/elect.go
@@ -131,7 +131,7 @@
 // follow keeps the current owner up to date until the context ends.
 func (e *election) follow(ctx context.Context) {
 	f := &follower{kv: e.kv, prefix: ownerKey, watchTimes: ownerWatch, log: e.log}
-	f.onList = func(l []platform.Entry) {
+	f.onList = func(l []platform.Entry, _ platform.Revision) {
 		vacant := true
 		for _, v := range l {
 			vacant = vacant && v.Key != ownerKey
@@ -141,7 +141,7 @@
 			e.setOwner(Owner{})
 		}
 	}
-	f.onChange = func(l []platform.Event) {
+	f.onChange = func(l []platform.Event, _ platform.Revision) {
 		for _, v := range l {
 			switch {
 			case !v.Deleted:
--- a/job/explain.go
+++ b/job/explain.go
@@ -22,11 +22,13 @@
 	// Refused counts the jobs that this host has refused, by team.
 	Refused map[string]int64 `json:"refused,omitempty"`
 	Pools   []PoolOverview   `json:"pools,omitempty"`
-	Waves   []WaveOverview   `json:"waves,omitempty"`
-	Dropped int64            `json:"log_lines_left_out"`
-	Reads   int64            `json:"platform_reads"`
-	Writes  int64            `json:"platform_writes"`
-	Watches int64            `json:"platform_watches"`
+	// Evacuations are the evacuated data centres.
+	Evacuations []EvacuationOverview `json:"evacuations,omitempty"`
+	Waves       []WaveOverview       `json:"waves,omitempty"`
+	Dropped     int64                `json:"log_lines_left_out"`
+	Reads       int64                `json:"platform_reads"`
+	Writes      int64                `json:"platform_writes"`
+	Watches     int64                `json:"platform_watches"`
 }
 
 // QueueOverview summarises one queue.
@@ -122,6 +124,7 @@
 		o.Queues = append(o.Queues, v)
 	}
 	o.Teams = c.teamOverviews()
+	o.Evacuations = c.evacuationOverviews()
 	for s, l := range c.pools {
 		p := PoolOverview{Service: s, Workers: len(l)}
 		for _, w := range l {
@@ -186,13 +189,15 @@
 	}
 	if !c.inheritedRunsKnown(j) {
 		e.Blocked = "workers that an earlier owner used have not answered yet"
+	} else if c.mayHaveMissedEvacuation() {
+		e.Blocked = "the owner cannot read whether a data centre has been evacuated"
 	} else if c.beyondShare(j) {
 		e.Blocked = "beyond its team's share: behind the jobs of other teams"
 	}
 	for _, n := range j.instances {
 		e.DueAt = c.deadline(j, n)
 		for _, s := range n.steps {
-			e.Steps = append(e.Steps, explainStep(n, s))
+			e.Steps = append(e.Steps, c.explainStep(n, s))
 		}
 	}
 	return e, true
@@ -203,15 +208,19 @@
 	waitsForSteps = "for the steps before it"
 	waitsForCap   = "over the team's cap"
 	waitsForRoom  = "for room on a worker"
+	// waitsOutside is followed by the evacuated data centres.
+	waitsOutside = "for room on a worker outside the evacuated "
 )
 
-func explainStep(n *instance, s *step) StepExplanation {
+func (c *Core) explainStep(n *instance, s *step) StepExplanation {
 	v := StepExplanation{Time: n.index, Step: s.index, Tasks: len(s.tasks), Done: len(s.tasks) - s.remaining}
 	switch {
 	case !s.unblocked():
 		v.Waits = waitsForSteps
 	case s.idle > 0 && !s.instance.job.team.mayUse(s.Resources, 1):
 		v.Waits = waitsForCap
+	case s.idle > 0 && len(c.evacuations.DataCentres) > 0:
+		v.Waits = waitsOutside + strings.Join(c.evacuations.names(), ", ")
 	case s.idle > 0:
 		v.Waits = waitsForRoom
 	}
--- a/job/follow.go
+++ b/job/follow.go
@@ -58,13 +58,15 @@
 	// watch fails, or returns several values of a key, the keys are listed instead.
 	newestOnly bool
 	log        *Logger
-	// onList is called with all entries at the start, and again whenever the history is
-	// compacted or may be too long to read.
-	onList func([]platform.Entry)
-	// onChange is called with changes in order.
-	onChange func([]platform.Event)
-	// onAnswer is called after each list or watch, with its error or nil.
-	onAnswer func(error)
+	// onList is called with all entries as of a revision, at the start and again whenever the
+	// history is compacted or may be too long to read.
+	onList func([]platform.Entry, platform.Revision)
+	// onChange is called with changes in order, and the revision up to which they are complete.
+	onChange func([]platform.Event, platform.Revision)
+	// onAnswer is called after each list or watch with its error, or with the time at which what
+	// has been read was certainly current, by the clock now.
+	onAnswer func(time.Time, error)
+	now      func() time.Time
 }
 
 // run follows until the context ends.
@@ -80,13 +82,14 @@
 // list reads all entries. It returns the revision from which to watch, and the newest
 // revision among the entries.
 func (f *follower) list(ctx context.Context) (at, newest platform.Revision, ok bool) {
+	sent := f.clock()
 	l, at, err := f.kv.List(ctx, f.prefix)
-	f.noteAnswer(ctx, err)
+	f.noteAnswer(ctx, sent, err)
 	if err != nil {
 		common.Sleep(ctx, followRetry)
 		return 0, 0, false
 	}
-	f.onList(l)
+	f.onList(l, at)
 	for _, e := range l {
 		newest = max(newest, e.Revision)
 	}
@@ -123,8 +126,9 @@
 // history is compacted, and true when changes may arrive faster than they can be read.
 func (f *follower) watch(ctx context.Context, at platform.Revision) (behind bool) {
 	for ctx.Err() == nil {
+		sent := f.clock()
 		l, next, err := f.watchOnce(ctx, at)
-		f.noteAnswer(ctx, err)
+		f.noteAnswer(ctx, f.watchedUntil(sent, l), err)
 		switch {
 		case errors.Is(err, platform.ErrCompacted):
 			f.log.Write(LogLine{What: "watch history compacted", Why: "listing again", Fields: []any{"prefix", f.prefix, "revision", int64(at)}})
@@ -138,7 +142,7 @@
 		default:
 			at = next
 			if len(l) > 0 {
-				f.onChange(l)
+				f.onChange(l, at)
 				common.Sleep(ctx, f.batchDelay)
 			}
 			if f.newestOnly && hasSuperseded(l) {
@@ -158,8 +162,26 @@
 	return f.kv.Watch(ctx, f.prefix, at, f.wait)
 }
 
-func (f *follower) noteAnswer(ctx context.Context, err error) {
+// clock returns the present time, which only followers with onAnswer need.
+func (f *follower) clock() time.Time {
+	if f.now == nil {
+		return time.Time{}
+	}
+	return f.now()
+}
+
+// watchedUntil returns the time up to which a watch has certainly shown all changes. One that
+// was answered without changes has waited until its end.
+func (f *follower) watchedUntil(sent time.Time, l []platform.Event) time.Time {
+	until := sent.Add(f.wait)
+	if now := f.clock(); len(l) > 0 || now.Before(until) {
+		return sent
+	}
+	return until
+}
+
+func (f *follower) noteAnswer(ctx context.Context, currentAt time.Time, err error) {
 	if f.onAnswer != nil && ctx.Err() == nil {
-		f.onAnswer(err)
+		f.onAnswer(currentAt, err)
 	}
 }
--- a/job/follow_slow_test.go
+++ b/job/follow_slow_test.go
@@ -66,8 +66,8 @@
 		kv: platform.NewKV(at, &platform.Calls{}), prefix: "op/", newestOnly: true,
 		watchTimes: watchTimes{wait: 100 * time.Millisecond, timeout: 500 * time.Millisecond},
 		log:        NewLogger(logrus.New(), time.Now, ctx.Done()),
-		onList:     func([]platform.Entry) {},
-		onChange: func([]platform.Event) {
+		onList:     func([]platform.Entry, platform.Revision) {},
+		onChange: func([]platform.Event, platform.Revision) {
 			took = time.Since(began)
 			cancel()
 		},
--- a/job/follow_test.go
+++ b/job/follow_test.go
@@ -46,12 +46,12 @@
 	require.NoError(t, s.Put(platform.ConfigKey, 0))
 	var got seenValues
 	f := &follower{kv: s.kv, prefix: platform.OperatorPrefix, watchTimes: configWatch(DefaultConfigWithin), newestOnly: true}
-	f.onList = func(l []platform.Entry) {
+	f.onList = func(l []platform.Entry, _ platform.Revision) {
 		for _, e := range l {
 			got.add(e)
 		}
 	}
-	f.onChange = func(l []platform.Event) {
+	f.onChange = func(l []platform.Event, _ platform.Revision) {
 		for _, e := range l {
 			got.add(e.Entry)
 		}
@@ -79,8 +79,8 @@
 	require.NoError(t, s.Put(platform.ConfigKey, 0))
 	lists := make(chan int, 100)
 	f := &follower{kv: s.kv, prefix: platform.OperatorPrefix, watchTimes: watchTimes{wait: 20 * time.Millisecond, timeout: 60 * time.Millisecond}, newestOnly: true}
-	f.onList = func(l []platform.Entry) { lists <- len(l) }
-	f.onChange = func([]platform.Event) {}
+	f.onList = func(l []platform.Entry, _ platform.Revision) { lists <- len(l) }
+	f.onChange = func([]platform.Event, platform.Revision) {}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go f.run(ctx)
--- a/job/listing.go
+++ b/job/listing.go
@@ -51,6 +51,7 @@
 	w.listed, w.missedLists = true, 0
 	w.Worker = v
 	w.rack = v.Rack()
+	c.markEvacuated(w)
 	if moved || relisted {
 		c.stalePools[before], c.stalePools[w.Service] = true, true
 	}
@@ -169,6 +170,7 @@
 // addWorker adds a worker that was not known.
 func (c *Core) addWorker(w *worker) {
 	c.workers[w.ID] = w
+	c.markEvacuated(w)
 	if c.current[w.ID.Name()] == nil {
 		c.current[w.ID.Name()] = w
 	}
--- a/job/load.go
+++ b/job/load.go
@@ -62,6 +62,7 @@
 	})
 	g.Go(func() error { return o.loadOwnerState(gctx, &e) })
 	g.Go(func() error { return o.loadWaves(gctx, &e) })
+	g.Go(func() error { return o.loadEvacuations(gctx, &e) })
 	err := g.Wait()
 	if err == nil {
 		from.jobs = o.catchUp(ctx, &e, from.jobs)
@@ -197,6 +198,13 @@
 	return nil
 }
 
+func (o *owner) loadEvacuations(ctx context.Context, e *Inherited) error {
+	sent := o.now()
+	l, at, err := o.KV.List(ctx, platform.EvacuationPrefix)
+	e.Evacuations, e.StartsUntil = listEvacuations(l, at), o.startsUntil(sent)
+	return err
+}
+
 // jobEvent returns the event for an entry under jobsPrefix, or nil if it is invalid.
 func (o *owner) jobEvent(v platform.Entry) Event {
 	if len(v.Key) > len(cancelPrefix) && v.Key[:len(cancelPrefix)] == cancelPrefix {
@@ -222,7 +230,7 @@
 // another owner's claim, which is under the same prefix.
 func (o *owner) followJobs(ctx context.Context, from platform.Revision) {
 	f := &follower{kv: o.KV, prefix: jobsPrefix, watchTimes: jobsWatch, batchDelay: watchBatchDelay, log: o.log}
-	f.onList = func(l []platform.Entry) {
+	f.onList = func(l []platform.Entry, _ platform.Revision) {
 		err := o.checkOwnership(ctx)
 		for err != nil && !errors.Is(err, errDeposed) && ctx.Err() == nil {
 			common.Sleep(ctx, followRetry)
@@ -238,7 +246,7 @@
 			}
 		}
 	}
-	f.onChange = func(l []platform.Event) {
+	f.onChange = func(l []platform.Event, _ platform.Revision) {
 		for _, v := range l {
 			switch {
 			case v.Key == ownerKey && v.Revision != platform.Revision(o.tenure.fence):
@@ -273,7 +281,7 @@
 // followWorkers sends events for added, changed and removed workers to the core.
 func (o *owner) followWorkers(ctx context.Context, from platform.Revision) {
 	f := &follower{kv: o.KV, prefix: platform.WorkerPrefix, watchTimes: jobsWatch, batchDelay: watchBatchDelay, log: o.log}
-	f.onList = func(l []platform.Entry) {
+	f.onList = func(l []platform.Entry, _ platform.Revision) {
 		all := WorkerList{}
 		for _, v := range l {
 			if w, ok := o.decodeWorker(v); ok {
@@ -282,7 +290,7 @@
 		}
 		o.send(ctx, all)
 	}
-	f.onChange = func(l []platform.Event) {
+	f.onChange = func(l []platform.Event, _ platform.Revision) {
 		for _, v := range l {
 			o.send(ctx, o.workerEvent(v))
 		}
--- a/job/metrics.go
+++ b/job/metrics.go
@@ -34,7 +34,7 @@
 	counter          *metric.Int64Counter
 }
 
-func newMetrics(m metric.Meter, worstTenth func() (float64, bool)) (*metrics, error) {
+func newMetrics(m metric.Meter, worstTenth func() (float64, bool), evacuated func() int) (*metrics, error) {
 	s := &metrics{}
 	var err error
 	for _, i := range []instrument{
@@ -56,7 +56,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("job: metric amberway.jobs.wait: %w", err)
 	}
-	return s, observeWorstTenth(m, worstTenth)
+	return s, errors.Join(observeWorstTenth(m, worstTenth), observeEvacuations(m, evacuated))
+}
+
+// observeEvacuations registers the gauge of the evacuated data centres.
+func observeEvacuations(m metric.Meter, evacuated func() int) error {
+	_, err := m.Int64ObservableGauge("amberway.evacuations", metric.WithUnit("{data_centre}"),
+		metric.WithDescription("data centres that are evacuated, as this host has read from the store"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(evacuated()))
+			return nil
+		}))
+	if err != nil {
+		return fmt.Errorf("job: metric amberway.evacuations: %w", err)
+	}
+	return nil
 }
 
 // observeWorstTenth registers the gauge of the worst-served teams. Only the owner reports a
--- a/job/node.go
+++ b/job/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -31,6 +30,9 @@
 	// KeysWithin is how long a revoked key of a team may still be accepted. Zero means no
 	// limit, and that callers need keys only where the configuration has teams.
 	KeysWithin time.Duration
+	// EvacuationWithin is the time from the acknowledgement of an evacuation until its data
+	// centre may get no more starts. Zero means no limit.
+	EvacuationWithin time.Duration
 }
 
 // DefaultConfigWithin is the limit that the known platforms require.
@@ -59,9 +61,11 @@
 	// configuration has failed.
 	configMissed chan struct{}
 	refusals     *refusals
-	mu           sync.Mutex
-	owner        *owner
-	resign       context.CancelFunc
+	// evacuations are those that this host has read from the store.
+	evacuations atomic.Pointer[Evacuations]
+	mu          sync.Mutex
+	owner       *owner
+	resign      context.CancelFunc
 }
 
 // NewNode returns a node, which Run starts. Other entry hosts read its metrics from the
@@ -72,6 +76,7 @@
 		s.ConfigWithin = DefaultConfigWithin
 	}
 	n := &Node{Clients: p, settings: s, log: log, now: now, peers: newPeers(), configMissed: make(chan struct{}, 1), refusals: newRefusals()}
+	n.evacuations.Store(&Evacuations{})
 	n.authorizer = authorizer{required: s.KeysWithin > 0, keysWithin: s.KeysWithin, newKeysWithin: s.ConfigWithin}
 	n.election = newElection(p.KV, Owner{Name: s.Name, Peer: s.Peer}, s.Size, log, now, d.SuspendedFor)
 	n.intake = newIntake(p.KV, log, now)
@@ -83,7 +88,7 @@
 		return nil, err
 	}
 	var err error
-	n.metrics, err = newMetrics(d.Meter, n.worstTenth)
+	n.metrics, err = newMetrics(d.Meter, n.worstTenth, n.evacuatedCount)
 	return n, err
 }
 
@@ -126,97 +131,6 @@
 	}
 }
 
-// followOperator follows what operators write: it puts configurations in force, and passes
-// configurations and waves on to the owner if it runs here.
-func (n *Node) followOperator(ctx context.Context) {
-	apply := func(e platform.Entry) {
-		if e.Key == platform.ConfigKey {
-			n.applyConfig(e.Value)
-		} else {
-			n.applyWave(e)
-		}
-	}
-	f := &follower{kv: n.KV, prefix: platform.OperatorPrefix, watchTimes: configWatch(n.settings.ConfigWithin), newestOnly: true, log: n.log}
-	f.onAnswer = func(err error) {
-		n.speed.sample()
-		n.noteAnswer(err)
-	}
-	f.onList = func(l []platform.Entry) {
-		for _, e := range l {
-			apply(e)
-		}
-	}
-	f.onChange = func(l []platform.Event) {
-		for _, e := range l {
-			if !e.Deleted {
-				apply(e.Entry)
-			}
-		}
-	}
-	f.run(ctx)
-}
-
-// noteAnswer notes whether a request to the store for the configuration has succeeded.
-func (n *Node) noteAnswer(err error) {
-	now := n.now()
-	switch {
-	case err == nil:
-		n.storeAnsweredAt.Set(now)
-		n.configCurrentAt.Advance(now)
-	case errors.Is(err, platform.ErrCompacted):
-		// The store answers; the list that follows tells whether the configuration changed.
-		n.storeAnsweredAt.Set(now)
-	default:
-		select {
-		case n.configMissed <- struct{}{}:
-		default:
-		}
-	}
-}
-
-// applyConfig puts a configuration in force, given as the operator wrote it, unless the one in
-// force is at least as new.
-func (n *Node) applyConfig(raw []byte) {
-	c, err := platform.DecodeConfig(raw)
-	if err != nil {
-		n.log.Write(LogLine{What: "configuration invalid", Why: err.Error()})
-		return
-	}
-	r := newRoutes(c)
-	r.raw = raw
-	if !n.swapRoutes(r) {
-		return
-	}
-	n.log.Write(LogLine{What: "configuration", Fields: []any{"version", c.Version, "queues", len(c.Queues), "teams", len(c.Teams), "keys", len(r.keys)}})
-	n.tellOwner(ConfigChanged{Config: c})
-}
-
-// swapRoutes puts the routes of a configuration in force. It returns false if the one in force
-// is at least as new: the store and another entry host may both provide it.
-func (n *Node) swapRoutes(r *routes) bool {
-	for {
-		o := n.routes.Load()
-		if o != nil && o.config.Version >= r.config.Version {
-			return false
-		}
-		if n.routes.CompareAndSwap(o, r) {
-			return true
-		}
-	}
-}
-
-func (n *Node) applyWave(e platform.Entry) {
-	if len(e.Key) <= len(platform.WavePrefix) || e.Key[:len(platform.WavePrefix)] != platform.WavePrefix {
-		return
-	}
-	w, err := platform.DecodeWave(e)
-	if err != nil {
-		n.log.Write(LogLine{What: "wave invalid", Why: err.Error()})
-		return
-	}
-	n.tellOwner(WaveRequested{Wave: w})
-}
-
 func (n *Node) tellOwner(e Event) {
 	if o := n.localOwner(); o != nil {
 		o.post(e)
--- a/job/owner.go
+++ b/job/owner.go
@@ -77,9 +77,12 @@
 	tenure    tenure
 	// linkMbps is the bandwidth of the host's link, in megabits a second; zero means unknown.
 	linkMbps float64
-	writer   storeWriter
-	speed    *speedMonitor
-	metrics  *metrics
+	// startsUntil returns the time until which tasks may start if the keys of the operator were
+	// current at the given time.
+	startsUntil func(time.Time) time.Time
+	writer      storeWriter
+	speed       *speedMonitor
+	metrics     *metrics
 	// mu guards core, which callers' requests read.
 	mu   sync.Mutex
 	core *Core
@@ -103,17 +106,18 @@
 
 func newOwner(p Clients, log *Logger, now func() time.Time, suspended func() time.Duration, s Settings, t tenure, speed *speedMonitor, m *metrics) *owner {
 	o := &owner{
-		Clients:   p,
-		log:       log,
-		now:       now,
-		suspended: suspended,
-		events:    make(chan Event, eventBuffer),
-		tenure:    t,
-		linkMbps:  s.LinkMbps,
-		writer:    storeWriter{kv: p.KV, fence: t.fence},
-		speed:     speed,
-		metrics:   m,
-		core:      NewCore(t.fence, s.Name, s.Size, now()),
+		Clients:     p,
+		log:         log,
+		now:         now,
+		suspended:   suspended,
+		events:      make(chan Event, eventBuffer),
+		tenure:      t,
+		linkMbps:    s.LinkMbps,
+		startsUntil: s.startsUntil,
+		writer:      storeWriter{kv: p.KV, fence: t.fence},
+		speed:       speed,
+		metrics:     m,
+		core:        NewCore(t.fence, s.Name, s.Size, now()),
 	}
 	o.renewedAt.Set(t.since)
 	return o
--- a/job/place.go
+++ b/job/place.go
@@ -54,7 +54,7 @@
 			free = append(free, w)
 		}
 	}
-	if !c.flow.mayStart() || c.maybeReplaced() {
+	if !c.flow.mayStart() || c.maybeReplaced() || c.mayHaveMissedEvacuation() {
 		return false
 	}
 	var failed unplaceable
--- a/job/pools.go
+++ b/job/pools.go
@@ -94,7 +94,7 @@
 	if d.have >= d.want {
 		return
 	}
-	for _, m := range c.movable(spare) {
+	for _, m := range c.usable(spare) {
 		if d.have >= d.want || !c.mayOrder() {
 			return
 		}
@@ -111,7 +111,7 @@
 		if from.service == d.service || d.have >= d.want || from.have <= from.want {
 			continue
 		}
-		for _, m := range c.movable(from.service) {
+		for _, m := range c.usable(from.service) {
 			if d.have >= d.want || from.have <= from.want || !c.mayOrder() {
 				break
 			}
@@ -143,6 +143,12 @@
 	return l
 }
 
+// usable returns the machines of a pool that may be ordered to move now and are of use to another
+// pool: those outside evacuated data centres.
+func (c *Core) usable(pool string) []*machine {
+	return slices.DeleteFunc(c.movable(pool), func(m *machine) bool { return c.isEvacuated(m.DataCentre) })
+}
+
 // transferHosts takes hosts from pools with a surplus while tasks of the demand's pool wait
 // for room. Idle hosts move at once, others drain first. Hosts that run lasting tasks are not
 // taken.
@@ -171,7 +177,7 @@
 // first.
 func (c *Core) transferable(pool string) []*machine {
 	var l []*machine
-	for _, m := range c.movable(pool) {
+	for _, m := range c.usable(pool) {
 		w := c.listedByHost[m.Name]
 		if w != nil && c.runsKnown(m) && !w.Draining && !w.cordoned && !w.hasLasting() {
 			l = append(l, m)
@@ -202,20 +208,29 @@
 		}
 		w := c.listedByHost[m.Name]
 		switch {
+		case c.isEvacuated(m.DataCentre):
+			m.cancelTransfer(w)
 		case w == nil || len(w.runs) == 0:
 			if c.mayOrder() {
 				m.transferTo = ""
 				c.orderMove(m, d.service, d)
 			}
 		case !d.hasUnplaced || c.now.Sub(m.drainingSince) > transferTimeout:
-			m.transferTo = ""
-			m.drainingSince = time.Time{}
-			w.cordoned = false
+			m.cancelTransfer(w)
 			d.have--
 		}
 	}
 }
 
+// cancelTransfer lets the worker, which may be nil, get starts again.
+func (m *machine) cancelTransfer(w *worker) {
+	m.transferTo = ""
+	m.drainingSince = time.Time{}
+	if w != nil {
+		w.cordoned = false
+	}
+}
+
 func (c *Core) orderMove(m *machine, pool string, d *demand) {
 	c.emit(LogLine{What: "move", Fields: []any{"machine", m.Name, "from", m.Pool, "to", pool, "want", d.want, "have", d.have, "waits", d.hasUnplaced}})
 	c.recordOrder(m, &machineOrder{pool: pool})
@@ -230,19 +245,25 @@
 }
 
 // releaseSurplus moves hosts that have been idle for idleTimeout to the spare pool while the
-// pool has more than it needs.
+// pool has more than it needs. Hosts in evacuated data centres are of no use to it.
 func (c *Core) releaseSurplus(d *demand, spare string) {
-	if d.have <= d.want {
+	if d.have <= d.want && len(c.evacuations.DataCentres) == 0 {
 		return
 	}
 	for _, m := range c.movable(d.service) {
-		if d.have <= d.want || !c.mayRelease() {
+		if !c.mayRelease() {
 			return
 		}
+		evacuated := c.isEvacuated(m.DataCentre)
+		if d.have <= d.want && !evacuated {
+			continue
+		}
 		if !c.machineIdle(m) || c.now.Sub(c.workerOf(m).idleSince) < d.idleTimeout() {
 			continue
 		}
 		c.orderMove(m, spare, d)
-		d.have--
+		if !evacuated {
+			d.have--
+		}
 	}
 }
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -55,6 +55,10 @@
 	// Admission is the admission policy of the previous owner.
 	Admission AdmissionPolicy
 	Waves     []platform.Wave
+	// Evacuations are those in force. StartsUntil is the time until which tasks may start
+	// without another read of them; zero means no limit.
+	Evacuations Evacuations
+	StartsUntil time.Time
 	// WavesEnded holds the waves that are reported as done, WavesBegan the machines
 	// whose maintenance has begun, by wave.
 	WavesEnded map[int64]bool
@@ -69,6 +73,8 @@
 	for _, w := range e.Workers {
 		WorkerListed{Worker: w}.apply(c)
 	}
+	OperatorRead{StartsUntil: e.StartsUntil}.apply(c)
+	EvacuationsChanged{Evacuations: e.Evacuations, Source: "takeover"}.apply(c)
 	c.inheritRoster(e.Roster)
 	c.inheritAdmission(e.Admission)
 	for _, m := range e.Roster.Ordered {
--- a/job/upcoming.go
+++ b/job/upcoming.go
@@ -33,7 +33,7 @@
 	case s.remaining == 0:
 		return 0
 	case s.Lasting:
-		return s.remaining
+		return c.remainingOutside(s)
 	case !s.unblocked():
 		if c.unblockedBy(s, at) {
 			return s.remaining
@@ -60,7 +60,7 @@
 	n := s.idle
 	runTime := c.expectedRunTime(s.instance.job, s.Step)
 	for _, t := range s.tasks {
-		if !t.done && len(t.runs) > 0 && t.runs[0].sentAt.Add(runTime).After(at) {
+		if !t.done && len(t.runs) > 0 && !t.runsEvacuated() && t.runs[0].sentAt.Add(runTime).After(at) {
 			n++
 		}
 	}
--- a/job/worker.go
+++ b/job/worker.go
@@ -115,6 +115,8 @@
 	isolatedUntil time.Time
 	// cordoned reports whether its machine is to be moved or maintained.
 	cordoned bool
+	// evacuated reports whether its data centre is evacuated, so that it gets no starts.
+	evacuated bool
 	// maintenanceDue reports whether a wave has yet to maintain its machine.
 	maintenanceDue bool
 	// idleSince is when the last run on it ended.
@@ -227,7 +229,7 @@
 // acceptsStarts reports whether the worker may get starts now. It may not while it has orphans,
 // as the room that they take is not always known.
 func (w *worker) acceptsStarts(now time.Time) bool {
-	return w.listed && !w.stale && !w.unverified && !w.tainted && w.contacted && w.inRoster && !w.Draining && !w.cordoned && w.missedPolls == 0 && len(w.orphans) == 0 &&
+	return w.listed && !w.stale && !w.unverified && !w.tainted && w.contacted && w.inRoster && !w.Draining && !w.cordoned && !w.evacuated && w.missedPolls == 0 && len(w.orphans) == 0 &&
 		!now.Before(w.noRoomUntil) && !now.Before(w.quarantinedUntil)
 }
 
--- a/job/world_machines_test.go
+++ b/job/world_machines_test.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		e.Machines = append(e.Machines, platform.Machine{
-			Name: v.Host, Pool: v.Service, State: platform.MachineUp, Worker: v.ID.Name(), Capacity: v.Capacity,
+			Name: v.Host, Pool: v.Service, State: platform.MachineUp, DataCentre: v.DataCentre, Worker: v.ID.Name(), Capacity: v.Capacity,
 		})
 	}
 	for h := range w.inMaintenance {
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -41,6 +41,7 @@
 	worldTeams
 	worldRestarts
 	worldLasting
+	worldEvacuations
 }
 
 // delivery is a function that is due at a time.
@@ -111,6 +112,8 @@
 	dead   bool
 	// renewedAt is when its own lease was last renewed.
 	renewedAt time.Time
+	// heard are the evacuations that it was last told.
+	heard Evacuations
 }
 
 func (r *worldRun) percent(now time.Time) int {
@@ -128,7 +131,7 @@
 func newWorldOf(t *rapid.T, withIncarnations bool) *world {
 	w := &world{
 		t: t, now: time.Unix(1e9, 0), workers: map[platform.WorkerID]*worldWorker{}, jobs: map[ID]Record{},
-		doneRuns: map[string][]*worldEnd{}, restarted: map[string][]*worldEnd{}, failures: map[string]int{}, worldCancels: newWorldCancels(), worldLinks: newWorldLinks(), worldCrashes: newWorldCrashes(), worldTeams: newWorldTeams(), worldRestarts: newWorldRestarts(), worldLasting: newWorldLasting(),
+		doneRuns: map[string][]*worldEnd{}, restarted: map[string][]*worldEnd{}, failures: map[string]int{}, worldCancels: newWorldCancels(), worldLinks: newWorldLinks(), worldCrashes: newWorldCrashes(), worldTeams: newWorldTeams(), worldRestarts: newWorldRestarts(), worldLasting: newWorldLasting(), worldEvacuations: newWorldEvacuations(),
 	}
 	w.tellsIncarnation = withIncarnations
 	w.store = worldStore{revision: 10, records: map[ID]Accepted{}, progress: map[ID]Progress{}, cancels: map[ID]bool{}, ownerKeys: ownerStore{}}
@@ -150,7 +153,7 @@
 func (w *world) addIncarnation(host string, id platform.WorkerID) *worldWorker {
 	v := &worldWorker{alive: true, born: w.now, clockRate: []float64{1, 0.98}[w.incarnations%2], runs: map[string]*worldRun{}, highestRun: map[string]int64{}, unreachableBy: map[*worldOwner]bool{}}
 	v.Worker = platform.Worker{
-		ID: id, Service: "blue", Host: host, Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		ID: id, Service: "blue", Host: host, DataCentre: dataCentreOf(host), Address: netip.MustParseAddrPort("10.0.0.1:80"),
 		Capacity: platform.Resources{MilliCores: fullWorkerCores, MemoryMB: 4000},
 	}
 	w.workers[id] = v
@@ -185,6 +188,7 @@
 		}
 	}
 	w.inheritWaves(&e)
+	w.inheritEvacuations(o, &e)
 	w.tell(o, e)
 }
 
@@ -218,6 +222,7 @@
 		w.checkCancelled()
 		w.trackLasting()
 		w.renew()
+		w.readOperator()
 		if w.now.UnixMilli()%50 == 0 {
 			for _, o := range w.owners {
 				if o.fence == w.store.fence && w.linkRate == 0 {
@@ -278,6 +283,7 @@
 			func(err error) Event { return PollResult{Worker: a.Worker.ID, SentAt: w.now, Err: err} })
 	case StartRun:
 		w.checkStart(o, a)
+		w.checkEvacuated(o, a)
 		w.noteOrder(a)
 		w.recordCap(o, a)
 		w.send(o, a.Worker.ID, a, orderTimeout, func(v *worldWorker, _ bool, answer func(Event)) { answer(w.start(v, a)) },
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -14,24 +14,25 @@
 // soakSeeds are the seeds of every test run. Each has led to a violation before, with the given
 // cause.
 var soakSeeds = []struct {
-	seed                         uint64
-	lasts                        time.Duration
-	crashing, lasting, lateHosts bool
-	cause                        string
+	seed                                      uint64
+	lasts                                     time.Duration
+	crashing, lasting, lateHosts, evacuations bool
+	cause                                     string
 }{
-	{1, 8 * time.Second, false, false, false, "a worker whose first clock is zero was considered expired, in 1 of 16 runs"},
-	{2, 8 * time.Second, false, false, false, "a new owner waited for a host that had been removed for good and restarted no lasting task for 10.5 s"},
-	{4000, 8 * time.Second, true, false, false, "a task that crashes its workers was restarted forever"},
-	{7306, 15 * time.Second, true, false, false, "a healthy job failed because of the crash of a worker whose next incarnation ran it, in 1 of 2 runs"},
-	{8120, 30 * time.Second, false, true, false, "a lasting run whose start was not answered was stopped while ready although another task of its step was unavailable, in one run"},
-	{16001, 15 * time.Second, false, false, false, "three requests on keep-alive connections were lost in two planned stops that closed the connections while their callers paused"},
-	{20000, 15 * time.Second, false, true, true, "a host was moved back by an order that arrived after a newer one with the same fence"},
+	{1, 8 * time.Second, false, false, false, false, "a worker whose first clock is zero was considered expired, in 1 of 16 runs"},
+	{2, 8 * time.Second, false, false, false, false, "a new owner waited for a host that had been removed for good and restarted no lasting task for 10.5 s"},
+	{4000, 8 * time.Second, true, false, false, false, "a task that crashes its workers was restarted forever"},
+	{7306, 15 * time.Second, true, false, false, false, "a healthy job failed because of the crash of a worker whose next incarnation ran it, in 1 of 2 runs"},
+	{8120, 30 * time.Second, false, true, false, false, "a lasting run whose start was not answered was stopped while ready although another task of its step was unavailable, in one run"},
+	{16001, 15 * time.Second, false, false, false, false, "three requests on keep-alive connections were lost in two planned stops that closed the connections while their callers paused"},
+	{20000, 15 * time.Second, false, true, true, false, "a host was moved back by an order that arrived after a newer one with the same fence"},
+	{30002, 20 * time.Second, false, false, false, true, "tasks were started in data centres that had been evacuated 9 s before"},
 }
 
 func TestSoakFindsNoViolation(t *testing.T) {
 	for _, s := range soakSeeds {
 		t.Run(fmt.Sprint("seed-", s.seed), func(t *testing.T) {
-			r, err := soak.Do(soak.Options{Seed: s.seed, Duration: s.lasts, Entries: 4, Workers: 5, CrashingJobs: s.crashing, DisruptionBudgets: s.lasting, DelayMachineOrders: s.lateHosts, BinDir: binaries, LogDir: t.TempDir(), Out: io.Discard})
+			r, err := soak.Do(soak.Options{Seed: s.seed, Duration: s.lasts, Entries: 4, Workers: 5, CrashingJobs: s.crashing, DisruptionBudgets: s.lasting, DelayMachineOrders: s.lateHosts, Evacuations: s.evacuations, BinDir: binaries, LogDir: t.TempDir(), Out: io.Discard})
 			require.NoError(t, err)
 			require.Empty(t, r.Violations, s.cause)
 			require.Positive(t, r.Counts["succeeded"])
