job: a replaced owner does not restart a task whose end it may have missed

What callers would see: a task of a job that is shown as succeeded runs a second time.

Cause: an owner that is cut off from the store goes on for 6 s. The next one noted the successful end of a run, so that its worker forgot it; that worker crashed; the first owner learned of the crash from the machine list, took the run for lost and started its task on a worker that the next owner had not reached, whose fence it passed. Leases count only as far as they expired while it certainly owned; crashes counted regardless.

Ruled out: the arbitrary element in anyHostCapacity, which no failing play depends on; late messages, as the start was sent by the replaced owner itself.

A lost task starts again only once the lease was renewed after the loss, unless it cannot have expired by then. Lasting tasks are left as they are.

--- a/job/crash.go
+++ b/job/crash.go
@@ -176,9 +176,10 @@
 
 // mayStart reports whether the task may be started now, given a worker with room. An isolated
 // task waits until the store holds its crash count: a count in the memory of one owner only
-// would let the next owner start from zero.
-func (t *task) mayStart(now time.Time) bool {
-	if now.Before(t.notBefore) {
+// would let the next owner start from zero. A task that was lost waits until it is certain that
+// no other owner had noted its successful end before the loss.
+func (c *Core) mayStart(t *task) bool {
+	if c.now.Before(t.notBefore) || c.ownedUntil.Before(t.lostAt) {
 		return false
 	}
 	j := t.step.instance.job
--- a/job/gang.go
+++ b/job/gang.go
@@ -6,7 +6,7 @@
 		return
 	}
 	for _, t := range s.tasks {
-		if !t.mayStart(c.now) {
+		if !c.mayStart(t) {
 			return
 		}
 	}
--- a/job/place.go
+++ b/job/place.go
@@ -102,7 +102,7 @@
 			}
 			continue
 		}
-		if !t.mayStart(c.now) {
+		if !c.mayStart(t) {
 			continue
 		}
 		if !s.withinCap(1) {
--- a/job/poll.go
+++ b/job/poll.go
@@ -281,6 +281,8 @@
 	r.worker.idleSince = c.now
 	if t.step.Lasting {
 		c.lastingEnded(t, r, platform.EndExpired)
+	} else if !c.certainlyOwner() {
+		t.lostAt = c.now
 	}
 	if t.step.Gang {
 		c.stopGang(t.step, r.number)
--- a/job/state.go
+++ b/job/state.go
@@ -85,6 +85,9 @@
 	// notBefore delays the next start after a run ended early, crashed its worker or was
 	// refused.
 	notBefore time.Time
+	// lostAt is when a run of it was lost at a time at which another owner may already have
+	// noted the run's successful end. It is zero if there was no such loss.
+	lostAt time.Time
 	// unavailableSince is when a lasting task was first started or stopped being ready. It is
 	// zero while the task is ready.
 	unavailableSince time.Time
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -174,6 +174,12 @@
 	r.unknown = r.unknown || w.Capacity == (platform.Resources{})
 }
 
+// certainlyOwner reports whether no other owner can have been there yet: the lease that was last
+// renewed has not expired. The clock of a suspended host may be late by maxSuspended.
+func (c *Core) certainlyOwner() bool {
+	return c.now.Sub(c.ownedUntil) < ownerTTL-maxSuspended
+}
+
 // advanceTo sets the time of a step, and detects a pause of the owner.
 func (c *Core) advanceTo(now time.Time) {
 	d := now.Sub(c.now)
--- a/job/world_faults_test.go
+++ b/job/world_faults_test.go
@@ -52,7 +52,8 @@
 func (w *world) checkNotDone(task string) {
 	for _, e := range w.doneRuns[task] {
 		if e.acknowledged && !e.leaseExpired {
-			w.t.Fatalf("%s starts after the successful end of its run %d was acknowledged", task, e.row.Run)
+			w.t.Fatalf("%s starts at %s after the successful end of its run %d on %s was acknowledged\n%s",
+				task, w.now.Format("05.000"), e.row.Run, e.at.ID, w.logLines(anyLogLine))
 		}
 	}
 }
