job: tasks that end stay in the data centre where their job was submitted

Cause: a job has eight tasks a step, spread over all data centres by packing alone: with six data centres three jobs in four have a task in any of them, and wait for its worker's lease to expire when it is cut off. It grows with the number of data centres.

Hypothesis: kept in one data centre, one job in six waits.

--- a/job/place.go
+++ b/job/place.go
@@ -16,6 +16,10 @@
 	coresWeight   = 1000
 	memoryWeight  = 100
 	failureWeight = 200
+	// otherDataCentrePenalty keeps the tasks of a job that ends in the data centre where it was
+	// submitted, ahead of packing: spread over all of them, most jobs would wait for the leases
+	// of a data centre that is cut off. It weighs as much as ten failures.
+	otherDataCentrePenalty = 2000
 	// otherRackPenalty keeps a task in the rack of its data wherever there is room.
 	otherRackPenalty = 1 << 38
 	// maintenancePenalty keeps lasting tasks off hosts that a wave is to maintain, which
@@ -185,6 +189,9 @@
 	if t.step.NearRack != "" && t.step.NearRack != w.rack {
 		v -= otherRackPenalty
 	}
+	if !t.step.Lasting && w.DataCentre != t.step.instance.job.DataCentre {
+		v -= otherDataCentrePenalty
+	}
 	if w.maintenanceDue && t.step.Lasting {
 		v -= maintenancePenalty
 	}
