--- a/job/locality_test.go
+++ b/job/locality_test.go
@@ -17,8 +17,10 @@
 	f.step(Accepted{ID: ID(id), Record: r, Created: platform.Revision(1000 + len(f.core.jobs))})
 }
 
-// joinFleet adds n workers in each of the data centres.
+// joinFleet adds n workers in each of the data centres, and gives the owner a link that carries
+// all calls to them at once.
 func (f *fixture) joinFleet(dataCentres, n int) {
+	f.core.flow = newFlowControl(Size{LinkMbps: 1000}, f.now)
 	for i := range dataCentres * n {
 		f.joinIn(fmt.Sprint("dc-", i%dataCentres), fmt.Sprintf("w%02d", i))
 	}
