job: a host that may be cut off from the store asks it before it writes a job

Cause: a host learned that the store is out of reach from the second write within half a second that was not answered. It grows with the number of entry hosts.

A host that has not heard from the store for 0.5 s asks it first; the question leaves nothing behind, so that the job is refused as not run, and later ones at once. The relay asks the owner first, too. While the store is heard, jobs cost no question.

--- a/job/intake.go
+++ b/job/intake.go
@@ -39,6 +39,8 @@
 	now         func() time.Time
 	queue       chan *pendingJob
 	storeHealth storeHealth
+	// heardAt is when the store last answered anything here.
+	heardAt common.Instant
 }
 
 func newIntake(kv *platform.KV, log *Logger, now func() time.Time) *intake {
@@ -58,6 +60,9 @@
 	if i.storeHealth.rejects(i.now()) {
 		return common.NotRun, errStoreUnreachable
 	}
+	if err := i.ask(ctx, id); err != nil {
+		return common.NotRun, err
+	}
 	a := &pendingJob{id: id, value: b, deadline: deadline, outcome: make(chan common.Verdict, 1)}
 	select {
 	case i.queue <- a:
@@ -128,7 +133,11 @@
 // unreachable or reachable again.
 func (i *intake) recordStoreHealth(sent time.Time, err error) {
 	now := i.now()
-	gone, back := i.storeHealth.record(sent, now, err == nil || errors.Is(err, platform.ErrConflict))
+	ok := err == nil || errors.Is(err, platform.ErrConflict)
+	if ok {
+		i.heardAt.Set(now)
+	}
+	gone, back := i.storeHealth.record(sent, now, ok)
 	switch {
 	case gone:
 		i.log.Write(LogLine{What: "store unreachable", Why: err.Error(), Fields: []any{"since_ms", now.Sub(sent).Milliseconds()}})
--- a/job/operator.go
+++ b/job/operator.go
@@ -60,6 +60,7 @@
 	switch {
 	case err == nil:
 		n.storeAnsweredAt.Set(now)
+		n.intake.heardAt.Set(now)
 		n.configCurrentAt.Advance(now)
 	case errors.Is(err, platform.ErrCompacted):
 		// The store answers; the list that follows tells whether the configuration changed.
--- a/job/serve.go
+++ b/job/serve.go
@@ -96,7 +96,7 @@
 	if o.Name == "" || o.Name == n.settings.Name {
 		return v
 	}
-	v, err = n.peers.accept(ctx, o.Peer, id, r)
+	v, err = n.relay(ctx, o, id, r)
 	if err != nil {
 		n.log.Write(LogLine{What: "job not relayed", Job: id, Why: err.Error(), Fields: []any{"to", o.Name}})
 	}
