--- a/job/demand.go
+++ b/job/demand.go
@@ -17,7 +17,13 @@
 	if !j.team.mayUse(j.Steps[0].Resources, 1) {
 		return
 	}
-	work := c.workWithin(j, moveDuration)
+	work := 0.0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		if !s.Lasting && !s.BestEffort {
+			work += float64(s.Count) * float64(s.MilliCores) / 1000 * float64(c.expectedRunTime(j, s).Milliseconds())
+		}
+	}
 	a := c.balance.arrivals[j.queue.Service]
 	if a == nil {
 		a = newArrivals()
@@ -26,28 +32,6 @@
 	a.add(work, arrivedAt, c.now)
 }
 
-// workWithin returns the work of a job in core-milliseconds that is done within the time after its
-// arrival. Work that comes later is part of the upcoming demand once the job is known.
-func (c *Core) workWithin(j *job, d time.Duration) float64 {
-	work := 0.0
-	done := make([]time.Duration, len(j.Steps))
-	for i := range j.Steps {
-		s := &j.Steps[i]
-		from := time.Duration(0)
-		for _, a := range s.After {
-			if a < i {
-				from = max(from, done[a])
-			}
-		}
-		t := c.expectedRunTime(j, s)
-		done[i] = from + t
-		if !s.Lasting && !s.BestEffort && from < d {
-			work += float64(s.Count) * float64(s.MilliCores) / 1000 * float64(min(t, d-from).Milliseconds())
-		}
-	}
-	return work
-}
-
 // recordDemand records the demand of tasks that found no room in a placement pass. Tasks
 // that wait for their team's cap need no hosts and are left out.
 func (c *Core) recordDemand(service string, l []candidate) {
@@ -148,12 +132,12 @@
 		return 0
 	}
 	upcoming := c.upcomingDemand(service, c.now.Add(moveDuration))
+	need.MilliCores = max(need.MilliCores, upcoming.MilliCores)
 	need.MemoryMB = max(need.MemoryMB, upcoming.MemoryMB)
-	expected := float64(upcoming.MilliCores)
+	cores := float64(need.MilliCores)
 	if a := c.balance.arrivals[service]; a != nil {
-		expected += a.forecast(c.now) * 1000
+		cores = max(cores, a.forecast(c.now)*1000+float64(c.lastingCores(service)))
 	}
-	cores := max(float64(need.MilliCores), expected)
 	fullHosts := max(cores/float64(host.MilliCores), float64(need.MemoryMB)/float64(host.MemoryMB))
 	if fullHosts > 0 {
 		hosts = int(math.Ceil(fullHosts*(1+poolHeadroom) + freeHostFraction))
@@ -161,6 +145,20 @@
 	return max(hosts, c.hostsForSpread(service))
 }
 
+// lastingCores returns the cores, in thousandths, that lasting tasks use in a pool. They
+// are not part of the arrivals.
+func (c *Core) lastingCores(service string) int64 {
+	var n int64
+	for _, w := range c.pools[service] {
+		for _, r := range w.runs {
+			if r.task.step.Lasting && !w.evacuated && !r.task.step.BestEffort {
+				n += r.task.step.MilliCores
+			}
+		}
+	}
+	return n
+}
+
 // hostsForSpread returns how many hosts a pool needs so that every unblocked step can keep
 // to its MaxPerWorker. Jobs that may not run yet, and tasks that run in evacuated data centres,
 // are left out.
