--- a/job/pools.go
+++ b/job/pools.go
@@ -41,10 +41,12 @@
 	unplaced map[string]platform.Resources
 	// arrivals is the recent work, by service.
 	arrivals map[string]*arrivals
+	// peaks are the highest recent demands, by service.
+	peaks map[string]*peak
 }
 
 func newPoolBalancer() poolBalancer {
-	return poolBalancer{unplaced: map[string]platform.Resources{}, arrivals: map[string]*arrivals{}}
+	return poolBalancer{unplaced: map[string]platform.Resources{}, arrivals: map[string]*arrivals{}, peaks: map[string]*peak{}}
 }
 
 // reconcilePools moves hosts among the pools and the spare pool to follow the load.
@@ -58,8 +60,9 @@
 	plan := c.poolDemands(spare)
 	c.logPools(plan)
 	for i := range plan {
-		c.addIdleHosts(&plan[i], plan)
+		c.addIdleHosts(&plan[i], plan, (*demand).surplus)
 		c.addSpareHosts(&plan[i], spare)
+		c.addIdleHosts(&plan[i], plan, (*demand).excess)
 	}
 	for i := range plan {
 		c.transferHosts(&plan[i], plan)
@@ -103,16 +106,16 @@
 	}
 }
 
-// addIdleHosts moves idle hosts from pools with a surplus to a pool that is short. That
+// addIdleHosts moves idle hosts from pools that can give some to a pool that is short. That
 // takes one move instead of two by way of the spare pool.
-func (c *Core) addIdleHosts(d *demand, plan []demand) {
+func (c *Core) addIdleHosts(d *demand, plan []demand, available func(*demand) int) {
 	for i := range plan {
 		from := &plan[i]
-		if from.service == d.service || d.have >= d.want || from.have <= from.want {
+		if from.service == d.service || d.have >= d.want || available(from) <= 0 {
 			continue
 		}
 		for _, m := range c.usable(from.service) {
-			if d.have >= d.want || from.have <= from.want || !c.mayOrder() {
+			if d.have >= d.want || available(from) <= 0 || !c.mayOrder() {
 				break
 			}
 			if !c.machineIdle(m) {
@@ -238,16 +241,16 @@
 
 // idleTimeout returns how long a host of the pool stays idle before it is released.
 func (d *demand) idleTimeout() time.Duration {
-	if d.have-d.want > max(minSurplus, d.want/surplusDivisor) {
+	if d.surplus() > max(minSurplus, d.keep/surplusDivisor) {
 		return surplusIdleTimeout
 	}
 	return poolIdleTimeout
 }
 
 // releaseSurplus moves hosts that have been idle for idleTimeout to the spare pool while the
-// pool has more than it needs. Hosts in evacuated data centres are of no use to it.
+// pool has more than it keeps. Hosts in evacuated data centres are of no use to it.
 func (c *Core) releaseSurplus(d *demand, spare string) {
-	if d.have <= d.want && len(c.evacuations.DataCentres) == 0 {
+	if d.surplus() <= 0 && len(c.evacuations.DataCentres) == 0 {
 		return
 	}
 	for _, m := range c.movable(d.service) {
@@ -255,7 +258,7 @@
 			return
 		}
 		evacuated := c.isEvacuated(m.DataCentre)
-		if d.have <= d.want && !evacuated {
+		if d.surplus() <= 0 && !evacuated {
 			continue
 		}
 		if !c.machineIdle(m) || c.now.Sub(c.workerOf(m).idleSince) < d.idleTimeout() {
