--- a/job/demand.go
+++ b/job/demand.go
@@ -51,24 +51,12 @@
 type demand struct {
 	service string
 	want    int
-	// keep is want or more: the number of hosts that the pool does not give back.
-	keep int
 	// have counts the hosts that are in service or on their way to the pool.
 	have int
 	// hasUnplaced says that tasks are waiting for room on a worker.
 	hasUnplaced bool
 }
 
-// excess returns how many hosts the pool has beyond those that it wants.
-func (d *demand) excess() int {
-	return d.have - d.want
-}
-
-// surplus returns how many hosts the pool has beyond those that it keeps.
-func (d *demand) surplus() int {
-	return d.have - d.keep
-}
-
 // logPools logs the demand and load of each pool once per poolLogInterval.
 func (c *Core) logPools(plan []demand) {
 	if c.now.Before(c.balance.logAt) {
@@ -85,7 +73,7 @@
 		}
 		waiting := c.balance.unplaced[d.service]
 		c.emit(LogLine{What: "pool", Fields: []any{
-			"service", d.service, "want", d.want, "keep", d.keep, "have", d.have,
+			"service", d.service, "want", d.want, "have", d.have,
 			"cores_used", used.MilliCores / 1000, "cores", capacity.MilliCores / 1000, "cores_waiting", waiting.MilliCores / 1000,
 			"mb_used", used.MemoryMB, "mb", capacity.MemoryMB,
 		}})
@@ -103,7 +91,6 @@
 			continue
 		}
 		d := demand{service: s.Name, want: c.wantedHosts(s.Name), have: inbound[s.Name]}
-		d.keep = c.retainedHosts(s.Name, d.want)
 		for _, w := range c.pools[s.Name] {
 			if c.inService(w) {
 				d.have++
--- a/job/pools.go
+++ b/job/pools.go
@@ -41,12 +41,10 @@
 	unplaced map[string]platform.Resources
 	// arrivals is the recent work, by service.
 	arrivals map[string]*arrivals
-	// peaks are the highest recent demands, by service.
-	peaks map[string]*peak
 }
 
 func newPoolBalancer() poolBalancer {
-	return poolBalancer{unplaced: map[string]platform.Resources{}, arrivals: map[string]*arrivals{}, peaks: map[string]*peak{}}
+	return poolBalancer{unplaced: map[string]platform.Resources{}, arrivals: map[string]*arrivals{}}
 }
 
 // reconcilePools moves hosts among the pools and the spare pool to follow the load.
@@ -60,9 +58,8 @@
 	plan := c.poolDemands(spare)
 	c.logPools(plan)
 	for i := range plan {
-		c.addIdleHosts(&plan[i], plan, (*demand).surplus)
+		c.addIdleHosts(&plan[i], plan)
 		c.addSpareHosts(&plan[i], spare)
-		c.addIdleHosts(&plan[i], plan, (*demand).excess)
 	}
 	for i := range plan {
 		c.transferHosts(&plan[i], plan)
@@ -106,16 +103,16 @@
 	}
 }
 
-// addIdleHosts moves idle hosts from pools that can give some to a pool that is short. That
+// addIdleHosts moves idle hosts from pools with a surplus to a pool that is short. That
 // takes one move instead of two by way of the spare pool.
-func (c *Core) addIdleHosts(d *demand, plan []demand, available func(*demand) int) {
+func (c *Core) addIdleHosts(d *demand, plan []demand) {
 	for i := range plan {
 		from := &plan[i]
-		if from.service == d.service || d.have >= d.want || available(from) <= 0 {
+		if from.service == d.service || d.have >= d.want || from.have <= from.want {
 			continue
 		}
 		for _, m := range c.usable(from.service) {
-			if d.have >= d.want || available(from) <= 0 || !c.mayOrder() {
+			if d.have >= d.want || from.have <= from.want || !c.mayOrder() {
 				break
 			}
 			if !c.machineIdle(m) {
@@ -241,16 +238,16 @@
 
 // idleTimeout returns how long a host of the pool stays idle before it is released.
 func (d *demand) idleTimeout() time.Duration {
-	if d.surplus() > max(minSurplus, d.keep/surplusDivisor) {
+	if d.have-d.want > max(minSurplus, d.want/surplusDivisor) {
 		return surplusIdleTimeout
 	}
 	return poolIdleTimeout
 }
 
 // releaseSurplus moves hosts that have been idle for idleTimeout to the spare pool while the
-// pool has more than it keeps. Hosts in evacuated data centres are of no use to it.
+// pool has more than it needs. Hosts in evacuated data centres are of no use to it.
 func (c *Core) releaseSurplus(d *demand, spare string) {
-	if d.surplus() <= 0 && len(c.evacuations.DataCentres) == 0 {
+	if d.have <= d.want && len(c.evacuations.DataCentres) == 0 {
 		return
 	}
 	for _, m := range c.movable(d.service) {
@@ -258,7 +255,7 @@
 			return
 		}
 		evacuated := c.isEvacuated(m.DataCentre)
-		if d.surplus() <= 0 && !evacuated {
+		if d.have <= d.want && !evacuated {
 			continue
 		}
 		if !c.machineIdle(m) || c.now.Sub(c.workerOf(m).idleSince) < d.idleTimeout() {
