--- a/job/node.go
+++ b/job/node.go
@@ -57,8 +57,6 @@
 	// storeAnsweredAt is when the store last answered, configCurrentAt when the
 	// configuration was last known to be the newest, from the store or another entry host.
 	storeAnsweredAt, configCurrentAt common.Instant
-	// cutOffAt is when a job last found that neither the store nor the owner answers.
-	cutOffAt common.Instant
 	// configMissed wakes followOwnerConfig when a request to the store for the
 	// configuration has failed.
 	configMissed chan struct{}
@@ -118,7 +116,7 @@
 	if n.leaving.Load() || n.routes.Load() == nil {
 		return false
 	}
-	return n.now().Sub(n.storeAnsweredAt.Get()) < maxStoreSilence && !n.cutOff()
+	return n.now().Sub(n.storeAnsweredAt.Get()) < maxStoreSilence
 }
 
 // Leave gives up ownership for good and reports the node as not ready, so that callers are
--- a/job/reach.go
+++ b/job/reach.go
@@ -53,7 +53,6 @@
 	_, known, err := n.peers.state(ctx, o, id)
 	switch {
 	case isUnanswered(err):
-		n.cutOffAt.Set(n.now())
 		return common.NotRun, err
 	case err == nil && known:
 		return common.Ran, nil
@@ -61,14 +60,6 @@
 	return n.peers.accept(ctx, o.Peer, id, r)
 }
 
-// cutOff reports whether neither the store nor the owner answered the last job, and the store has
-// not been heard since. Callers are better served by other hosts. While the store is out of reach
-// for all, the owner still answers, so that callers can ask for states and cancel jobs.
-func (n *Node) cutOff() bool {
-	at := n.cutOffAt.Get()
-	return !at.IsZero() && !n.intake.heardAt.Get().After(at)
-}
-
 // unanswered records that a question was not answered: jobs are refused at once from here on,
 // but for one now and then. It reports whether this shows that the store has become unreachable.
 func (r *storeHealth) unanswered(now time.Time) bool {
