--- a/job/deposed_test.go
+++ b/job/deposed_test.go
@@ -10,6 +10,18 @@
 	"amberway/platform"
 )
 
+// newRunningFixture returns an owner, whose lease was just renewed, with the step's task on w1 and
+// nothing on w2.
+func newRunningFixture(t *testing.T, s platform.Step) *fixture {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idA, "quick", s)
+	f.acceptStart(f.starts()[0])
+	f.join("w2")
+	f.step(LeaseRenewed{SentAt: f.now})
+	return f
+}
+
 // loseWorker has the worker fall silent and its machine run another one.
 func (f *fixture) loseWorker(id string) {
 	f.fail(id, common.ErrUnknownOutcome)
@@ -26,12 +38,7 @@
 // 15287265354458197199: "owner 176: end ... done", "owner 173: run gone ... crashed", "owner 173:
 // start". A lost task starts again only once the lease was renewed after the loss.
 func TestDeposedOwnerDoesNotRestartALostTask(t *testing.T) {
-	f := newFixture(t)
-	f.join("w1")
-	f.submit(idA, "quick", oneTask())
-	f.acceptStart(f.starts()[0])
-	f.join("w2")
-	f.step(LeaseRenewed{SentAt: f.now})
+	f := newRunningFixture(t, oneTask())
 	f.advanceWithoutStore(ownerTTL)
 	f.loseWorker("w1")
 	require.Len(t, f.logged("run gone"), 1)
@@ -48,14 +55,9 @@
 // A lasting task has no successful end, and a next owner starts none of an earlier owner's jobs
 // before it knows what runs on each worker of the roster.
 func TestDeposedOwnerRestartsALostLastingTask(t *testing.T) {
-	f := newFixture(t)
-	f.join("w1")
 	s := oneTask()
 	s.Lasting = true
-	f.submit(idA, "quick", s)
-	f.acceptStart(f.starts()[0])
-	f.join("w2")
-	f.step(LeaseRenewed{SentAt: f.now})
+	f := newRunningFixture(t, s)
 	f.advanceWithoutStore(ownerTTL)
 	f.loseWorker("w1")
 	f.advanceWithoutStore(time.Second)
@@ -64,12 +66,7 @@
 
 // While its lease cannot have expired, an owner restarts a lost task at once.
 func TestOwnerRestartsALostTaskAtOnce(t *testing.T) {
-	f := newFixture(t)
-	f.join("w1")
-	f.submit(idA, "quick", oneTask())
-	f.acceptStart(f.starts()[0])
-	f.join("w2")
-	f.step(LeaseRenewed{SentAt: f.now})
+	f := newRunningFixture(t, oneTask())
 	f.advanceWithoutStore(time.Second)
 	f.loseWorker("w1")
 	require.Equal(t, []platform.WorkerID{"w2"}, workersOf(f.starts()))
