--- a/job/explain.go
+++ b/job/explain.go
@@ -187,11 +187,12 @@
 	if j.state.Final() {
 		return e, true
 	}
-	if !c.inheritedRunsKnown(j) {
+	switch {
+	case !c.inheritedRunsKnown(j):
 		e.Blocked = "workers that an earlier owner used have not answered yet"
-	} else if c.mayHaveMissedEvacuation() {
+	case c.mayHaveMissedEvacuation():
 		e.Blocked = "the owner cannot read whether a data centre has been evacuated"
-	} else if c.beyondShare(j) {
+	case c.beyondShare(j):
 		e.Blocked = "beyond its team's share: behind the jobs of other teams"
 	}
 	for _, n := range j.instances {
--- a/job/peer.go
+++ b/job/peer.go
@@ -156,7 +156,7 @@
 	if err != nil {
 		n.log.Write(LogLine{What: "relayed job not accepted", Job: id, Why: err.Error()})
 	}
-	_, _ = io.WriteString(w, v.String())
+	_, _ = io.WriteString(w, v.String()) //nolint:gosec // one of the names of verdicts
 }
 
 func (n *Node) serveCancel(w http.ResponseWriter, r *http.Request) {
