job: idle hosts are not collected while no order may be sent; one line for a lost store

Since pools take turns, each plan collected the idle hosts of all pools before it asked whether an order may be sent at all: on a fleet of 6,000, ten times a second for as long as the orders last. It asks first now, as the loop would have returned without an order. The line 'store unreachable' was written in two places.

--- a/job/intake.go
+++ b/job/intake.go
@@ -140,12 +140,17 @@
 	gone, back := i.storeHealth.record(sent, now, ok)
 	switch {
 	case gone:
-		i.log.Write(LogLine{What: "store unreachable", Why: err.Error(), Fields: []any{"since_ms", now.Sub(sent).Milliseconds()}})
+		i.logUnreachable(sent, err)
 	case back:
 		i.log.Write(LogLine{What: "store reachable again"})
 	}
 }
 
+// logUnreachable logs that a call which was sent at the time has shown the store to be unreachable.
+func (i *intake) logUnreachable(sent time.Time, err error) {
+	i.log.Write(LogLine{What: "store unreachable", Why: err.Error(), Fields: []any{"since_ms", i.now().Sub(sent).Milliseconds()}})
+}
+
 // intakeTxn returns the transaction that creates the jobs unless one of them exists or has
 // existed: the owner deletes the record of a job that has ended, but its progress stays.
 func intakeTxn(l []*pendingJob) platform.Txn {
--- a/job/load.go
+++ b/job/load.go
@@ -198,13 +198,6 @@
 	return nil
 }
 
-func (o *owner) loadEvacuations(ctx context.Context, e *Inherited) error {
-	sent := o.now()
-	l, at, err := o.KV.List(ctx, platform.EvacuationPrefix)
-	e.Evacuations, e.StartsUntil = listEvacuations(l, at), o.startsUntil(sent)
-	return err
-}
-
 // jobEvent returns the event for an entry under jobsPrefix, or nil if it is invalid.
 func (o *owner) jobEvent(v platform.Entry) Event {
 	if len(v.Key) > len(cancelPrefix) && v.Key[:len(cancelPrefix)] == cancelPrefix {
--- a/job/operator.go
+++ b/job/operator.go
@@ -123,3 +123,11 @@
 	n.evacuations.Store(&e)
 	n.tellOwner(EvacuationsChanged{Evacuations: e, Source: source})
 }
+
+// loadEvacuations reads the evacuations that a new owner takes over.
+func (o *owner) loadEvacuations(ctx context.Context, e *Inherited) error {
+	sent := o.now()
+	l, at, err := o.KV.List(ctx, platform.EvacuationPrefix)
+	e.Evacuations, e.StartsUntil = listEvacuations(l, at), o.startsUntil(sent)
+	return err
+}
--- a/job/pools.go
+++ b/job/pools.go
@@ -247,6 +247,9 @@
 // the next began would soon have to fetch some again. Hosts in evacuated data centres are of no
 // use to their pool.
 func (c *Core) releaseSurplus(plan []demand, spare string) {
+	if !c.mayRelease() {
+		return
+	}
 	idle := make([][]*machine, len(plan))
 	for i := range plan {
 		idle[i] = c.releasable(&plan[i])
--- a/job/reach.go
+++ b/job/reach.go
@@ -37,7 +37,7 @@
 		return nil
 	}
 	if i.storeHealth.unanswered(i.now()) {
-		i.log.Write(LogLine{What: "store unreachable", Why: err.Error(), Fields: []any{"since_ms", i.now().Sub(sent).Milliseconds()}})
+		i.logUnreachable(sent, err)
 	}
 	return err
 }
