job: tests force the order of late calls at a restarted worker; two cases that pass

The test chooses which orders are kept back and when they are carried out. Both pass on: a late poll of an earlier owner after the next owner's first poll, and late stops of an earlier owner at an incarnation that knows no fence.

--- /dev/null
+++ b/job/late_orders_test.go
@@ -0,0 +1,46 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/platform"
+)
+
+// A call without an answer may be carried out seconds later, by an incarnation that its sender
+// did not know of: orders name a worker, not its incarnation. The numbers of ends, the clock and
+// the fence start anew there. The tests force the order in which such calls are carried out, and
+// require only what callers and workers see, so that an owner may withhold starts, raise its
+// fence or do anything else that keeps the promises.
+
+// A poll of an earlier owner that comes after the next owner's first poll is refused, so that it
+// loses no end.
+func TestLatePollOfAnEarlierOwnerLosesNoEnd(t *testing.T) {
+	f := newLateFixture(t, longUp, isAck)
+	f.untilKept(isAck)
+	second := f.start(secondIncarnation, 0)
+	f.runFor = 0
+	f.started = func(*lateWorker, string) { f.carryOutLate(isAck) }
+	f.lateOwner = f.takeOver(f.lateOwner, second)
+	f.submitTask(idB)
+	f.requireDone(f.lateOwner)
+}
+
+// An order to stop of an earlier owner, at an incarnation that knows no fence, neither starts a
+// task twice nor keeps it from running.
+func TestLateStopOfAnEarlierOwnerLosesNoTask(t *testing.T) {
+	for name, order := range map[string][]func(Action) bool{"after the start": {startsB, isStop}, "before the start": {isStop, startsB}, "alone": {isStop}} {
+		t.Run(name, func(t *testing.T) {
+			f := newLateFixture(t, longUp, isStop, startsB)
+			f.submitTask(idB)
+			f.untilKept(isStop)
+			second := f.start(secondIncarnation, 0)
+			f.runFor = time.Second
+			f.carryOutLate(order...)
+			o := f.takeOver(f.lateOwner, second)
+			f.requireDone(o)
+		})
+	}
+}
