job: test: a late poll of an earlier incarnation loses an end

A job could be seen to succeed, or its worker had its end acknowledged, and its task ran again. One owner, one worker that restarts under its name; the poll that acknowledges end 1 of the first incarnation is carried out by the second, right after that has run another task.

40.800 kept back: poll of w1@first, fence 100, last acked 1, until 40.800 w1@second starts 40.800 owner 100: worker listed w1@second 40.800 owner 100: worker restarted w1@second its record has another start time 40.800 owner 100: worker removed w1@first the worker has restarted 40.850 owner 100: start bb.0.0.0 run w1@second 40.850 w1@second begins bb.0.0.0 run 40.850 w1@second ends bb.0.0.0 run: done (end 1) 40.850 late: poll of w1@first, fence 100, last acked 1, until 40.850 w1@second forgets end 1 of bb.0.0.0 run 41.850 owner 100: run gone bb.0.0.0 run w1@second the worker does not list it 41.850 owner 100: start bb.0.0.0 run w1@second 41.850 bb.0.0.0 starts as run on w1@second after w1@second has forgotten the successful end of run

--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -15,6 +15,21 @@
 // require only what callers and workers see, so that an owner may withhold starts, raise its
 // fence or do anything else that keeps the promises.
 
+// A task ran again after its job's caller could have seen it succeed: a poll to an earlier
+// incarnation came late and made the later one forget an end that nobody had read.
+func TestLatePollOfAnEarlierIncarnationLosesNoEnd(t *testing.T) {
+	f := newLateFixture(t, longUp, isAck)
+	f.untilKept(isAck)
+	second := f.start(secondIncarnation, 0)
+	f.list(second)
+	f.runFor = 0
+	f.started = func(*lateWorker, string) { f.carryOutLate(isAck) }
+	f.submitTask(idB)
+	f.passUntil(3*time.Second, func() bool { return f.succeeded(taskB) })
+	f.carryOutLate(isAck)
+	f.requireDone(f.lateOwner)
+}
+
 // A poll of an earlier owner that comes after the next owner's first poll is refused, so that it
 // loses no end.
 func TestLatePollOfAnEarlierOwnerLosesNoEnd(t *testing.T) {
