job: test: a late poll loses an end that was read and not stored

The same with an end that the owner had read, while the store did not answer; the next owner learns of it neither from the store nor from the worker, and runs the task again.

--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -30,6 +30,24 @@
 	f.requireDone(f.lateOwner)
 }
 
+// The same with an end that the owner had read but not stored when it was replaced.
+func TestLatePollLosesNoEndThatIsNotStored(t *testing.T) {
+	f := newLateFixture(t, longUp, isAck)
+	f.untilKept(isAck)
+	second := f.start(secondIncarnation, 0)
+	f.list(second)
+	f.submitTask(idB)
+	f.passUntil(5*time.Second, func() bool { return second.runs[taskB] != nil })
+	f.holdWrites = true
+	if second.runs[taskB] != nil {
+		second.end(taskB, platform.EndDone)
+	}
+	f.pass(200 * time.Millisecond)
+	f.carryOutLate(isAck)
+	f.runFor = 0
+	f.requireDone(f.takeOver(f.lateOwner, second))
+}
+
 // A poll of an earlier owner that comes after the next owner's first poll is refused, so that it
 // loses no end.
 func TestLatePollOfAnEarlierOwnerLosesNoEnd(t *testing.T) {
