job: test: a poll in flight loses the end of a start sent after it

A task ran again after its successful end. Poll and start were both sent to the first incarnation and both carried out by the second one, before the owner knew of that.

--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -48,6 +48,20 @@
 	f.requireDone(f.takeOver(f.lateOwner, second))
 }
 
+// A start that nobody had an answer to was carried out by the next incarnation, and the end of its
+// run forgotten: the poll sent before the start came after it.
+func TestPollSentBeforeALateStartLosesNoEnd(t *testing.T) {
+	f := newLateFixture(t, longUp, isAck, startsB)
+	f.untilKept(isAck)
+	f.submitTask(idB)
+	f.untilKept(startsB)
+	second := f.start(secondIncarnation, 0)
+	f.runFor = 0
+	f.carryOutLate(startsB, isAck)
+	f.list(second)
+	f.requireDone(f.lateOwner)
+}
+
 // A poll of an earlier owner that comes after the next owner's first poll is refused, so that it
 // loses no end.
 func TestLatePollOfAnEarlierOwnerLosesNoEnd(t *testing.T) {
