job: test: a poll acknowledges while a start has no answer

The same with the poll sent after the start: ackableEnd withholds the number for unconfirmed starts of steps with a disruption budget only, and never for a start in flight.

40.150 owner 100: start bb.0.0.0 run w1@first 40.150 kept back: start of bb.0.0.0 run on w1@first, fence 100, until 40.200 kept back: poll of w1@first, fence 100, last acked 1, until 40.200 w1@second starts 40.200 late: start of bb.0.0.0 run on w1@first, fence 100, until 40.200 w1@second begins bb.0.0.0 run 40.200 w1@second ends bb.0.0.0 run: done (end 1) 40.200 late: poll of w1@first, fence 100, last acked 1, until 40.200 w1@second forgets end 1 of bb.0.0.0 run 40.200 owner 100: worker listed w1@second 40.200 owner 100: worker restarted w1@second its record has another start time 40.200 owner 100: worker removed w1@first the worker has restarted 40.950 owner 100: start not answered bb.0.0.0 run w1@second answer lost 41.300 owner 100: stop bb.0.0.0 run w1@second its start was not answered 42.250 owner 100: run gone bb.0.0.0 run w1@second stopped before it started 42.250 owner 100: crash counted bb.0.0.0 run w1@second 42.250 owner 100: start bb.0.0.0 run w1@second 42.250 bb.0.0.0 starts as run on w1@second after w1@second has forgotten the successful end of run

--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -62,6 +62,19 @@
 	f.requireDone(f.lateOwner)
 }
 
+// The same with a poll that was sent after the start, while that had no answer.
+func TestPollSentAfterALateStartLosesNoEnd(t *testing.T) {
+	f := newLateFixture(t, longUp, isAck, startsB)
+	f.submitTask(idB)
+	f.untilKept(startsB)
+	f.untilKept(isAck)
+	second := f.start(secondIncarnation, 0)
+	f.runFor = 0
+	f.carryOutLate(startsB, isAck)
+	f.list(second)
+	f.requireDone(f.lateOwner)
+}
+
 // A poll of an earlier owner that comes after the next owner's first poll is refused, so that it
 // loses no end.
 func TestLatePollOfAnEarlierOwnerLosesNoEnd(t *testing.T) {
