job: test: the poll after an accepted start loses its end at an unnoticed restart

A task ran again after its successful end, and no message was late: the worker had restarted while idle, unseen. Its answer to the start tells no incarnation. The next poll acknowledges end 1 of the first incarnation.

--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -75,6 +75,30 @@
 	f.requireDone(f.lateOwner)
 }
 
+// A worker had restarted unnoticed and accepted a start. The poll after the start, which came in
+// time, acknowledged the last end of the earlier incarnation, and the later one forgot its own.
+func TestPollAfterAStartAtAnUnnoticedIncarnationLosesNoEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		clock platform.WorkerClock
+		up    time.Duration
+	}{
+		"its clock is behind the last reading": {clock: longUp},
+		"its clock is ahead of it":             {up: 6 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newLateFixture(t, c.clock)
+			f.pass(2 * time.Second)
+			second := f.start(secondIncarnation, 0)
+			f.pass(c.up)
+			f.runFor = 0
+			f.submitTask(idB)
+			f.pass(3 * time.Second)
+			f.list(second)
+			f.requireDone(f.lateOwner)
+		})
+	}
+}
+
 // A poll of an earlier owner that comes after the next owner's first poll is refused, so that it
 // loses no end.
 func TestLatePollOfAnEarlierOwnerLosesNoEnd(t *testing.T) {
