job: test: a late lease of an earlier incarnation outlasts expiresBy

A task ran twice at once. until_ms by the first clock is far ahead on the second, so that the lease lasts hold_max_ms (10 s) from the receipt of the late call; the owner counts inheritedLease (10.5 s) from when it learned of the incarnation. A start that is refused as old extends the lease as well.

Trace (start):

40.150 owner 100: start bb.0.0.0 run w1@first 40.150 kept back: start of bb.0.0.0 run on w1@first, fence 100, until 40.150 w1@second starts 40.150 owner 100: worker listed w1@second 40.150 owner 100: worker restarted w1@second its record has another start time 40.150 owner 100: worker removed w1@first the worker has restarted 40.950 owner 100: start not answered bb.0.0.0 run w1@second answer lost 41.300 owner 100: stop bb.0.0.0 run w1@second its start was not answered 42.200 owner 100: run gone bb.0.0.0 run w1@second stopped before it started 42.200 owner 100: crash counted bb.0.0.0 run w1@second 42.200 owner 100: start bb.0.0.0 run w1@second 42.200 w1@second begins bb.0.0.0 run 45.150 late: start of bb.0.0.0 run on w1@first, fence 100, until 45.150 w1@second falls silent 45.150 w2 starts 45.150 owner 100: worker listed w2 45.900 owner 100: worker silent w1@second answer lost 50.700 owner 100: run gone bb.0.0.0 run w1@second the worker is silent and its lease has expired 50.700 owner 100: start bb.0.0.0 run w2 50.700 bb.0.0.0 starts as run on w2 while its run is running on w1@second

--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -99,6 +99,38 @@
 	}
 }
 
+// A task ran twice at once: an order with a lease by the earlier incarnation's clock had come late
+// to the later one, which then held its runs for longer than the owner assumed.
+func TestLateLeaseOfAnEarlierIncarnationIsOutlasted(t *testing.T) {
+	for name, match := range map[string]func(Action) bool{"poll": renewsLease, "start": startsB} {
+		t.Run(name, func(t *testing.T) {
+			f := newLateFixture(t, longUp, match)
+			if name == "start" {
+				f.submitTask(idB)
+			}
+			f.untilKept(match)
+			sentAt := f.now
+			second := f.start(secondIncarnation, 0)
+			f.list(second)
+			if name == "poll" {
+				f.submitTask(idB)
+			}
+			f.pass(sentAt.Add(5 * time.Second).Sub(f.now))
+			f.carryOutLate(match)
+			f.requireMoves(second)
+		})
+	}
+}
+
+// requireMoves has a worker fall silent, and requires that taskB runs on another one at last.
+func (f *lateFixture) requireMoves(w *lateWorker) {
+	w.silence()
+	other := f.start("w2", 0)
+	f.list(other)
+	f.passUntil(recoversWithin, func() bool { return other.runs[taskB] != nil })
+	require.NotNil(f.t, other.runs[taskB], "%v", f.trace)
+}
+
 // A poll of an earlier owner that comes after the next owner's first poll is refused, so that it
 // loses no end.
 func TestLatePollOfAnEarlierOwnerLosesNoEnd(t *testing.T) {
