job: test: a late lease of an earlier owner is forgotten at the first answer

A task ran twice at once. An earlier owner's poll, with until_ms by the first clock, came before the next owner's first poll. From its first answer on that owner counts its own leases only: it knew the second incarnation from the start, so that restarted is not set.

40.800 kept back: poll of w1@first, fence 100, last acked 1, until 40.800 w1@second starts 40.800 late: poll of w1@first, fence 100, last acked 1, until 40.800 owner 10000: worker listed w1@second 40.800 owner 10000: inherited jobs wait w1@first an earlier owner's runs may continue on a worker that has not answered 40.850 owner 10000: worker removed w1@first its host runs another worker 40.850 owner 10000: inherited jobs resume run 0 40.850 owner 10000: start bb.0.0.0 run w1@second 40.850 w1@second begins bb.0.0.0 run 41.500 owner 100: worker silent w1@first answer lost 41.800 w1@second falls silent 41.800 w2 starts 41.800 owner 100: worker listed w2 41.800 owner 10000: worker listed w2 42.550 owner 10000: worker silent w1@second answer lost 45.000 owner 10000: run gone bb.0.0.0 run w1@second the worker is silent and its lease has expired 45.000 owner 10000: start bb.0.0.0 run w2 45.000 bb.0.0.0 starts as run on w2 while its run is running on w1@second

--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -131,6 +131,18 @@
 	require.NotNil(f.t, other.runs[taskB], "%v", f.trace)
 }
 
+// The same with an order of an earlier owner, which came before the next owner's first poll.
+func TestLateLeaseOfAnEarlierOwnerIsOutlasted(t *testing.T) {
+	f := newLateFixture(t, longUp, renewsLease)
+	f.untilKept(renewsLease)
+	second := f.start(secondIncarnation, 0)
+	f.carryOutLate(renewsLease)
+	f.lateOwner = f.takeOver(f.lateOwner, second)
+	f.submitTask(idB)
+	f.pass(time.Second)
+	f.requireMoves(second)
+}
+
 // A poll of an earlier owner that comes after the next owner's first poll is refused, so that it
 // loses no end.
 func TestLatePollOfAnEarlierOwnerLosesNoEnd(t *testing.T) {
