job: test: a late start and poll of an earlier owner lose an end

A task ran again after its successful end: the next owner's first poll finds neither run nor end.

40.800 kept back: poll of w1@first, fence 100, last acked 1, until 40.800 owner 100: start bb.0.0.0 run w1@first 40.800 kept back: start of bb.0.0.0 run on w1@first, fence 100, until 40.800 w1@second starts 40.800 late: start of bb.0.0.0 run on w1@first, fence 100, until 40.800 w1@second begins bb.0.0.0 run 40.800 w1@second ends bb.0.0.0 run: done (end 1) 40.800 late: poll of w1@first, fence 100, last acked 1, until 40.800 w1@second forgets end 1 of bb.0.0.0 run 40.800 owner 10000: worker listed w1@second 40.800 owner 10000: inherited jobs wait w1@first an earlier owner's runs may continue on a worker that has not answered 40.850 owner 10000: worker removed w1@first its host runs another worker 40.850 owner 10000: inherited jobs resume run 0 40.850 owner 10000: start bb.0.0.0 run w1@second 40.850 bb.0.0.0 starts as run on w1@second after w1@second has forgotten the successful end of run

--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -143,6 +143,19 @@
 	f.requireMoves(second)
 }
 
+// The next owner started a task whose end the worker had forgotten: a start and a poll of the
+// earlier owner were both carried out late by an incarnation that knew no fence.
+func TestLateStartAndPollOfAnEarlierOwnerLoseNoEnd(t *testing.T) {
+	f := newLateFixture(t, longUp, isAck, startsB)
+	f.untilKept(isAck)
+	f.submitTask(idB)
+	f.untilKept(startsB)
+	second := f.start(secondIncarnation, 0)
+	f.runFor = 0
+	f.carryOutLate(startsB, isAck)
+	f.requireDone(f.takeOver(f.lateOwner, second))
+}
+
 // A poll of an earlier owner that comes after the next owner's first poll is refused, so that it
 // loses no end.
 func TestLatePollOfAnEarlierOwnerLosesNoEnd(t *testing.T) {
