job: test: a start comes after its stop was confirmed by an earlier incarnation

A task ran twice at once.

40.150 owner 100: start bb.0.0.0 run w1@first 40.150 kept back: start of bb.0.0.0 run on w1@first, fence 100, until 40.150 owner 100: worker draining w1@first 40.150 w2 starts 40.150 owner 100: worker listed w2 40.200 w1@first forgets end 1 of aa.0.0.0 run 40.950 owner 100: start not answered bb.0.0.0 run w1@first answer lost 41.300 owner 100: stop bb.0.0.0 run w1@first its start was not answered 42.200 owner 100: run gone bb.0.0.0 run w1@first stopped before it started 42.200 owner 100: start bb.0.0.0 run w2 42.200 w2 begins bb.0.0.0 run 42.200 w1@second starts 42.200 late: start of bb.0.0.0 run on w1@first, fence 100, until 42.200 bb.0.0.0 starts as run on w1@second while its run is running on w2

--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -185,3 +185,35 @@
 		})
 	}
 }
+
+// A task ran twice at once: its start had no answer, the worker confirmed that it would never carry
+// it out, and restarted. The next incarnation knew nothing of that.
+func TestLateStartAfterAConfirmedStopRunsNothingTwice(t *testing.T) {
+	f := newLateFixture(t, longUp, startsB)
+	f.submitTask(idB)
+	f.untilKept(startsB)
+	f.first.Draining = true
+	f.list(f.first)
+	other := f.start("w2", 0)
+	f.list(other)
+	f.passUntil(5*time.Second, func() bool { return other.runs[taskB] != nil })
+	f.start(secondIncarnation, 0)
+	f.carryOutLate(startsB)
+	f.requireRuns()
+}
+
+// runsOn returns the running incarnation on which the task runs, or nil.
+func (f *lateFleet) runsOn(task string) *lateWorker {
+	for _, w := range f.lives {
+		if w.alive() && w.runs[task] != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+// requireRuns requires that taskB runs at last.
+func (f *lateFixture) requireRuns() {
+	f.passUntil(recoversWithin, func() bool { return f.runsOn(taskB) != nil })
+	require.NotNil(f.t, f.runsOn(taskB), "%v", f.trace)
+}
