job: test: a start of an earlier owner comes at an incarnation without a fence

A task ran twice at once. The model leaves this case out (world.recipient): it delivers no start that an earlier incarnation would have refused by its fence.

40.150 owner 100: start bb.0.0.0 run w1@first 40.150 kept back: start of bb.0.0.0 run on w1@first, fence 100, until 40.150 w2 starts 40.150 owner 10000: worker listed w1@first 40.150 owner 10000: worker listed w2 40.150 owner 10000: inherited jobs wait w1@first an earlier owner's runs may continue on a worker that has not answered 40.200 owner 10000: inherited jobs resume run 0 40.200 owner 10000: start bb.0.0.0 run w2 40.200 w2 begins bb.0.0.0 run 40.200 w1@second starts 40.200 late: start of bb.0.0.0 run on w1@first, fence 100, until 40.200 bb.0.0.0 starts as run on w1@second while its run is running on w2

--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -202,6 +202,21 @@
 	f.requireRuns()
 }
 
+// The same with a start of an earlier owner, which the next owner's fence kept out before the
+// restart.
+func TestLateStartOfAnEarlierOwnerRunsNothingTwice(t *testing.T) {
+	f := newLateFixture(t, longUp, startsB)
+	f.submitTask(idB)
+	f.untilKept(startsB)
+	f.first.Draining = true
+	other := f.start("w2", 0)
+	f.takeOver(f.lateOwner, f.first, other)
+	f.passUntil(5*time.Second, func() bool { return other.runs[taskB] != nil })
+	f.start(secondIncarnation, 0)
+	f.carryOutLate(startsB)
+	f.requireRuns()
+}
+
 // runsOn returns the running incarnation on which the task runs, or nil.
 func (f *lateFleet) runsOn(task string) *lateWorker {
 	for _, w := range f.lives {
