job: a late acknowledgement makes no later incarnation forget an end

What callers saw: a task of theirs ran again after it had ended well.

Cause: a poll tells the worker the number of the last end that it may forget. The number holds for one incarnation. A poll that was not answered, or that was repeated on a new connection, may be carried out seconds later by the next incarnation of that name, whose ends are numbered from one again: it forgot ends that nobody had read, and the owner started their tasks anew. The owner withheld the number from workers that had missed a poll, but could not call back what it had sent.

Ruled out: watching for unanswered polls only, as the first copy of an answered poll may still come; withholding starts from a restarted worker for as long as a call may be late, as each crash would cost its host for 12 s.

Each poll that acknowledges ends now has a lower fence than all orders to that name which follow, and none acknowledges ends while a start that was sent before may still be carried out. An incarnation that has ends to forget has carried out a start, so it refuses each such poll that was meant for an earlier one. An owner whose order is refused because a later one of its own came first repeats it, and steps down only if nothing that it sent had a higher fence. Ends that are acknowledged already are not acknowledged again.

TestEndIsAcknowledgedOnlyAfterItIsStored answers the start that it leaves open, without which no end is acknowledged now, and tells revisions of writes; its checks are the same.

--- /dev/null
+++ b/job/acknowledge.go
@@ -0,0 +1,57 @@
+package job
+
+import "amberway/platform"
+
+// A poll tells the worker the number of the last end that the store holds, and the worker forgets
+// the ends up to there. The number only holds for one incarnation of the worker, while a poll that
+// was not answered may be carried out by a later one, which would forget ends that nobody has
+// read. Fences prevent this:
+//
+//   - Each poll with such a number has a lower fence than all orders to workers of that name that
+//     are sent after it. An incarnation that has carried out one of these refuses the poll.
+//   - No poll has such a number while a start that was sent before it may still be carried out.
+//
+// So an incarnation that has ends to forget has carried out a start with a higher fence than each
+// such poll that was meant for an earlier one. The fences are the revisions of the owner's writes,
+// which rise, and are below the fence of the next owner.
+
+// mayAcknowledge reports whether the next poll may acknowledge ends: the worker has some that it
+// may forget, and the orders that follow get a higher fence.
+func (c *Core) mayAcknowledge(w *worker) bool {
+	return w.mayForgetEnds() && c.latestFence > w.fence
+}
+
+// requestFence has something written if the worker's ends cannot be acknowledged before the next
+// write.
+func (c *Core) requestFence(w *worker) {
+	if w.mayForgetEnds() && c.latestFence <= w.fence && c.inFlight == nil && c.writeDueAt.IsZero() {
+		c.writeDueAt = c.now.Add(writeDelay)
+	}
+}
+
+// mayForgetEnds reports whether the worker has stored ends that it may forget. It may not while it
+// may have restarted unnoticed, or may carry out a start that was not answered.
+func (w *worker) mayForgetEnds() bool {
+	return w.lastEndStored > w.lastEndAcked && w.missedPolls == 0 && !w.unverified && !w.hasUnconfirmedStart()
+}
+
+// hasUnconfirmedStart reports whether the worker may still carry out a start.
+func (w *worker) hasUnconfirmedStart() bool {
+	for _, r := range w.runs {
+		if !r.startConfirmed {
+			return true
+		}
+	}
+	return false
+}
+
+// overtaken reports whether the worker refused an order because a later one of this owner arrived
+// before it. If not, another owner has given it orders, and this one steps down.
+func (c *Core) overtaken(w *worker, order string, f platform.Fence) bool {
+	if f >= w.fence {
+		c.emit(StepDown{Why: "a worker has seen a higher fence"})
+		return false
+	}
+	c.emit(LogLine{What: "order overtaken", Worker: w.ID, Why: "a later order of this owner came first", Fields: []any{"order", order, "fence", int64(f), "now", int64(w.fence)}})
+	return true
+}
--- a/job/availability.go
+++ b/job/availability.go
@@ -119,11 +119,6 @@
 	return w.anyBudgeted(func(r *run) bool { return r.awaitsPoll(now) })
 }
 
-// hasUnconfirmedStart reports whether a run whose step has a disruption budget is unconfirmed.
-func (w *worker) hasUnconfirmedStart() bool {
-	return w.anyBudgeted(func(r *run) bool { return r.phase == unconfirmed })
-}
-
 // anyBudgeted reports whether f holds for a run on the worker whose step has a disruption
 // budget.
 func (w *worker) anyBudgeted(f func(*run) bool) bool {
--- a/job/core.go
+++ b/job/core.go
@@ -78,7 +78,7 @@
 		workersByHost: map[string][]*worker{},
 		runTimes:      map[string]*runTimeEstimate{},
 		takeover:      newTakeover(now),
-		writeQueue:    newWriteQueue(),
+		writeQueue:    newWriteQueue(f),
 		machines:      newMachines(holder, s.OrdersPerSecond, now),
 		waitlists:     newWaitlists(),
 		flow:          newFlowControl(s, now),
--- a/job/core_test.go
+++ b/job/core_test.go
@@ -145,7 +145,7 @@
 	require.True(f.t, ok, "no poll of %s is in flight", id)
 	delete(f.polls, platform.WorkerID(id))
 	l.Clock = f.clock
-	f.step(PollResult{Worker: platform.WorkerID(id), SentAt: f.now, Acked: a.Order.LastAcked, Poll: l})
+	f.step(PollResult{Worker: platform.WorkerID(id), SentAt: f.now, Acked: a.Order.LastAcked, Fence: a.Order.Fence, Poll: l})
 }
 
 func (f *fixture) fail(id string, err error) {
@@ -179,7 +179,7 @@
 }
 
 func (f *fixture) acceptStart(s StartRun) {
-	f.step(StartResult{Worker: s.Worker.ID, Run: s.Order.Run, Task: s.Order.Task, Clock: f.clock})
+	f.step(StartResult{Worker: s.Worker.ID, Run: s.Order.Run, Task: s.Order.Task, Fence: s.Order.Fence, Clock: f.clock})
 }
 
 func (f *fixture) submit(id string, queue string, steps ...platform.Step) {
@@ -250,7 +250,8 @@
 		f.answer("w1", platform.PollReply{Ended: []platform.EndedRow{ended(1, l[0], platform.EndDone)}})
 	}
 	f.holdWrites = false
-	f.step(WriteResult{Number: f.core.writeNumber})
+	f.step(WriteResult{Number: f.core.writeNumber, Revision: f.revision + 1})
+	f.acceptStart(f.starts()[0])
 	f.advance(time.Second)
 	require.EqualValues(t, 1, f.polls["w1"].Order.LastAcked)
 }
@@ -435,7 +436,7 @@
 	f.join("w1")
 	f.submit(idA, "quick", oneTask())
 	l := f.starts()
-	f.step(StartResult{Worker: "w1", Run: l[0].Order.Run, Task: l[0].Order.Task, Rejection: platform.RejectedFenced})
+	f.step(StartResult{Worker: "w1", Run: l[0].Order.Run, Task: l[0].Order.Task, Fence: l[0].Order.Fence, Rejection: platform.RejectedFenced})
 	require.Contains(t, f.out, Action(StepDown{Why: "a worker has seen a higher fence"}))
 }
 
--- a/job/events.go
+++ b/job/events.go
@@ -46,6 +46,7 @@
 	Worker    platform.WorkerID
 	SentAt    time.Time
 	Acked     int64
+	Fence     platform.Fence
 	Poll      platform.PollReply
 	Rejection platform.Rejection
 	Err       error
@@ -56,6 +57,7 @@
 	Worker    platform.WorkerID
 	Run       int64
 	Task      string
+	Fence     platform.Fence
 	Rejection platform.Rejection
 	Clock     platform.WorkerClock
 	Err       error
@@ -66,6 +68,7 @@
 	Worker    platform.WorkerID
 	Run       int64
 	Task      string
+	Fence     platform.Fence
 	Rejection platform.Rejection
 	Clock     platform.WorkerClock
 	Err       error
--- a/job/late_protocol_test.go
+++ b/job/late_protocol_test.go
@@ -89,11 +89,11 @@
 		for _, e := range w.unread() {
 			l.Ended = append(l.Ended, e.EndedRow)
 		}
-		return PollResult{Worker: a.Worker.ID, SentAt: w.fleet.now, Acked: a.Order.LastAcked, Poll: l, Rejection: rejection}
+		return PollResult{Worker: a.Worker.ID, SentAt: w.fleet.now, Acked: a.Order.LastAcked, Fence: a.Order.Fence, Poll: l, Rejection: rejection}
 	case StartRun:
-		return StartResult{Worker: a.Worker.ID, Run: a.Order.Run, Task: a.Order.Task, Rejection: rejection, Clock: w.clock()}
+		return StartResult{Worker: a.Worker.ID, Run: a.Order.Run, Task: a.Order.Task, Fence: a.Order.Fence, Rejection: rejection, Clock: w.clock()}
 	case StopRun:
-		return StopResult{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Rejection: rejection, Clock: w.clock()}
+		return StopResult{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Fence: a.Fence, Rejection: rejection, Clock: w.clock()}
 	}
 	return nil
 }
--- a/job/orders.go
+++ b/job/orders.go
@@ -23,6 +23,9 @@
 	settlePoll = 100 * time.Millisecond
 )
 
+// errOvertaken says that an order was not carried out, as a later one arrived before it.
+var errOvertaken = errors.New("a later order came first")
+
 // start sends an order to start a run of the task on the worker.
 func (c *Core) start(t *task, w *worker, number int64, ticket string) {
 	r := &run{number: number, task: t, worker: w, phase: starting, sentAt: c.now, progressAt: c.now, pacing: pacing{pace: fullPace}}
@@ -37,7 +40,7 @@
 		Run:        number,
 		Spec:       n.job.Spec,
 		LeaseUntil: w.extendLease(c.now),
-		Fence:      c.fence,
+		Fence:      w.fence,
 		Snapshot:   t.snapshot,
 		Ticket:     ticket,
 	}
@@ -97,7 +100,7 @@
 
 func (c *Core) orderStop(w *worker, task string, run int64) {
 	c.flow.spend(orderBytes)
-	c.emit(StopRun{Worker: w.Worker, Task: task, Run: run, Fence: c.fence})
+	c.emit(StopRun{Worker: w.Worker, Task: task, Run: run, Fence: w.fence})
 }
 
 // reconcileRuns sends the orders to stop that are due on a worker: for unconfirmed starts that
@@ -146,8 +149,7 @@
 	case errors.Is(e.Err, platform.ErrOtherIncarnation) && w.ID == e.Worker:
 		c.removeWorker(w, "another incarnation answers at its address")
 		return
-	case e.Rejection == platform.RejectedFenced:
-		c.emit(StepDown{Why: "a worker has seen a higher fence"})
+	case e.Rejection == platform.RejectedFenced && !c.overtaken(w, "start", e.Fence):
 		return
 	case r == nil:
 		return
@@ -221,9 +223,11 @@
 	case errors.Is(e.Err, platform.ErrOtherIncarnation) && w.ID == e.Worker:
 		c.removeWorker(w, "another incarnation answers at its address")
 		return
-	case e.Err == nil && e.Rejection == platform.RejectedFenced:
-		c.emit(StepDown{Why: "a worker has seen a higher fence"})
-		return
+	case e.Rejection == platform.RejectedFenced:
+		if !c.overtaken(w, "stop", e.Fence) {
+			return
+		}
+		e.Err = errOvertaken
 	}
 	if s := w.orphans[rawRunID{task: e.Task, number: e.Run}]; s != nil && e.Err != nil {
 		s.stopPending = false
--- a/job/pace.go
+++ b/job/pace.go
@@ -118,7 +118,7 @@
 		c.logRun(r, "pace", "", []any{"from", r.pace, "to", p, "tail_share", worst})
 		r.setPace(p, c.now)
 		w.nextPaceAt = c.now.Add(paceSettle)
-		c.emit(PaceRun{Worker: w.Worker, Task: r.task.key().String(), Run: r.number, Percent: p, Fence: c.fence})
+		c.emit(PaceRun{Worker: w.Worker, Task: r.task.key().String(), Run: r.number, Percent: p, Fence: w.fence})
 	}
 }
 
@@ -152,6 +152,7 @@
 	Worker    platform.WorkerID
 	Run       int64
 	Task      string
+	Fence     platform.Fence
 	Rejection platform.Rejection
 	Err       error
 }
@@ -162,8 +163,7 @@
 	if w == nil || (e.Err == nil && e.Rejection == platform.Accepted) {
 		return
 	}
-	if e.Err == nil && e.Rejection == platform.RejectedFenced {
-		c.emit(StepDown{Why: "a worker has seen a higher fence"})
+	if e.Rejection == platform.RejectedFenced && !c.overtaken(w, "pace", e.Fence) {
 		return
 	}
 	k, _ := parseTaskKey(e.Task)
--- a/job/perform.go
+++ b/job/perform.go
@@ -64,7 +64,7 @@
 	defer cancel()
 	reply, rejection, err := o.Workers.Poll(call, a.Worker, a.Order)
 	o.metrics.countOrder("look", orderOutcome(string(rejection), err))
-	o.send(ctx, PollResult{Worker: a.Worker.ID, SentAt: sentAt, Acked: a.Order.LastAcked, Poll: reply, Rejection: rejection, Err: err})
+	o.send(ctx, PollResult{Worker: a.Worker.ID, SentAt: sentAt, Acked: a.Order.LastAcked, Fence: a.Order.Fence, Poll: reply, Rejection: rejection, Err: err})
 }
 
 func (o *owner) startRun(ctx context.Context, a StartRun) {
@@ -72,7 +72,7 @@
 	defer cancel()
 	rejection, clock, err := o.Workers.Start(call, a.Worker, a.Order)
 	o.metrics.countOrder("start", orderOutcome(string(rejection), err))
-	o.send(ctx, StartResult{Worker: a.Worker.ID, Run: a.Order.Run, Task: a.Order.Task, Rejection: rejection, Clock: clock, Err: err})
+	o.send(ctx, StartResult{Worker: a.Worker.ID, Run: a.Order.Run, Task: a.Order.Task, Fence: a.Order.Fence, Rejection: rejection, Clock: clock, Err: err})
 }
 
 func (o *owner) stopRun(ctx context.Context, a StopRun) {
@@ -80,14 +80,14 @@
 	defer cancel()
 	rejection, clock, err := o.Workers.Stop(call, a.Worker, a.Task, a.Run, a.Fence)
 	o.metrics.countOrder("stop", orderOutcome(string(rejection), err))
-	o.send(ctx, StopResult{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Rejection: rejection, Clock: clock, Err: err})
+	o.send(ctx, StopResult{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Fence: a.Fence, Rejection: rejection, Clock: clock, Err: err})
 }
 
 func (o *owner) paceRun(ctx context.Context, a PaceRun) {
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	rejection, _, err := o.Workers.Pace(call, a.Worker, a.Task, a.Run, a.Percent, a.Fence)
-	o.send(ctx, PaceResult{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Rejection: rejection, Err: err})
+	o.send(ctx, PaceResult{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Fence: a.Fence, Rejection: rejection, Err: err})
 }
 
 func (o *owner) writeStore(ctx context.Context, a WriteStore) {
--- a/job/poll.go
+++ b/job/poll.go
@@ -20,6 +20,7 @@
 	if c.shuttingDown(w) && w.contacted && w.missedPolls == 0 {
 		c.evictLasting(w)
 	}
+	c.requestFence(w)
 	if !w.polling && !c.dormant(w) && !c.now.Before(c.nextPoll(w)) && c.flow.mayPoll(w.contacted, w.pollSentAt, c.now) {
 		c.poll(w)
 	}
@@ -37,9 +38,12 @@
 		// The next poll waits for the write, so that it acknowledges the ends, but not for
 		// longer than pollWait.
 		return latest(w.nextPollAt, w.pollSentAt.Add(pollWait))
-	case len(w.runs) > 0 || len(w.orphans) > 0:
+	case w.busy() && w.lastEndStored > w.lastEndAcked && !c.mayAcknowledge(w) && !w.needsPromptPoll(c.now):
+		// A worker with ends to report answers at once, whatever the wait.
+		return latest(w.nextPollAt, w.polledAt.Add(pollRetry))
+	case w.busy():
 		return w.nextPollAt
-	case w.lastEndStored > w.lastEndAcked:
+	case c.mayAcknowledge(w):
 		return latest(w.nextPollAt, w.idleSince.Add(ackDelay))
 	}
 	return never
@@ -53,12 +57,16 @@
 }
 
 func (c *Core) poll(w *worker) {
-	o := platform.PollOrder{Fence: c.fence, LastAcked: w.ackableEnd()}
+	o := platform.PollOrder{Fence: w.fence}
+	if c.mayAcknowledge(w) {
+		o.LastAcked = w.lastEndStored
+		w.fence = c.latestFence
+	}
 	if w.contacted && w.missedPolls == 0 {
 		// A silent worker's lease is not renewed, so that it expires.
 		o.LeaseUntil = w.extendLease(c.now)
 	}
-	if w.contacted && w.missedPolls == 0 && w.lastEndSeen == w.lastEndStored && len(w.runs)+len(w.orphans) > 0 && !w.needsPromptPoll(c.now) {
+	if w.contacted && w.missedPolls == 0 && w.lastEndSeen == w.lastEndStored && w.busy() && !w.needsPromptPoll(c.now) {
 		o.Wait = c.pollWaitFor(w)
 	}
 	w.polling, w.pollWaits = true, o.Wait > 0
@@ -71,16 +79,6 @@
 	c.emit(PollWorker{Worker: w.Worker, Order: o})
 }
 
-// ackableEnd returns the number of the last end that the worker may forget, or 0 while it may
-// have restarted unnoticed: the number would make the next incarnation forget ends of its own
-// that nobody has read.
-func (w *worker) ackableEnd() int64 {
-	if w.missedPolls > 0 || w.hasUnconfirmedStart() {
-		return 0
-	}
-	return w.lastEndStored
-}
-
 // pollWaitFor returns how long the worker may hold a poll. It is polled more often while its
 // latency-sensitive tasks share it with best-effort tasks.
 func (c *Core) pollWaitFor(w *worker) time.Duration {
@@ -111,7 +109,11 @@
 		c.reconcileWorker(w)
 		return
 	case e.Rejection == platform.RejectedFenced:
-		c.emit(StepDown{Why: "a worker has seen a higher fence"})
+		w.nextPollAt = c.now
+		if !c.overtaken(w, "poll", e.Fence) {
+			return
+		}
+		c.reconcileWorker(w)
 		return
 	}
 	if !c.checkAnswerer(w, e.Poll.ReportedStart) {
@@ -128,6 +130,7 @@
 	w.unverified = false
 	if !w.contacted {
 		w.contacted = true
+		w.fence = c.latestFence
 		c.removeOthersOnHost(w)
 		// Jobs may have waited for its report on the runs of earlier owners.
 		c.reorder(w.Service)
--- a/job/worker.go
+++ b/job/worker.go
@@ -67,6 +67,8 @@
 	// offRoster reports whether it has been removed from the roster because its machine has an
 	// order and nothing runs on it.
 	offRoster bool
+	// fence is the fence of the next order to it.
+	fence platform.Fence
 	// contacted reports whether it has answered a poll with the owner's fence.
 	contacted bool
 	// clock is the reading of its clock in the answer that came at clockAt.
@@ -233,6 +235,11 @@
 		!now.Before(w.noRoomUntil) && !now.Before(w.quarantinedUntil)
 }
 
+// busy reports whether anything runs on the worker.
+func (w *worker) busy() bool {
+	return len(w.runs)+len(w.orphans) > 0
+}
+
 func (w *worker) attach(r *run) {
 	w.runs[r.id()] = r
 	w.charge(r.task.step.Step, 1)
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -404,7 +404,7 @@
 }
 
 func (w *world) poll(v *worldWorker, a PollWorker) Event {
-	out := PollResult{Worker: a.Worker.ID, SentAt: w.now, Acked: a.Order.LastAcked, Poll: platform.PollReply{Clock: v.clock(w.now)}}
+	out := PollResult{Worker: a.Worker.ID, SentAt: w.now, Acked: a.Order.LastAcked, Fence: a.Order.Fence, Poll: platform.PollReply{Clock: v.clock(w.now)}}
 	out.Poll.Incarnation = v.ID.Incarnation()
 	if a.Order.Fence < v.fence {
 		out.Rejection = platform.RejectedFenced
@@ -432,7 +432,7 @@
 
 func (w *world) start(v *worldWorker, a StartRun) Event {
 	o := a.Order
-	out := StartResult{Worker: a.Worker.ID, Run: o.Run, Task: o.Task, Clock: v.clock(w.now)}
+	out := StartResult{Worker: a.Worker.ID, Run: o.Run, Task: o.Task, Fence: o.Fence, Clock: v.clock(w.now)}
 	switch {
 	case o.Fence < v.fence:
 		out.Rejection = platform.RejectedFenced
@@ -451,7 +451,7 @@
 }
 
 func (w *world) stop(v *worldWorker, a StopRun, late bool) Event {
-	out := StopResult{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Clock: v.clock(w.now)}
+	out := StopResult{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Fence: a.Fence, Clock: v.clock(w.now)}
 	if a.Fence < v.fence {
 		out.Rejection = platform.RejectedFenced
 		return out
--- a/job/write_queue.go
+++ b/job/write_queue.go
@@ -36,6 +36,9 @@
 	extraPuts     []platform.Put
 	extraDeletes  []string
 	writesFailing bool
+	// latestFence is the revision of the last write. It exceeds the fence of each poll that has
+	// acknowledged ends so far, and is below the fence of the next owner.
+	latestFence platform.Fence
 }
 
 // storeWrite is one write, kept until the store has answered it.
@@ -58,8 +61,8 @@
 	crashVersion int
 }
 
-func newWriteQueue() writeQueue {
-	return writeQueue{}
+func newWriteQueue(f platform.Fence) writeQueue {
+	return writeQueue{latestFence: f}
 }
 
 // markDirty has the progress of a job written.
@@ -187,6 +190,7 @@
 		return
 	}
 	c.writesFailing = false
+	c.latestFence = max(c.latestFence, platform.Fence(e.Revision))
 	for _, w := range k.workers {
 		w.inRoster = !w.offRoster
 		c.replan(w.Service)
