job: a start that a restarted worker has accepted does not count for its predecessor

What callers saw: a task ran again after it had ended well, or ran twice at once.

Cause: a worker that had restarted unnoticed accepted a start, whose answer tells no incarnation. The owner took the run for confirmed at the earlier one. So the next poll acknowledged ends of that one, and the later one forgot its own; and where the worker then fell silent, its lease was taken for 4 s by the clock of the earlier incarnation, while the platform allows the later one all of hold_max_ms.

Evidence: TestLeaseOfAStartAtAnUnnoticedIncarnationIsOutlasted and the case of an end that is not acknowledged yet in TestPollAfterAStartAtAnUnnoticedIncarnationLosesNoEnd fail without this change.

The answer does tell the worker's clock, which starts anew with each incarnation. One that is behind the least that the clock of the worker can read by then, slow by 2.5 %, is another incarnation's: the start is unconfirmed until a poll tells, the worker gets no more of them before that, and its lease counts as the longest that there is.

--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -79,15 +79,16 @@
 // time, acknowledged the last end of the earlier incarnation, and the later one forgot its own.
 func TestPollAfterAStartAtAnUnnoticedIncarnationLosesNoEnd(t *testing.T) {
 	for name, c := range map[string]struct {
-		clock platform.WorkerClock
-		up    time.Duration
+		clock    platform.WorkerClock
+		idle, up time.Duration
 	}{
-		"its clock is behind the last reading": {clock: longUp},
-		"its clock is ahead of it":             {up: 6 * time.Second},
+		"its clock is behind the last reading": {clock: longUp, idle: 2 * time.Second},
+		"its clock is ahead of it":             {idle: 2 * time.Second, up: 6 * time.Second},
+		"the last end is not acknowledged yet": {clock: longUp},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newLateFixture(t, c.clock)
-			f.pass(2 * time.Second)
+			f.pass(c.idle)
 			second := f.start(secondIncarnation, 0)
 			f.pass(c.up)
 			f.runFor = 0
--- a/job/orders.go
+++ b/job/orders.go
@@ -28,7 +28,7 @@
 
 // start sends an order to start a run of the task on the worker.
 func (c *Core) start(t *task, w *worker, number int64, ticket string) {
-	r := &run{number: number, task: t, worker: w, phase: starting, sentAt: c.now, progressAt: c.now, pacing: pacing{pace: fullPace}}
+	r := &run{number: number, task: t, worker: w, phase: starting, sentAt: c.now, sentClock: w.earliestClock(c.now), progressAt: c.now, pacing: pacing{pace: fullPace}}
 	r.attach()
 	w.isolate(t, c.now)
 	if t.unavailableSince.IsZero() {
@@ -159,6 +159,8 @@
 		c.flow.noteResponse(r.sentAt, c.now)
 	}
 	switch {
+	case e.Err == nil && e.Rejection == platform.Accepted && w.ID == e.Worker && e.Clock < r.sentClock:
+		c.startAcceptedElsewhere(r, e.Clock)
 	case e.Err == nil && e.Rejection == platform.Accepted:
 		c.startAccepted(r)
 	case errors.Is(e.Err, platform.ErrUnknownOutcome):
@@ -184,6 +186,21 @@
 	c.markStarted(r.task.step.instance.job)
 }
 
+// startAcceptedElsewhere handles a start that was accepted by a worker whose clock is behind: a later
+// incarnation, which is yet to be found. The run counts as unconfirmed until a poll tells, and its
+// lease, which ends by the clock of the earlier incarnation, as the longest that there is.
+func (c *Core) startAcceptedElsewhere(r *run, clock platform.WorkerClock) {
+	c.logRun(r, "start answered by another incarnation", "its clock is behind that of the worker that was asked", []any{"clock_ms", int64(clock), "at_least_ms", int64(r.sentClock)})
+	if r.phase == starting {
+		r.phase = unconfirmed
+	}
+	w := r.worker
+	w.unverified = true
+	w.nextPollAt = c.now
+	w.restarted = true
+	w.expiresBy = c.now.Add(inheritedLease)
+}
+
 // startRefused drops a run that is certain not to have started.
 func (c *Core) startRefused(r *run, e StartResult) {
 	w := r.worker
--- a/job/state.go
+++ b/job/state.go
@@ -134,6 +134,8 @@
 	// is cleared if the next incarnation runs it. soleCrashSuspect says that all suspects were
 	// of one job.
 	crashSuspect, soleCrashSuspect bool
+	// sentClock is the least that its worker's clock could read when the start order was sent.
+	sentClock platform.WorkerClock
 	// sentAt is when the start order was sent, or the run adopted. knownAt is when the last
 	// answer to an order came, or the worker first listed the run.
 	sentAt, knownAt time.Time
--- a/job/worker.go
+++ b/job/worker.go
@@ -47,8 +47,9 @@
 	// hadRecord reports whether a record of this incarnation was seen. As the store orders the
 	// records of one name, a new one of another incarnation then shows a restart.
 	hadRecord bool
-	// restarted reports whether it has replaced another incarnation. An order to that one may
-	// have given it a longer lease than any order to itself.
+	// restarted reports whether it has replaced another incarnation, or has itself been replaced
+	// by one that is not known yet. An order to the earlier one may have given the later one a
+	// longer lease than any order to itself.
 	restarted bool
 	// unverified reports whether it may have been replaced under its name. It gets no starts
 	// before its next answer.
@@ -163,6 +164,15 @@
 	w.clockAt = now
 }
 
+// earliestClock returns the least that the worker's clock can read now.
+func (w *worker) earliestClock(now time.Time) platform.WorkerClock {
+	if w.clockAt.IsZero() {
+		return 0
+	}
+	elapsed := float64(now.Sub(w.clockAt).Milliseconds())
+	return w.clock + platform.WorkerClock(elapsed*(1-maxClockDrift))
+}
+
 // extendLease extends the lease now and returns its new end on the worker's clock. After a while
 // without an answer the lease is shorter by what a slow clock may have lost, by up to half:
 // the next owner waits for leaseFor on such a clock.
