job: a lease that a late order gave to a restarted worker is waited for

What callers saw: a task of theirs ran twice at once, on a worker that had been cut off and on another one.

Cause: orders extend a worker's lease up to a time on its clock. One that is meant for an earlier incarnation and comes late gives the later one, whose clock has started anew, as much as the platform allows: 10 s. The owner waited for 10.5 s from when it learned of the later incarnation, but such an order may come until that one knows a fence that refuses it: until it first answers, and in truth until its first start. And an owner that took over after the restart knew nothing of it.

No deployment is known to have shown it.

The time runs from the first answer. From its first start on, the worker refuses orders to earlier incarnations: a worker that enters the roster has its fence raised to the revision of that write. A next owner treats each worker like that which, by its clock, has been up for less than an order may be late.

--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -138,6 +138,20 @@
 	c.endWorker(w, "the worker has restarted", by)
 }
 
+// noteContact handles the first answer of a worker.
+func (c *Core) noteContact(w *worker, clock platform.WorkerClock) {
+	w.contacted = true
+	w.fence = c.latestFence
+	c.removeOthersOnHost(w)
+	if w.restarted || c.mayHaveRestarted(w, clock) {
+		// Until now it has known no fence that refuses the orders to an earlier incarnation.
+		w.restarted = true
+		w.expiresBy = c.now.Add(inheritedLease)
+	}
+	// Jobs may have waited for its report on the runs of earlier owners.
+	c.reorder(w.Service)
+}
+
 // answeredBy returns the worker that answered a request to w: w itself, or a later incarnation
 // if it has restarted since. It returns false if the answer is from an incarnation that was
 // already replaced, and so proves nothing.
--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -132,6 +132,23 @@
 	require.NotNil(f.t, other.runs[taskB], "%v", f.trace)
 }
 
+// The same with an order that came shortly before the later incarnation first answered, long after
+// its record was there.
+func TestLateLeaseBeforeTheFirstAnswerIsOutlasted(t *testing.T) {
+	f := newLateFixture(t, longUp, renewsLease)
+	f.untilKept(renewsLease)
+	f.keep = isPoll
+	second := f.start(secondIncarnation, 0)
+	f.list(second)
+	f.submitTask(idB)
+	f.pass(5 * time.Second)
+	f.keep = func(Action) bool { return false }
+	f.carryOutLate(renewsLease)
+	f.passUntil(3*time.Second, func() bool { return second.runs[taskB] != nil })
+	require.NotNil(t, second.runs[taskB])
+	f.requireMoves(second)
+}
+
 // The same with an order of an earlier owner, which came before the next owner's first poll.
 func TestLateLeaseOfAnEarlierOwnerIsOutlasted(t *testing.T) {
 	f := newLateFixture(t, longUp, renewsLease)
--- a/job/poll.go
+++ b/job/poll.go
@@ -129,11 +129,7 @@
 	w.missedPolls, w.missedLists = 0, 0
 	w.unverified = false
 	if !w.contacted {
-		w.contacted = true
-		w.fence = c.latestFence
-		c.removeOthersOnHost(w)
-		// Jobs may have waited for its report on the runs of earlier owners.
-		c.reorder(w.Service)
+		c.noteContact(w, e.Poll.Clock)
 	}
 	w.nextPollAt = c.now
 	w.polledAt, w.answeredPollSentAt = c.now, e.SentAt
--- a/job/roster.go
+++ b/job/roster.go
@@ -176,6 +176,16 @@
 	c.writeSoon()
 }
 
+// noteInRoster notes that the stored roster has the worker, unless it is off the roster. From its
+// first start on, the worker refuses all orders to earlier incarnations, which extend leases by
+// another clock than its own.
+func (c *Core) noteInRoster(w *worker) {
+	if !w.inRoster {
+		w.fence = c.latestFence
+	}
+	w.inRoster = !w.offRoster
+}
+
 // writeSoon makes the next write due at once.
 func (c *Core) writeSoon() {
 	if c.writeDueAt.IsZero() {
--- a/job/write_queue.go
+++ b/job/write_queue.go
@@ -192,7 +192,7 @@
 	c.writesFailing = false
 	c.latestFence = max(c.latestFence, platform.Fence(e.Revision))
 	for _, w := range k.workers {
-		w.inRoster = !w.offRoster
+		c.noteInRoster(w)
 		c.replan(w.Service)
 	}
 	c.sendRecorded(k.machines, e.Revision)
