--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -62,19 +62,6 @@
 	f.requireDone(f.lateOwner)
 }
 
-// The same with a poll that was sent after the start, while that had no answer.
-func TestPollSentAfterALateStartLosesNoEnd(t *testing.T) {
-	f := newLateFixture(t, longUp, isAck, startsB)
-	f.submitTask(idB)
-	f.untilKept(startsB)
-	f.untilKept(isAck)
-	second := f.start(secondIncarnation, 0)
-	f.runFor = 0
-	f.carryOutLate(startsB, isAck)
-	f.list(second)
-	f.requireDone(f.lateOwner)
-}
-
 // A worker had restarted unnoticed and accepted a start. The poll after the start, which came in
 // time, acknowledged the last end of the earlier incarnation, and the later one forgot its own.
 func TestPollAfterAStartAtAnUnnoticedIncarnationLosesNoEnd(t *testing.T) {
@@ -204,35 +191,45 @@
 	}
 }
 
-// A task ran twice at once: its start had no answer, the worker confirmed that it would never carry
-// it out, and restarted. The next incarnation knew nothing of that.
-func TestLateStartAfterAConfirmedStopRunsNothingTwice(t *testing.T) {
-	f := newLateFixture(t, longUp, startsB)
-	f.submitTask(idB)
-	f.untilKept(startsB)
-	f.first.Draining = true
-	f.list(f.first)
-	other := f.start("w2", 0)
-	f.list(other)
-	f.passUntil(5*time.Second, func() bool { return other.runs[taskB] != nil })
-	f.start(secondIncarnation, 0)
-	f.carryOutLate(startsB)
-	f.requireRuns()
-}
-
-// The same with a start of an earlier owner, which the next owner's fence kept out before the
-// restart.
-func TestLateStartOfAnEarlierOwnerRunsNothingTwice(t *testing.T) {
-	f := newLateFixture(t, longUp, startsB)
-	f.submitTask(idB)
-	f.untilKept(startsB)
-	f.first.Draining = true
-	other := f.start("w2", 0)
-	f.takeOver(f.lateOwner, f.first, other)
-	f.passUntil(5*time.Second, func() bool { return other.runs[taskB] != nil })
-	f.start(secondIncarnation, 0)
-	f.carryOutLate(startsB)
-	f.requireRuns()
+// A task ran twice: its start had no answer, and was certain not to be carried out by the worker as
+// it was, which then restarted. The next incarnation knew nothing of that, and carried it out.
+func TestLateStartAtALaterIncarnationRunsNothingTwice(t *testing.T) {
+	t.Run("the earlier one has confirmed a stop", func(t *testing.T) {
+		f := newLateFixture(t, longUp, startsB)
+		f.submitTask(idB)
+		f.untilKept(startsB)
+		f.first.Draining = true
+		f.list(f.first)
+		other := f.start("w2", 0)
+		f.list(other)
+		f.passUntil(5*time.Second, func() bool { return other.runs[taskB] != nil })
+		f.start(secondIncarnation, 0)
+		f.carryOutLate(startsB)
+		f.requireRuns()
+	})
+	t.Run("the earlier one has confirmed a stop, and an acknowledgement follows", func(t *testing.T) {
+		f := newLateFixture(t, longUp, isAck, startsB)
+		f.submitTask(idB)
+		f.untilKept(startsB)
+		f.untilKept(isAck)
+		second := f.start(secondIncarnation, 0)
+		f.runFor = 0
+		f.carryOutLate(startsB, isAck)
+		f.list(second)
+		f.requireDone(f.lateOwner)
+	})
+	t.Run("the earlier one knew the fence of a next owner", func(t *testing.T) {
+		f := newLateFixture(t, longUp, startsB)
+		f.submitTask(idB)
+		f.untilKept(startsB)
+		f.first.Draining = true
+		other := f.start("w2", 0)
+		f.takeOver(f.lateOwner, f.first, other)
+		f.passUntil(5*time.Second, func() bool { return other.runs[taskB] != nil })
+		f.start(secondIncarnation, 0)
+		f.carryOutLate(startsB)
+		f.requireRuns()
+	})
 }
 
 // runsOn returns the running incarnation on which the task runs, or nil.
