--- a/job/acknowledge_test.go
+++ b/job/acknowledge_test.go
@@ -11,16 +11,15 @@
 
 const stepDownFenced = "a worker has seen a higher fence"
 
-// finishTask has the worker run a task to its successful end, and returns the poll in flight that
-// acknowledges the end.
-func (f *fixture) finishTask(worker, id string, number int64) platform.PollOrder {
-	f.submit(id, "quick", oneTask())
-	s := f.starts()[0]
+// finishTask has the worker run the task of idA to its successful end, its first one, and returns
+// the poll in flight that acknowledges the end.
+func (f *fixture) finishTask(worker string) platform.PollOrder {
+	s := f.startOf(idA)
 	f.acceptStart(s)
-	f.answer(worker, platform.PollReply{Ended: []platform.EndedRow{ended(number, s, platform.EndDone)}})
+	f.answer(worker, platform.PollReply{Ended: []platform.EndedRow{ended(1, s, platform.EndDone)}})
 	f.advance(ackDelay + 2*tickEvery)
 	o := f.polls[platform.WorkerID(worker)].Order
-	require.Equal(f.t, number, o.LastAcked)
+	require.EqualValues(f.t, 1, o.LastAcked)
 	return o
 }
 
@@ -43,7 +42,7 @@
 func TestOrdersAfterAnAcknowledgementHaveHigherFences(t *testing.T) {
 	f := newFixture(t)
 	f.join(firstIncarnation)
-	acknowledged := f.finishTask(firstIncarnation, idA, 1)
+	acknowledged := f.finishTask(firstIncarnation)
 	s := f.startOf(idB)
 	require.Greater(t, s.Order.Fence, acknowledged.Fence)
 	f.acceptStart(s)
@@ -77,7 +76,7 @@
 func TestEndIsAcknowledgedWithoutOtherWrites(t *testing.T) {
 	f := newFixture(t)
 	f.join("w1")
-	f.finishTask("w1", idA, 1)
+	f.finishTask("w1")
 	f.answer("w1", platform.PollReply{})
 	s := f.startOf(idB)
 	f.acceptStart(s)
@@ -96,7 +95,7 @@
 func TestOvertakenPollIsRepeated(t *testing.T) {
 	f := newFixture(t)
 	f.join("w1")
-	f.finishTask("w1", idA, 1)
+	f.finishTask("w1")
 	f.refuse("w1")
 	require.NotContains(t, f.out, Action(StepDown{Why: stepDownFenced}))
 	f.advance(ackDelay)
@@ -136,7 +135,7 @@
 func TestOrderFencesStayBelowNextOwner(t *testing.T) {
 	f := newFixture(t)
 	f.join("w1")
-	f.finishTask("w1", idA, 1)
+	f.finishTask("w1")
 	f.answer("w1", platform.PollReply{})
 	require.LessOrEqual(t, int64(f.startOf(idB).Order.Fence), int64(f.revision))
 }
