job: an owner whose acknowledgement is refused steps down

An acknowledgement that was refused always counted as overtaken by a later order of the same owner, as the fence of the next order was compared, which rises with each acknowledgement. An owner that had been replaced would have repeated it until the store or another order told. Found by review; TestRefusedAcknowledgementEndsTheOwnership fails without this change. The highest fence that was sent to any incarnation of the worker is compared instead.

--- a/job/acknowledge.go
+++ b/job/acknowledge.go
@@ -9,10 +9,11 @@
 //
 //   - Each poll with such a number has a lower fence than all orders to workers of that name that
 //     are sent after it. An incarnation that has carried out one of these refuses the poll.
-//   - No poll has such a number while a start that was sent before it may still be carried out.
+//   - No poll has such a number while a start that was sent before it has no answer.
 //
 // So an incarnation that has ends to forget has carried out a start with a higher fence than each
-// such poll that was meant for an earlier one. The fences are the revisions of the owner's writes,
+// such poll that was meant for an earlier one. The exceptions are starts that the earlier one had
+// ruled out, and starts of an earlier owner. The fences are the revisions of the owner's writes,
 // which rise, and are below the fence of the next owner.
 
 // mayAcknowledge reports whether the next poll may acknowledge ends: the worker has some that it
@@ -45,13 +46,34 @@
 	return false
 }
 
-// overtaken reports whether the worker refused an order because a later one of this owner arrived
-// before it. If not, another owner has given it orders, and this one steps down.
-func (c *Core) overtaken(w *worker, order string, f platform.Fence) bool {
-	if f >= w.fence {
-		c.emit(StepDown{Why: "a worker has seen a higher fence"})
-		return false
+// orderFence returns the fence of an order that is about to be sent.
+func (w *worker) orderFence() platform.Fence {
+	w.sentFence = max(w.sentFence, w.fence)
+	return w.fence
+}
+
+// raiseFence gives the orders that follow the highest fence that there is.
+func (c *Core) raiseFence(w *worker) {
+	w.fence = c.latestFence
+}
+
+// overtaken reports whether an order that was refused by its fence may have arrived behind a later
+// one of this owner. If not, another owner has given the worker orders.
+func (c *Core) overtaken(w *worker, f platform.Fence) bool {
+	for _, o := range c.incarnationsOn(w.Host, w.ID.Name()) {
+		if o.sentFence > f {
+			return true
+		}
 	}
+	return false
+}
+
+// stepDownFenced ends the ownership, as a worker has orders of another owner.
+func (c *Core) stepDownFenced() {
+	c.emit(StepDown{Why: "a worker has seen a higher fence"})
+}
+
+// logOvertaken logs that an order was refused because a later one came first.
+func (c *Core) logOvertaken(w *worker, order string, f platform.Fence) {
 	c.emit(LogLine{What: "order overtaken", Worker: w.ID, Why: "a later order of this owner came first", Fields: []any{"order", order, "fence", int64(f), "now", int64(w.fence)}})
-	return true
 }
--- a/job/acknowledge_test.go
+++ b/job/acknowledge_test.go
@@ -96,22 +96,30 @@
 	f := newFixture(t)
 	f.join("w1")
 	f.finishTask("w1")
+	f.acceptStart(f.startOf(idB))
 	f.refuse("w1")
 	require.NotContains(t, f.out, Action(StepDown{Why: stepDownFenced}))
-	f.advance(ackDelay)
-	require.EqualValues(t, 1, f.polls["w1"].Order.LastAcked)
-	f.core.workers["w1"].fence = f.polls["w1"].Order.Fence
+	require.Contains(t, f.polls, platform.WorkerID("w1"))
 	f.refuse("w1")
 	require.Contains(t, f.out, Action(StepDown{Why: stepDownFenced}), "no order of this owner had a higher fence")
 }
 
+// An acknowledgement that is refused though nothing was sent after it shows another owner.
+func TestRefusedAcknowledgementEndsTheOwnership(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.finishTask("w1")
+	f.refuse("w1")
+	require.Contains(t, f.out, Action(StepDown{Why: stepDownFenced}))
+}
+
 func TestOvertakenStopIsRepeated(t *testing.T) {
 	f := newFixture(t)
 	f.join("w1")
 	s := f.startOf(idA)
 	f.acceptStart(s)
 	f.step(CancelRequested{ID: idA})
-	f.core.workers["w1"].fence++
+	f.core.workers["w1"].sentFence++
 	f.step(StopResult{Worker: "w1", Run: s.Order.Run, Task: s.Order.Task, Fence: f.stops()[0].Fence, Rejection: platform.RejectedFenced})
 	f.advance(settleAfter + 2*tickEvery)
 	require.Len(t, f.stops(), 2)
@@ -123,7 +131,7 @@
 	f := newFixture(t)
 	f.join("w1")
 	s := f.startOf(idA)
-	f.core.workers["w1"].fence++
+	f.core.workers["w1"].sentFence++
 	f.step(StartResult{Worker: "w1", Run: s.Order.Run, Task: s.Order.Task, Fence: s.Order.Fence, Rejection: platform.RejectedFenced})
 	f.advance(fullPause + 2*tickEvery)
 	require.Len(t, f.starts(), 1)
--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -133,6 +133,7 @@
 	c.replaced[w.ID] = replacement{by: by.ID, at: c.now}
 	delete(c.replaced, by.ID)
 	by.restarted = true
+	by.sentFence = max(by.sentFence, w.sentFence)
 	by.inherited = by.inherited || w.inherited && (!w.contacted || c.now.Before(c.earlierOrdersUntil))
 	c.current[by.ID.Name()] = by
 	c.endWorker(w, "the worker has restarted", by)
@@ -141,7 +142,7 @@
 // noteContact handles the first answer of a worker.
 func (c *Core) noteContact(w *worker, clock platform.WorkerClock) {
 	w.contacted = true
-	w.fence = c.latestFence
+	c.raiseFence(w)
 	c.removeOthersOnHost(w)
 	if w.restarted || c.mayHaveRestarted(w, clock) {
 		// Until now it has known no fence that refuses the orders to an earlier incarnation.
--- a/job/listing.go
+++ b/job/listing.go
@@ -169,7 +169,7 @@
 
 // addWorker adds a worker that was not known.
 func (c *Core) addWorker(w *worker) {
-	w.fence = c.latestFence
+	c.raiseFence(w)
 	c.workers[w.ID] = w
 	c.markEvacuated(w)
 	if c.current[w.ID.Name()] == nil {
--- a/job/orders.go
+++ b/job/orders.go
@@ -40,7 +40,7 @@
 		Run:        number,
 		Spec:       n.job.Spec,
 		LeaseUntil: w.extendLease(c.now),
-		Fence:      w.fence,
+		Fence:      w.orderFence(),
 		Snapshot:   t.snapshot,
 		Ticket:     ticket,
 	}
@@ -100,7 +100,7 @@
 
 func (c *Core) orderStop(w *worker, task string, run int64) {
 	c.flow.spend(orderBytes)
-	c.emit(StopRun{Worker: w.Worker, Task: task, Run: run, Fence: w.fence})
+	c.emit(StopRun{Worker: w.Worker, Task: task, Run: run, Fence: w.orderFence()})
 }
 
 // reconcileRuns sends the orders to stop that are due on a worker: for unconfirmed starts that
@@ -149,7 +149,8 @@
 	case errors.Is(e.Err, platform.ErrOtherIncarnation) && w.ID == e.Worker:
 		c.removeWorker(w, "another incarnation answers at its address")
 		return
-	case e.Rejection == platform.RejectedFenced && !c.overtaken(w, "start", e.Fence):
+	case e.Rejection == platform.RejectedFenced && !c.overtaken(w, e.Fence):
+		c.stepDownFenced()
 		return
 	case r == nil:
 		return
@@ -209,6 +210,9 @@
 	if e.Err != nil {
 		why = e.Err.Error()
 	}
+	if e.Rejection == platform.RejectedFenced {
+		c.logOvertaken(w, "start", e.Fence)
+	}
 	c.logRun(r, "start refused", why, []any{"used", w.used.MilliCores, "room", w.Capacity.MilliCores})
 	switch {
 	case errors.Is(e.Err, platform.ErrNotSent):
@@ -240,10 +244,11 @@
 	case errors.Is(e.Err, platform.ErrOtherIncarnation) && w.ID == e.Worker:
 		c.removeWorker(w, "another incarnation answers at its address")
 		return
+	case e.Rejection == platform.RejectedFenced && !c.overtaken(w, e.Fence):
+		c.stepDownFenced()
+		return
 	case e.Rejection == platform.RejectedFenced:
-		if !c.overtaken(w, "stop", e.Fence) {
-			return
-		}
+		c.logOvertaken(w, "stop", e.Fence)
 		e.Err = errOvertaken
 	}
 	if s := w.orphans[rawRunID{task: e.Task, number: e.Run}]; s != nil && e.Err != nil {
--- a/job/pace.go
+++ b/job/pace.go
@@ -118,7 +118,7 @@
 		c.logRun(r, "pace", "", []any{"from", r.pace, "to", p, "tail_share", worst})
 		r.setPace(p, c.now)
 		w.nextPaceAt = c.now.Add(paceSettle)
-		c.emit(PaceRun{Worker: w.Worker, Task: r.task.key().String(), Run: r.number, Percent: p, Fence: w.fence})
+		c.emit(PaceRun{Worker: w.Worker, Task: r.task.key().String(), Run: r.number, Percent: p, Fence: w.orderFence()})
 	}
 }
 
@@ -163,7 +163,8 @@
 	if w == nil || (e.Err == nil && e.Rejection == platform.Accepted) {
 		return
 	}
-	if e.Rejection == platform.RejectedFenced && !c.overtaken(w, "pace", e.Fence) {
+	if e.Rejection == platform.RejectedFenced && !c.overtaken(w, e.Fence) {
+		c.stepDownFenced()
 		return
 	}
 	k, _ := parseTaskKey(e.Task)
--- a/job/poll.go
+++ b/job/poll.go
@@ -57,10 +57,10 @@
 }
 
 func (c *Core) poll(w *worker) {
-	o := platform.PollOrder{Fence: w.fence}
+	o := platform.PollOrder{Fence: w.orderFence()}
 	if c.mayAcknowledge(w) {
 		o.LastAcked = w.lastEndStored
-		w.fence = c.latestFence
+		c.raiseFence(w)
 	}
 	if w.contacted && w.missedPolls == 0 {
 		// A silent worker's lease is not renewed, so that it expires.
@@ -108,11 +108,12 @@
 		}
 		c.reconcileWorker(w)
 		return
+	case e.Rejection == platform.RejectedFenced && !c.overtaken(w, e.Fence):
+		c.stepDownFenced()
+		return
 	case e.Rejection == platform.RejectedFenced:
+		c.logOvertaken(w, "poll", e.Fence)
 		w.nextPollAt = c.now
-		if !c.overtaken(w, "poll", e.Fence) {
-			return
-		}
 		c.reconcileWorker(w)
 		return
 	}
--- a/job/roster.go
+++ b/job/roster.go
@@ -181,7 +181,7 @@
 // another clock than its own.
 func (c *Core) noteInRoster(w *worker) {
 	if !w.inRoster {
-		w.fence = c.latestFence
+		c.raiseFence(w)
 	}
 	w.inRoster = !w.offRoster
 }
--- a/job/worker.go
+++ b/job/worker.go
@@ -68,8 +68,9 @@
 	// offRoster reports whether it has been removed from the roster because its machine has an
 	// order and nothing runs on it.
 	offRoster bool
-	// fence is the fence of the next order to it.
-	fence platform.Fence
+	// fence is the fence of the next order to it, sentFence the highest that any order to it or to
+	// an earlier incarnation has had.
+	fence, sentFence platform.Fence
 	// contacted reports whether it has answered a poll with the owner's fence.
 	contacted bool
 	// clock is the reading of its clock in the answer that came at clockAt.
