job: two more cases of a late start at a later incarnation, known failures

Found by review: a start whose run was given up as its lease had expired, and one of an earlier owner, each followed by an acknowledgement that comes late as well. Withholding acknowledgements for 12 s after each of them would help, and was not done: it would hold up those of all workers after a takeover for longer than callers of the platform are promised (ack_ms).

--- a/job/late_fixture_test.go
+++ b/job/late_fixture_test.go
@@ -10,8 +10,10 @@
 	"amberway/platform"
 )
 
-// taskA and taskB are the tasks of the jobs idA and idB.
-const taskA, taskB = idA + ".0.0.0", idB + ".0.0.0"
+const idC = "00000000000000cc"
+
+// taskA, taskB and taskC are the tasks of the jobs idA, idB and idC.
+const taskA, taskB, taskC = idA + ".0.0.0", idB + ".0.0.0", idC + ".0.0.0"
 
 // longUp is the clock of a worker that has been up for a day.
 const longUp platform.WorkerClock = 86_400_000
--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -218,6 +218,36 @@
 		f.list(second)
 		f.requireDone(f.lateOwner)
 	})
+	t.Run("its lease had expired, and an acknowledgement follows", func(t *testing.T) {
+		f := newLateFixture(t, longUp, isAck, startsB)
+		f.submitTask(idB)
+		f.untilKept(startsB)
+		f.first.silence()
+		f.pass(2 * leaseFor)
+		f.first.silent = false
+		f.untilKept(isAck)
+		second := f.start(secondIncarnation, 0)
+		f.runFor = 0
+		f.carryOutLate(startsB, isAck)
+		f.list(second)
+		f.requireDone(f.lateOwner)
+	})
+	t.Run("its owner was replaced, and an acknowledgement of the next one follows", func(t *testing.T) {
+		f := newLateFixture(t, longUp, isAck, startsB)
+		f.submitTask(idB)
+		f.untilKept(startsB)
+		o := f.takeOver(f.lateOwner, f.first)
+		o.submit(idC, "quick", oneTask())
+		f.passUntil(5*time.Second, func() bool { return f.first.runs[taskC] != nil })
+		require.NotNil(t, f.first.runs[taskC])
+		f.first.end(taskC, platform.EndDone)
+		f.untilKept(isAck)
+		second := f.start(secondIncarnation, 0)
+		f.runFor = 0
+		f.carryOutLate(startsB, isAck)
+		f.list(second)
+		f.requireDone(o)
+	})
 	t.Run("the earlier one knew the fence of a next owner", func(t *testing.T) {
 		f := newLateFixture(t, longUp, startsB)
 		f.submitTask(idB)
