job: the lease of a restarted worker counts from its first start

What callers saw: a task ran twice at once.

Cause: two more ways in which a late order to an earlier incarnation of a worker gives the next one a longer lease than the owner waits for. The roster, which a first start waits for, may be written seconds after the worker's first answer, and until that start the worker refuses no order of this owner. And a worker that was listed after its earlier incarnation had been given up did not count as restarted.

--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"maps"
 	"time"
 
 	"amberway/platform"
@@ -29,18 +30,27 @@
 	at time.Time
 }
 
+// endedIncarnation is an incarnation that has ended, and when.
+type endedIncarnation struct {
+	id platform.WorkerID
+	at time.Time
+}
+
 // incarnations tracks which incarnation of each worker is running.
 type incarnations struct {
 	// current is the incarnation of each name that was last known to be running.
 	current map[platform.WorkerName]*worker
 	// replaced holds the incarnations that were replaced by others.
 	replaced map[platform.WorkerID]replacement
+	// ended holds the last incarnation of each name that has ended without a known successor.
+	ended map[platform.WorkerName]endedIncarnation
 }
 
 func newIncarnations() incarnations {
 	return incarnations{
 		current:  map[platform.WorkerName]*worker{},
 		replaced: map[platform.WorkerID]replacement{},
+		ended:    map[platform.WorkerName]endedIncarnation{},
 	}
 }
 
@@ -204,8 +214,9 @@
 	r.attach()
 }
 
-// forgetReplaced forgets incarnations that were replaced more than replacedFor ago.
+// forgetReplaced forgets incarnations that were replaced or ended more than replacedFor ago.
 func (c *Core) forgetReplaced() {
+	maps.DeleteFunc(c.ended, func(_ platform.WorkerName, e endedIncarnation) bool { return c.now.Sub(e.at) > replacedFor })
 	for id, r := range c.replaced {
 		if c.now.Sub(r.at) > replacedFor {
 			delete(c.replaced, id)
--- a/job/listing.go
+++ b/job/listing.go
@@ -170,6 +170,7 @@
 // addWorker adds a worker that was not known.
 func (c *Core) addWorker(w *worker) {
 	c.raiseFence(w)
+	w.restarted = differ(w.ID.Incarnation(), c.ended[w.ID.Name()].id.Incarnation())
 	c.workers[w.ID] = w
 	c.markEvacuated(w)
 	if c.current[w.ID.Name()] == nil {
@@ -255,6 +256,9 @@
 		delete(c.workersByHost, w.Host)
 	}
 	c.dropIncarnation(w)
+	if next == nil {
+		c.ended[w.ID.Name()] = endedIncarnation{id: w.ID, at: c.now}
+	}
 	c.stalePools[w.Service] = true
 	c.markRosterDirty(w)
 	c.attributeCrash(suspects)
--- a/job/roster.go
+++ b/job/roster.go
@@ -177,12 +177,15 @@
 }
 
 // noteInRoster notes that the stored roster has the worker, unless it is off the roster. From its
-// first start on, the worker refuses all orders to earlier incarnations, which extend leases by
-// another clock than its own.
+// first start on, the worker refuses all orders to earlier incarnations. Until now one of them may
+// have extended its lease, by another clock than its own.
 func (c *Core) noteInRoster(w *worker) {
 	if !w.inRoster {
 		c.raiseFence(w)
 	}
+	if !w.inRoster && w.restarted {
+		w.expiresBy = c.now.Add(inheritedLease)
+	}
 	w.inRoster = !w.offRoster
 }
 
