job: a stop that an earlier incarnation confirmed is sent to the next one

What callers saw: a task ran twice at once.

Cause: the answer of a worker to a stop came after the worker had restarted and the run was handed to its next incarnation. It counted as the answer of that one, which was not told to stop the run, and could still carry out its start.

The answer now counts only for the incarnation that was asked; any other leaves the stop to be sent again.

--- a/job/incarnation_test.go
+++ b/job/incarnation_test.go
@@ -331,3 +331,21 @@
 	c.Step(now, ConfigChanged{Config: testConfig()})
 	require.False(t, c.maybeReplaced())
 }
+
+// A run was taken for stopped at a worker that had restarted, as the answer of the earlier
+// incarnation came after the run was reassigned. The later one may still carry out the start.
+func TestStopConfirmedByAnEarlierIncarnationIsSentAgain(t *testing.T) {
+	f := newRestartFixture(t, "w2")
+	f.step(StartResult{Worker: firstIncarnation, Run: f.run.Order.Run, Task: f.run.Order.Task, Err: platform.ErrUnknownOutcome})
+	f.advance(settleAfter + tickEvery)
+	l := f.stops()
+	require.Len(t, l, 1)
+	f.step(WorkerListed{Worker: onHost(secondIncarnation)})
+	f.step(StopResult{Worker: firstIncarnation, Run: l[0].Run, Task: l[0].Task, Fence: l[0].Fence})
+	f.advance(tickEvery)
+	f.answeredBy(secondIncarnation, 1700000000400, platform.PollReply{})
+	f.advance(settleAfter + tickEvery)
+	require.Empty(t, f.starts())
+	l = f.stops()
+	require.EqualValues(t, secondIncarnation, l[len(l)-1].Worker.ID)
+}
--- a/job/orders.go
+++ b/job/orders.go
@@ -23,8 +23,11 @@
 	settlePoll = 100 * time.Millisecond
 )
 
-// errOvertaken says that an order was not carried out, as a later one arrived before it.
-var errOvertaken = errors.New("a later order came first")
+// Why an order that was answered has to be sent again.
+var (
+	errOvertaken          = errors.New("refused: a later order came first")
+	errEarlierIncarnation = errors.New("answered by an earlier incarnation")
+)
 
 // start sends an order to start a run of the task on the worker.
 func (c *Core) start(t *task, w *worker, number int64, ticket string) {
@@ -250,6 +253,8 @@
 	case e.Rejection == platform.RejectedFenced:
 		c.logOvertaken(w, "stop", e.Fence)
 		e.Err = errOvertaken
+	case e.Err == nil && w.ID != e.Worker:
+		e.Err = errEarlierIncarnation
 	}
 	if s := w.orphans[rawRunID{task: e.Task, number: e.Run}]; s != nil && e.Err != nil {
 		s.stopPending = false
