job: an answer removes only workers that were known when its poll was sent

What callers saw: jobs that waited without end, beside hosts that stood idle.

Cause: the first answer of a worker removed every other worker known on its host, as a host runs one at a time. Where the worker had crashed meanwhile and its successor was listed before the answer came, that one was removed; its record did not change again, so nothing ran on that host until all records were listed anew. Answers wait for seconds on narrow links.

Ruled out: the counting of crashes, which was supposed.

Workers that became known after the poll was sent stay, and are polled; their answers decide. TestLateFirstAnswerRemovesNoLaterWorker fails without this change.

--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -150,11 +150,11 @@
 }
 
 // noteContact handles the first answer of a worker.
-func (c *Core) noteContact(w *worker, clock platform.WorkerClock) {
+func (c *Core) noteContact(w *worker, e PollResult) {
 	w.contacted = true
 	c.raiseFence(w)
-	c.removeOthersOnHost(w)
-	if w.restarted || c.mayHaveRestarted(w, clock) {
+	c.removeOthersOnHost(w, e.SentAt)
+	if w.restarted || c.mayHaveRestarted(w, e.Poll.Clock) {
 		// Until now it has known no fence that refuses the orders to an earlier incarnation.
 		w.restarted = true
 		w.expiresBy = c.now.Add(inheritedLease)
--- a/job/listing.go
+++ b/job/listing.go
@@ -97,14 +97,23 @@
 }
 
 // removeOthersOnHost removes the other workers known on the worker's host. A host runs one
-// worker at a time, and this one has just answered; records are added and removed late, so
-// they do not show which worker is the later one.
-func (c *Core) removeOthersOnHost(w *worker) {
-	if o := c.current[w.ID.Name()]; o != w && o != nil {
-		c.replaceWorker(o, w, "the later incarnation has answered")
+// worker at a time, and this one has just answered a poll that was sent at a time; records are
+// added and removed late, so they do not show which worker is the later one. A worker that became
+// known after that time may be the later one.
+func (c *Core) removeOthersOnHost(w *worker, sentAt time.Time) {
+	others := slices.Clone(c.workersByHost[w.Host])
+	if w.Host == "" {
+		others = nil
 	}
-	for _, o := range slices.Clone(c.workersByHost[w.Host]) {
-		if o != w && w.Host != "" {
+	if o := c.current[w.ID.Name()]; o != nil && !slices.Contains(others, o) {
+		others = append(others, o)
+	}
+	for _, o := range others {
+		switch {
+		case o == w || o.knownSince.After(sentAt):
+		case o.ID.Name() == w.ID.Name():
+			c.replaceWorker(o, w, "the later incarnation has answered")
+		default:
 			c.removeWorker(o, "its host runs another worker")
 		}
 	}
--- a/job/removed_test.go
+++ b/job/removed_test.go
@@ -191,3 +191,21 @@
 	require.Nil(t, f.core.workers["w1"])
 	require.GreaterOrEqual(t, f.now.Sub(began), inheritedLease, "not while a lease may last")
 }
+
+// The next worker of a host was forgotten for good, as its record was not written again: the answer
+// of the worker before, which had crashed meanwhile, to a poll that was sent before the record came
+// counted as proof that the host ran that one.
+func TestLateFirstAnswerRemovesNoLaterWorker(t *testing.T) {
+	f := newFixture(t)
+	f.step(WorkerListed{Worker: testWorker("w1")})
+	f.advance(tickEvery)
+	next := testWorker("w2")
+	next.Host = testWorker("w1").Host
+	f.step(WorkerListed{Worker: next})
+	f.answerLate("w1", tickEvery, platform.PollReply{})
+	require.Contains(t, f.core.workers, next.ID)
+	f.answer("w2", platform.PollReply{})
+	require.NotContains(t, f.core.workers, platform.WorkerID("w1"))
+	f.advance(tickEvery)
+	require.Equal(t, []platform.WorkerID{"w2"}, workersOf([]StartRun{f.startOf(idA)}))
+}
