--- a/job/world_lasting_test.go
+++ b/job/world_lasting_test.go
@@ -200,32 +200,26 @@
 }
 
 // answerPoll answers a poll, which may wait for an end until its timeout.
-func (w *world) answerPoll(v *worldWorker, a PollWorker, answer func(Event)) {
-	sent := w.now
-	e := w.poll(v, a)
+func (w *world) answerPoll(v *worldWorker, a PollWorker, sent time.Time, answer func(Event)) {
+	e := w.poll(v, a, sent)
 	p, ok := e.(PollResult)
 	if !w.pollsWait || a.Order.Wait == 0 || !ok || p.Rejection != "" {
 		answer(e)
 		return
 	}
-	w.awaitEnd(v, a, sent, answer)
+	w.awaitEnd(v, a, sent, w.now.Add(a.Order.Wait), answer)
 }
 
-func (w *world) awaitEnd(v *worldWorker, a PollWorker, sent time.Time, answer func(Event)) {
+func (w *world) awaitEnd(v *worldWorker, a PollWorker, sent, until time.Time, answer func(Event)) {
 	if !v.alive {
 		answer(nil)
 		return
 	}
-	if len(v.ended) == 0 && w.now.Sub(sent) < a.Order.Wait {
-		w.after(10*time.Millisecond, func() { w.awaitEnd(v, a, sent, answer) })
+	if len(v.ended) == 0 && w.now.Before(until) {
+		w.after(10*time.Millisecond, func() { w.awaitEnd(v, a, sent, until, answer) })
 		return
 	}
-	e := w.poll(v, a)
-	if p, ok := e.(PollResult); ok {
-		p.SentAt = sent
-		e = p
-	}
-	answer(e)
+	answer(w.poll(v, a, sent))
 }
 
 // requestWave requests a wave of maintenance of some hosts.
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -279,8 +279,9 @@
 	case WriteStore:
 		w.after(time.Duration(5*w.slowBy)*time.Millisecond+w.linkDelay(o, writeBytes), func() { w.writeStore(o, a) })
 	case PollWorker:
-		w.send(o, a.Worker.ID, a, pollSlack+a.Order.Wait, func(v *worldWorker, _ bool, answer func(Event)) { w.answerPoll(v, a, answer) },
-			func(err error) Event { return PollResult{Worker: a.Worker.ID, SentAt: w.now, Err: err} })
+		sent := w.now
+		w.send(o, a.Worker.ID, a, pollSlack+a.Order.Wait, func(v *worldWorker, _ bool, answer func(Event)) { w.answerPoll(v, a, sent, answer) },
+			func(err error) Event { return PollResult{Worker: a.Worker.ID, SentAt: sent, Err: err} })
 	case StartRun:
 		w.checkStart(o, a)
 		w.checkEvacuated(o, a)
@@ -403,8 +404,8 @@
 	}
 }
 
-func (w *world) poll(v *worldWorker, a PollWorker) Event {
-	out := PollResult{Worker: a.Worker.ID, SentAt: w.now, Acked: a.Order.LastAcked, Fence: a.Order.Fence, Poll: platform.PollReply{Clock: v.clock(w.now)}}
+func (w *world) poll(v *worldWorker, a PollWorker, sent time.Time) Event {
+	out := PollResult{Worker: a.Worker.ID, SentAt: sent, Acked: a.Order.LastAcked, Fence: a.Order.Fence, Poll: platform.PollReply{Clock: v.clock(w.now)}}
 	out.Poll.Incarnation = v.ID.Incarnation()
 	if a.Order.Fence < v.fence {
 		out.Rejection = platform.RejectedFenced
