peers: a repeated call does not wait for the close of the old connection

Callers saw calls to a peer (probe, claim, view) end with DeadlineExceeded, up to 4.6 s after their deadline, where the connection had gone silent and could not be written to either. All calls to that peer waited as long.

Cause: Conn.replace closed the old connection while it held the lock and before the call was repeated. gRPC's Close waits up to 5 s for its writer, which is to send a GOAWAY. While the writer is held up, the new connection's half of the time is gone before it is used.

The close runs in the background now. No call begins on a connection once it was replaced, and the last one in flight starts the close, so nothing depends on its end.

--- a/peers/conn.go
+++ b/peers/conn.go
@@ -120,7 +120,7 @@
 // closeIfUnused closes a connection that was replaced and has no calls in flight.
 func (c *Conn) closeIfUnused(l *link) {
 	if l != c.link && l.pending == 0 {
-		_ = l.Close()
+		l.closeAsync()
 	}
 }
 
@@ -130,6 +130,12 @@
 	_ = c.link.Close()
 }
 
+// closeAsync closes the connection without waiting for it: gRPC sends a GOAWAY first, and
+// tries to for seconds while nothing can be written to the connection.
+func (l *link) closeAsync() {
+	go func() { _ = l.Close() }()
+}
+
 // answered reports whether the error of a call shows that the peer answered it.
 func answered(err error) bool {
 	switch status.Code(err) {
