peers: the close of one connection holds up no other peer

Callers saw calls to every peer wait up to 5 s, for each connection that was closed as no member had its address any more and that could not be written to. A stop waited as long.

Cause: Dialer.CloseOthers closes connections one after another while it holds the lock that every call takes, and gRPC's Close waits up to 5 s for its writer, which is to send a GOAWAY.

Evidence: TestCloseOfAStuckConnectionHoldsUpNoOtherPeer failed in 3 of 3 plays with the code before (5.0 s each). By reading first; no run of a deployment has shown it.

Conn.close starts the close and returns, as for a connection that was replaced.

--- a/peers/conn.go
+++ b/peers/conn.go
@@ -127,7 +127,7 @@
 func (c *Conn) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_ = c.link.Close()
+	c.link.closeAsync()
 }
 
 // closeAsync closes the connection without waiting for it: gRPC sends a GOAWAY first, and
--- a/peers/stuck_test.go
+++ b/peers/stuck_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
@@ -74,3 +75,25 @@
 	require.NoError(t, probe(t, d, v.Address(), 2*probeTimeout), "the probe is repeated on a new connection")
 	require.Equal(t, int64(2), v.Opened())
 }
+
+// TestCloseOfAStuckConnectionHoldsUpNoOtherPeer guards against calls to every peer that wait
+// for the close of one peer's connection.
+func TestCloseOfAStuckConnectionHoldsUpNoOtherPeer(t *testing.T) {
+	_, v, d := newSilentPeer(t)
+	_, other, _ := newSilentPeer(t)
+	c, stuck := newStuckConn(t, d, v.Address())
+	d.conns[v.Address()] = c
+	require.NoError(t, probe(t, d, v.Address(), 2*probeTimeout))
+	close(stuck)
+	closed := make(chan struct{})
+	go func() {
+		d.CloseOthers(nil)
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(2 * probeTimeout):
+		require.Fail(t, "the dialer waits for the stuck connection")
+	}
+	require.NoError(t, probe(t, d, other.Address(), 2*probeTimeout))
+}
