job: what an owner decides does not depend on the order of maps

Cause: Core went over maps of workers, machines, runs, orphaned runs, jobs, waitlists and waves wherever it emits actions, so that the same events led to other orders each time. A set in the order of adding replaces the map where the order can change an action, a log line or a decision; the runs of a worker are a slice, which is copied when one ends, as callers iterate over it. Sums, counts and flags still go over maps. What is decided is the same but for the order among equals.

Random order was also what shared budgets fairly. Rounds over workers and repeated orders now begin with the first that had to wait in the round before, and waves take turns.

--- a/job/availability_test.go
+++ b/job/availability_test.go
@@ -173,7 +173,7 @@
 	ready := threeReady(f)
 	f.join("w4")
 	for _, id := range []platform.WorkerID{"w1", "w2"} {
-		r := f.core.workers[id].runs[runID{task: taskKey{id: idA, index: ready[id].index()}, number: ready[id].Order.Run}]
+		r := f.core.workers[id].findRun(taskKey{id: idA, index: ready[id].index()}, ready[id].Order.Run)
 		f.core.stop(r, "its worker is being drained")
 		r.stopPending = false
 		f.drain(id)
--- a/job/core.go
+++ b/job/core.go
@@ -18,11 +18,14 @@
 	queues  map[string]platform.Queue
 	teams   *teams
 	jobs    map[ID]*job
+	// finalJobs holds those that are final, roughly in the order in which they became final.
+	finalJobs []*job
 	// cancelled holds jobs whose cancel mark was seen before their record.
 	cancelled map[ID]bool
 	// active holds the jobs that are not final.
 	active  map[ID]*job
 	workers map[platform.WorkerID]*worker
+	inOrderAdded
 	incarnations
 	// pools holds the listed workers of each service.
 	pools map[string][]*worker
@@ -110,13 +113,7 @@
 	for _, j := range c.active {
 		c.addDueInstances(j)
 	}
-	c.flow.busyWorkers = 0
-	for _, w := range c.workers {
-		c.reconcileWorker(w)
-		if len(w.runs) > 0 {
-			c.flow.busyWorkers++
-		}
-	}
+	c.reconcileWorkers()
 	c.rebuildPools()
 	c.checkConnectivity()
 	c.checkOperatorRead()
@@ -264,13 +261,14 @@
 	j.state = s
 	j.finalAt = c.now
 	delete(c.active, j.id)
+	c.finalJobs = append(c.finalJobs, j)
 	if j.team != nil && int64(j.created) <= int64(c.fence) {
 		c.teams.endedUncontacted = append(c.teams.endedUncontacted, j)
 	}
 	c.dequeue(j)
 	c.markDirty(j)
 	c.emit(LogLine{What: "job " + string(s), Job: j.id, Why: why})
-	for _, n := range j.instances {
+	for n := range j.inOrder() {
 		for _, s := range n.steps {
 			for _, t := range s.tasks {
 				for _, r := range t.runs {
--- a/job/crash.go
+++ b/job/crash.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"amberway/platform"
@@ -107,7 +108,7 @@
 	for _, r := range suspects {
 		switch {
 		case r.crashCounted:
-		case r.worker.runs[r.id()] == r:
+		case slices.Contains(r.worker.runs, r):
 			r.crashSuspect, r.soleCrashSuspect = true, alone
 		default:
 			c.countCrash(r, alone)
--- a/job/demand.go
+++ b/job/demand.go
@@ -179,10 +179,10 @@
 	return most
 }
 
-// anyHostCapacity returns the capacity of an arbitrary machine, as an estimate for a pool
+// anyHostCapacity returns the capacity of one of the machines, as an estimate for a pool
 // without workers.
 func (c *Core) anyHostCapacity() platform.Resources {
-	for _, m := range c.machinesByName {
+	for m := range c.machinesByAge.All() {
 		return m.Capacity
 	}
 	return platform.Resources{}
--- a/job/dormant.go
+++ b/job/dormant.go
@@ -21,7 +21,7 @@
 	for _, q := range c.config.Queues {
 		c.dormantPools[q.Service] = false
 	}
-	for _, w := range c.workers {
+	for w := range c.workersByAge.All() {
 		if before[w.Service] && !c.dormantPools[w.Service] && !w.inRoster {
 			c.markRosterDirty(w)
 			c.reconcileWorker(w)
--- a/job/explain.go
+++ b/job/explain.go
@@ -195,7 +195,7 @@
 	case c.beyondShare(j):
 		e.Blocked = "beyond its team's share: behind the jobs of other teams"
 	}
-	for _, n := range j.instances {
+	for n := range j.inOrder() {
 		e.DueAt = c.deadline(j, n)
 		for _, s := range n.steps {
 			e.Steps = append(e.Steps, c.explainStep(n, s))
--- a/job/flow.go
+++ b/job/flow.go
@@ -129,6 +129,8 @@
 	startRate  float64
 	// busyWorkers is the number of workers with runs, which are polled without a pause.
 	busyWorkers int
+	// pollHeld reports whether a poll was held back since it was last reset.
+	pollHeld bool
 }
 
 // newFlowControl returns the flow control of an owner on a host of the size.
@@ -268,13 +270,13 @@
 // Polls extend leases: while the budget is used up they become less frequent, but do not wait
 // for it. First polls wait until less than a burst is overdrawn, so that they go one by one.
 func (f *flowControl) mayPoll(contacted bool, pollSentAt, now time.Time) bool {
-	switch {
-	case f.budget.tokens > 0:
-		return true
-	case !contacted:
-		return f.budget.tokens > -f.burst()
+	may := !now.Before(pollSentAt.Add(f.pollGap()))
+	if !contacted {
+		may = f.budget.tokens > -f.burst()
 	}
-	return !now.Before(pollSentAt.Add(f.pollGap()))
+	may = may || f.budget.tokens > 0
+	f.pollHeld = f.pollHeld || !may
+	return may
 }
 
 // pollGap returns the shortest time between two polls of a worker while the budget is used up.
--- a/job/listing.go
+++ b/job/listing.go
@@ -73,7 +73,7 @@
 
 // addConfigured adds the excluded workers whose services are in the configuration by now.
 func (c *Core) addConfigured() {
-	for _, v := range c.unconfigured {
+	for _, v := range sorted(c.unconfigured) {
 		if c.hasService(v.Service) {
 			WorkerListed{Worker: v}.apply(c)
 		}
@@ -118,9 +118,9 @@
 		listed[w.ID.Name()] = true
 		WorkerListed{Worker: w}.apply(c)
 	}
-	for id := range c.workers {
-		if !listed[id.Name()] {
-			WorkerUnlisted{Name: id.Name()}.apply(c)
+	for w := range c.workersByAge.All() {
+		if !listed[w.ID.Name()] {
+			WorkerUnlisted{Name: w.ID.Name()}.apply(c)
 		}
 	}
 	maps.DeleteFunc(c.unconfigured, func(n platform.WorkerName, _ platform.Worker) bool { return !listed[n] })
@@ -170,6 +170,7 @@
 // addWorker adds a worker that was not known.
 func (c *Core) addWorker(w *worker) {
 	c.workers[w.ID] = w
+	c.workersByAge.Add(w)
 	c.markEvacuated(w)
 	if c.current[w.ID.Name()] == nil {
 		c.current[w.ID.Name()] = w
@@ -187,7 +188,7 @@
 	for s := range c.stalePools {
 		delete(c.pools, s)
 	}
-	for _, w := range c.workers {
+	for w := range c.workersByAge.All() {
 		if !w.listed {
 			continue
 		}
@@ -249,6 +250,7 @@
 	}
 	w.dropOrphans()
 	delete(c.workers, w.ID)
+	c.workersByAge.Remove(w)
 	c.workersByHost[w.Host] = slices.DeleteFunc(c.workersByHost[w.Host], func(o *worker) bool { return o == w })
 	if len(c.workersByHost[w.Host]) == 0 {
 		delete(c.workersByHost, w.Host)
--- a/job/machine_orders.go
+++ b/job/machine_orders.go
@@ -121,18 +121,21 @@
 	return b
 }
 
-// resend repeats an order without a response when it is due and the budget allows it.
-func (c *Core) resend(m *machine) {
+// resendDue reports whether an order without a response has to be repeated.
+func (m *machine) resendDue(now time.Time) bool {
 	o := m.order
-	if o == nil || !o.acceptedAt.IsZero() || o.resendAt.IsZero() || c.now.Before(o.resendAt) {
-		return
-	}
+	return o != nil && o.acceptedAt.IsZero() && !o.resendAt.IsZero() && !now.Before(o.resendAt)
+}
+
+// resend repeats the machine's order if the budget allows it, and reports whether it does.
+func (c *Core) resend(m *machine) bool {
 	if !c.mayOrder() {
-		return
+		return false
 	}
 	c.orderBudget.spend()
-	o.resendAt = time.Time{}
+	m.order.resendAt = time.Time{}
 	c.sendOrder(m)
+	return true
 }
 
 // orderable reports whether the machine may get an order now.
--- a/job/machines.go
+++ b/job/machines.go
@@ -50,6 +50,8 @@
 	// silenceAt is when a worker last became silent.
 	silenceAt time.Time
 	waves     map[int64]*wave
+	// openWaves are the waves that are not reported as done, the one whose turn it is first.
+	openWaves []*wave
 	balance   poolBalancer
 }
 
@@ -174,6 +176,7 @@
 		if m == nil {
 			m = &machine{}
 			c.machinesByName[v.Name] = m
+			c.machinesByAge.Add(m)
 		}
 		m.Machine = v
 		c.noteUnknownWorker(m)
--- a/job/orders.go
+++ b/job/orders.go
@@ -111,11 +111,9 @@
 			c.sendStop(r)
 		}
 	}
-	for id, s := range w.orphans {
-		if !s.stopPending {
-			s.stopPending = true
-			c.orderStop(w, id.task, id.number)
-		}
+	for _, id := range w.orphansToStop() {
+		w.orphans[id].stopPending = true
+		c.orderStop(w, id.task, id.number)
 	}
 }
 
--- a/job/orphan.go
+++ b/job/orphan.go
@@ -1,6 +1,11 @@
 package job
 
-import "amberway/platform"
+import (
+	"cmp"
+	"slices"
+
+	"amberway/platform"
+)
 
 // rawRunID identifies a run by the task name that its worker reports, which may not be a valid
 // key.
@@ -48,3 +53,17 @@
 		w.dropOrphan(id)
 	}
 }
+
+// orphansToStop returns the orphaned runs to which no order to stop is in flight, by task.
+func (w *worker) orphansToStop() []rawRunID {
+	var l []rawRunID
+	for id, o := range w.orphans {
+		if !o.stopPending {
+			l = append(l, id)
+		}
+	}
+	slices.SortFunc(l, func(a, b rawRunID) int {
+		return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.number, b.number))
+	})
+	return l
+}
--- a/job/pools.go
+++ b/job/pools.go
@@ -79,7 +79,7 @@
 // recycleTainted moves the machines of tainted workers to the spare pool. The move starts a
 // new incarnation of the worker.
 func (c *Core) recycleTainted(spare string) {
-	for _, w := range c.workers {
+	for w := range c.workersByAge.All() {
 		m := c.machinesByName[w.Host]
 		if w.tainted && m != nil && m.Worker == w.ID.Name() && c.mayRelease() && c.orderable(m) && c.drainMachine(m, transferTimeout) {
 			c.recordOrder(m, &machineOrder{pool: spare})
@@ -200,7 +200,7 @@
 // reconcileTransfers moves hosts that are being transferred to the pool once they are
 // drained. It cancels transfers that are no longer needed or take too long.
 func (c *Core) reconcileTransfers(d *demand) {
-	for _, m := range c.machinesByName {
+	for m := range c.machinesByAge.All() {
 		if m.transferTo != d.service || m.order != nil {
 			continue
 		}
--- a/job/removed.go
+++ b/job/removed.go
@@ -21,10 +21,10 @@
 	for _, m := range e.Machines {
 		listed[m.Name] = true
 	}
-	for n, m := range c.machinesByName {
-		c.countMachine(m, listed[n])
+	for m := range c.machinesByAge.All() {
+		c.countMachine(m, listed[m.Name])
 	}
-	for _, w := range c.workers {
+	for w := range c.workersByAge.All() {
 		c.countWorker(w, listed[w.Host], e.SentAt)
 	}
 	for _, v := range c.waves {
@@ -48,6 +48,7 @@
 	// If the lists were wrong, the machine's worker accepts starts again.
 	c.clearOrder(m)
 	delete(c.machinesByName, m.Name)
+	c.machinesByAge.Remove(m)
 }
 
 func (c *Core) countWorker(w *worker, listed bool, listSentAt time.Time) {
--- a/job/stall.go
+++ b/job/stall.go
@@ -1,6 +1,9 @@
 package job
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Limits for runs that make no progress.
 const (
@@ -81,16 +84,14 @@
 	c.nextForgetAt = c.now.Add(forgetEvery)
 	c.forgetReplaced()
 	var l []string
-	for id, j := range c.jobs {
-		if len(l) >= forgetBatch {
-			break
-		}
-		if !j.state.Final() || j.storedState != j.state || c.now.Sub(j.finalAt) < forgetAfter {
-			continue
+	c.finalJobs = slices.DeleteFunc(c.finalJobs, func(j *job) bool {
+		if len(l) >= forgetBatch || j.storedState != j.state || c.now.Sub(j.finalAt) < forgetAfter {
+			return false
 		}
-		delete(c.jobs, id)
-		l = append(l, progressKey(id))
-	}
+		delete(c.jobs, j.id)
+		l = append(l, progressKey(j.id))
+		return true
+	})
 	if len(l) > 0 {
 		c.queueWrite(nil, l)
 	}
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -80,9 +80,10 @@
 	for _, m := range e.Roster.Ordered {
 		c.noOrdersUntil[m] = c.now.Add(handoverPause)
 	}
-	for id, p := range e.Progress {
+	for id, p := range sorted(e.Progress) {
 		if p.State.Final() {
 			c.jobs[id] = c.finalJob(id, p)
+			c.finalJobs = append(c.finalJobs, c.jobs[id])
 		}
 	}
 	for _, j := range e.Jobs {
@@ -138,7 +139,7 @@
 	previous := c.uncontacted
 	c.uncontacted = map[string]time.Time{}
 	var capacity uncontactedCapacity
-	for _, w := range c.workers {
+	for w := range c.workersByAge.All() {
 		if !w.inherited || w.contacted || c.leaseExpired(w) {
 			continue
 		}
@@ -153,7 +154,7 @@
 		}
 		c.uncontacted[w.Service] = since
 	}
-	for s, since := range previous {
+	for s, since := range sorted(previous) {
 		if _, waits := c.uncontacted[s]; !waits {
 			c.emit(LogLine{What: "inherited jobs resume", Fields: []any{"service", s, "waited_ms", c.now.Sub(since).Milliseconds()}})
 		}
--- a/job/upcoming.go
+++ b/job/upcoming.go
@@ -13,11 +13,11 @@
 func (c *Core) upcomingDemand(service string, at time.Time) platform.Resources {
 	var sum platform.Resources
 	c.teams.startCount()
-	for _, j := range c.listOf(service).jobs {
+	for j := range c.listOf(service).jobs.All() {
 		if !c.inheritedRunsKnown(j) {
 			continue
 		}
-		for _, n := range j.instances {
+		for n := range j.inOrder() {
 			for _, s := range n.steps {
 				tasks := j.team.limitToCap(platform.Resources{}, s.Resources, int64(c.upcomingTasks(s, at)))
 				sum = sum.AddTimes(workerDemand(s.Step), tasks)
--- a/job/waitlist.go
+++ b/job/waitlist.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"amberway/common"
 )
 
 // candidate is an unblocked step, which may have waiting tasks.
@@ -21,7 +23,7 @@
 // waitlist holds the jobs of one service and their steps in the order of placement.
 type waitlist struct {
 	service string
-	jobs    map[ID]*job
+	jobs    common.OrderedSet[*job]
 	// steps are the unblocked steps, the most urgent first. They are collected again if
 	// needsSort is set.
 	steps     []candidate
@@ -37,6 +39,8 @@
 // the workers of one service.
 type waitlists struct {
 	byService map[string]*waitlist
+	// all are the waitlists in the order in which they were added.
+	all []*waitlist
 }
 
 func newWaitlists() waitlists {
@@ -47,8 +51,9 @@
 func (l *waitlists) listOf(service string) *waitlist {
 	w := l.byService[service]
 	if w == nil {
-		w = &waitlist{service: service, jobs: map[ID]*job{}}
+		w = &waitlist{service: service}
 		l.byService[service] = w
+		l.all = append(l.all, w)
 	}
 	return w
 }
@@ -73,23 +78,25 @@
 
 // enqueue adds an active job.
 func (l *waitlists) enqueue(j *job) {
-	l.listOf(j.queue.Service).jobs[j.id] = j
+	l.listOf(j.queue.Service).jobs.Add(j)
 	l.reorder(j.queue.Service)
 }
 
 // dequeue removes a job that is final.
 func (l *waitlists) dequeue(j *job) {
-	delete(l.listOf(j.queue.Service).jobs, j.id)
+	l.listOf(j.queue.Service).jobs.Remove(j)
 	l.reorder(j.queue.Service)
 }
 
 // rebuildWaitlists sorts all active jobs into the waitlists again, since a new
 // configuration may have changed their services.
 func (c *Core) rebuildWaitlists() {
-	for _, l := range c.byService {
-		clear(l.jobs)
+	var jobs []*job
+	for _, l := range c.all {
+		jobs = slices.AppendSeq(jobs, l.jobs.All())
+		l.jobs.Clear()
 	}
-	for _, j := range c.active {
+	for _, j := range jobs {
 		c.enqueue(j)
 	}
 	c.reorderAll()
@@ -103,7 +110,7 @@
 		c.replan(s)
 	}
 	var due []*waitlist
-	for _, l := range c.byService {
+	for _, l := range c.all {
 		if !l.needsPlacement {
 			continue
 		}
@@ -148,7 +155,7 @@
 // collect collects and sorts the unblocked steps of the jobs that may run.
 func (c *Core) collect(l *waitlist) {
 	l.steps = l.steps[:0]
-	for _, j := range l.jobs {
+	for j := range l.jobs.All() {
 		if !c.inheritedRunsKnown(j) {
 			continue
 		}
--- a/job/waves.go
+++ b/job/waves.go
@@ -60,6 +60,7 @@
 		}
 	}
 	c.waves[e.Wave.Number] = v
+	c.openWaves = append(c.openWaves, v)
 	c.emit(LogLine{What: "wave", Fields: []any{"wave", v.Number, "machines", len(v.Machines), "left", len(v.pending), "cap", v.MaxDown, "within_ms", v.TimeLimit.Milliseconds()}})
 	k, b := platform.WaveStatus(v.Number, false)
 	c.queueWrite([]platform.Put{{Key: k, Value: b}}, nil)
@@ -113,17 +114,18 @@
 // reconcileWaves resends orders without an answer, and orders the maintenance of the next
 // machines of each wave.
 func (c *Core) reconcileWaves() {
-	for _, m := range c.machinesByName {
-		c.resend(m)
-	}
+	c.resendOrders()
 	for _, w := range c.workers {
 		w.maintenanceDue = false
 	}
-	for _, v := range c.waves {
-		if !v.reported {
-			c.markMaintenanceDue(v)
-			c.reconcileWave(v)
-		}
+	c.openWaves = slices.DeleteFunc(c.openWaves, func(v *wave) bool { return v.reported })
+	for _, v := range c.openWaves {
+		c.markMaintenanceDue(v)
+		c.reconcileWave(v)
+	}
+	if len(c.openWaves) > 1 {
+		// They share the budget of orders, and take turns to be first.
+		c.openWaves = append(c.openWaves[1:], c.openWaves[0])
 	}
 }
 
--- a/job/worker.go
+++ b/job/worker.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"amberway/platform"
@@ -78,7 +79,8 @@
 	// answered or has replaced another incarnation.
 	expiresBy time.Time
 	used      platform.Resources
-	runs      map[runID]*run
+	// runs are in the order in which they were started or adopted.
+	runs []*run
 	// orphans are its orphaned runs, which are to be stopped.
 	orphans map[rawRunID]*orphan
 	// lastEndSeen is the number of the last end received, lastEndStored of the last that the
@@ -125,18 +127,11 @@
 	nextPaceAt time.Time
 }
 
-// runID identifies a run. The members of a gang share their run's number.
-type runID struct {
-	task   taskKey
-	number int64
-}
-
 func newWorker(w platform.Worker, now time.Time) *worker {
 	return &worker{
 		Worker:     w,
 		rack:       w.Rack(),
 		knownSince: now,
-		runs:       map[runID]*run{},
 		orphans:    map[rawRunID]*orphan{},
 		abandoned:  map[rawRunID]bool{},
 		expiresBy:  now.Add(inheritedLease),
@@ -234,12 +229,13 @@
 }
 
 func (w *worker) attach(r *run) {
-	w.runs[r.id()] = r
+	w.runs = append(w.runs, r)
 	w.charge(r.task.step.Step, 1)
 }
 
+// detach removes a run. The runs are copied, as callers iterate over them.
 func (w *worker) detach(r *run) {
-	delete(w.runs, r.id())
+	w.runs = slices.DeleteFunc(slices.Clone(w.runs), func(o *run) bool { return o == r })
 	w.charge(r.task.step.Step, -1)
 }
 
@@ -257,11 +253,13 @@
 	return r
 }
 
-// findRun returns the run of the task with the number, or nil.
+// findRun returns the run of the task with the number, or nil. The members of a gang share their
+// run's number.
 func (w *worker) findRun(task taskKey, number int64) *run {
-	return w.runs[runID{task: task, number: number}]
-}
-
-func (r *run) id() runID {
-	return runID{task: r.task.key(), number: r.number}
+	for _, r := range w.runs {
+		if r.number == number && r.task.key() == task {
+			return r
+		}
+	}
+	return nil
 }
--- a/job/write_queue.go
+++ b/job/write_queue.go
@@ -40,9 +40,9 @@
 
 // storeWrite is one write, kept until the store has answered it.
 type storeWrite struct {
-	states map[*job]writtenState
-	// lastEnds holds the number of the last end of each worker that the write covers.
-	lastEnds map[*worker]int64
+	states []writtenState
+	// lastEnds holds the last end of each worker that the write covers.
+	lastEnds []writtenEnd
 	puts     []platform.Put
 	deletes  []string
 	// changes records which shards of the roster are in the write; workers and machines are
@@ -54,10 +54,17 @@
 
 // writtenState is the state of a job as a write holds it.
 type writtenState struct {
-	platform.JobState
+	job          *job
+	state        platform.JobState
 	crashVersion int
 }
 
+// writtenEnd is the number of the last end of a worker that a write covers.
+type writtenEnd struct {
+	worker *worker
+	number int64
+}
+
 func newWriteQueue() writeQueue {
 	return writeQueue{}
 }
@@ -104,7 +111,7 @@
 		c.scheduleWake(c.writeDueAt)
 		return
 	}
-	k := &storeWrite{states: map[*job]writtenState{}, lastEnds: map[*worker]int64{}}
+	k := &storeWrite{}
 	c.addRoster(k)
 	for len(c.dirtyJobs) > 0 && k.room() >= entriesPerJob {
 		c.dirtyJobs[0].dirty = false
@@ -118,9 +125,9 @@
 	}
 	if len(c.dirtyJobs) == 0 {
 		// A write that leaves out dirty jobs does not cover all ends that were seen.
-		for _, w := range c.workers {
+		for w := range c.workersByAge.From(c.firstToPoll) {
 			if w.lastEndSeen > w.lastEndStored {
-				k.lastEnds[w] = w.lastEndSeen
+				k.lastEnds = append(k.lastEnds, writtenEnd{worker: w, number: w.lastEndSeen})
 			}
 		}
 	}
@@ -145,7 +152,7 @@
 		c.emit(LogLine{What: "progress not encoded", Job: j.id, Why: err.Error()})
 		return
 	}
-	k.states[j] = writtenState{JobState: j.state, crashVersion: j.crashVersion}
+	k.states = append(k.states, writtenState{job: j, state: j.state, crashVersion: j.crashVersion})
 	k.puts = append(k.puts, platform.Put{Key: progressKey(j.id), Value: b})
 	if j.state.Final() {
 		k.deletes = append(k.deletes, recordKey(j.id), cancelKey(j.id))
@@ -192,16 +199,17 @@
 		c.replan(w.Service)
 	}
 	c.sendRecorded(k.machines, e.Revision)
-	for j, s := range k.states {
-		j.storedState = s.JobState
+	for _, s := range k.states {
+		j := s.job
+		j.storedState = s.state
 		if j.storedCrashVersion != s.crashVersion {
 			j.storedCrashVersion = s.crashVersion
 			c.replan(j.queue.Service)
 		}
 	}
-	for w, n := range k.lastEnds {
-		w.markStored(n)
-		c.reconcileWorker(w)
+	for _, e := range k.lastEnds {
+		e.worker.markStored(e.number)
+		c.reconcileWorker(e.worker)
 	}
 	if len(c.extraPuts)+len(c.extraDeletes)+len(c.dirtyJobs) > 0 && c.writeDueAt.IsZero() {
 		c.writeDueAt = c.now
@@ -219,7 +227,8 @@
 	c.emit(LogLine{What: "write failed", Why: err.Error(), Fields: []any{"jobs", len(k.states)}})
 	c.writesFailing = true
 	jobKeys := map[string]bool{}
-	for j := range k.states {
+	for _, s := range k.states {
+		j := s.job
 		jobKeys[progressKey(j.id)], jobKeys[recordKey(j.id)], jobKeys[cancelKey(j.id)] = true, true, true
 		c.markDirty(j)
 	}
@@ -236,7 +245,7 @@
 		}
 	}
 	c.writeDueAt = c.now.Add(writeRetry)
-	for _, w := range c.workers {
+	for w := range c.workersByAge.From(c.firstToPoll) {
 		c.reconcileWorker(w)
 	}
 }
