job: a play of the model follows from its seed

The model went over maps as well (workers, runs, records, cancel marks, keys of owners). It now goes by start or by key.

Planted, one at a time, the order of a map fails the test in the tick's round over workers, the pools' listed workers, inherited workers, stored ends, orphaned runs and runs of workers. It does not reach repeated orders to machines, instances of recurring jobs, transfers between pools, tainted workers, complete lists of workers and failed writes: the model has none of these.

--- a/job/world_cancel_test.go
+++ b/job/world_cancel_test.go
@@ -57,7 +57,7 @@
 // the worker reach each other.
 func (w *world) checkCancelled() {
 	o := w.owner()
-	for _, v := range w.workers {
+	for _, v := range w.workersByStart {
 		if !v.alive {
 			continue
 		}
@@ -65,7 +65,7 @@
 			w.disturbedAt[v.ID] = w.now
 			continue
 		}
-		for _, r := range v.runs {
+		for _, r := range inOrder(v.runs) {
 			k, _ := parseTaskKey(r.task)
 			knownAt, known := w.cancelKnownAt[k.id]
 			if !known {
@@ -212,7 +212,7 @@
 // leftovers returns the worker's runs of cancelled jobs.
 func (v *worldWorker) leftovers(w *world) []string {
 	var l []string
-	for n := range v.runs {
+	for n := range inOrder(v.runs) {
 		k, _ := parseTaskKey(n)
 		if _, cancelled := w.cancelledAt[k.id]; cancelled && v.alive {
 			l = append(l, n)
@@ -225,33 +225,35 @@
 // removed for good, besides other faults. While the owner and a worker reach each other, no run
 // of a cancelled job may go on there beyond a bound.
 func TestCancelledJobsEndUnderFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
-		t.Repeat(map[string]func(*rapid.T){
-			"submit":     func(*rapid.T) { w.submit() },
-			"submitLong": func(*rapid.T) { w.submitLong() },
-			"pass": func(t *rapid.T) {
-				w.advance(time.Duration(rapid.IntRange(1, 50).Draw(t, "tenths")) * 100 * time.Millisecond)
-			},
-			"late": func(t *rapid.T) {
-				w.ordersLateUntil = w.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "late_tenths")) * 100 * time.Millisecond)
-			},
-			"cancel":     func(*rapid.T) { w.cancelSome() },
-			"cancelLate": func(*rapid.T) { w.cancelLate() },
-			"cancelLong": func(*rapid.T) { w.cancelLong() },
-			"cut":        func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
-			"crash":      func(*rapid.T) { w.crash() },
-			"unlist":     func(*rapid.T) { w.unlist() },
-			"remove":     func(*rapid.T) { w.removeOwner() },
-			"freeze":     func(*rapid.T) { w.replaceOwner(w.freeze) },
-			"split":      func(*rapid.T) { w.split() },
-		})
-		w.cancelLong()
-		w.heal()
-		w.advance(ownerAuthority + stopOrderedWithin + stopTakes)
-		require.Empty(t, w.store.records, "jobs that never end")
-		for _, v := range w.workers {
-			require.Empty(t, v.leftovers(w), "runs of cancelled jobs")
-		}
+	rapid.Check(t, func(t *rapid.T) { newWorld(t).playCancelled() })
+}
+
+func (w *world) playCancelled() {
+	t := w.t
+	t.Repeat(map[string]func(*rapid.T){
+		"submit":     func(*rapid.T) { w.submit() },
+		"submitLong": func(*rapid.T) { w.submitLong() },
+		"pass": func(t *rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(1, 50).Draw(t, "tenths")) * 100 * time.Millisecond)
+		},
+		"late": func(t *rapid.T) {
+			w.ordersLateUntil = w.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "late_tenths")) * 100 * time.Millisecond)
+		},
+		"cancel":     func(*rapid.T) { w.cancelSome() },
+		"cancelLate": func(*rapid.T) { w.cancelLate() },
+		"cancelLong": func(*rapid.T) { w.cancelLong() },
+		"cut":        func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
+		"crash":      func(*rapid.T) { w.crash() },
+		"unlist":     func(*rapid.T) { w.unlist() },
+		"remove":     func(*rapid.T) { w.removeOwner() },
+		"freeze":     func(*rapid.T) { w.replaceOwner(w.freeze) },
+		"split":      func(*rapid.T) { w.split() },
 	})
+	w.cancelLong()
+	w.heal()
+	w.advance(ownerAuthority + stopOrderedWithin + stopTakes)
+	require.Empty(t, w.store.records, "jobs that never end")
+	for _, v := range w.workersByStart {
+		require.Empty(t, v.leftovers(w), "runs of cancelled jobs")
+	}
 }
--- a/job/world_crash_test.go
+++ b/job/world_crash_test.go
@@ -130,26 +130,28 @@
 // TestCrashingTasksFailUnderFaults runs jobs whose tasks crash their workers beside healthy
 // jobs, while workers crash by themselves, owners are replaced, and messages are lost.
 func TestCrashingTasksFailUnderFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
-		t.Repeat(map[string]func(*rapid.T){
-			"submit":  func(*rapid.T) { w.submit() },
-			"crasher": func(*rapid.T) { w.submitCrasher() },
-			"pass": func(t *rapid.T) {
-				w.advance(time.Duration(rapid.IntRange(1, 10).Draw(t, "tenths")) * 100 * time.Millisecond)
-			},
-			"lossy":  func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
-			"crash":  func(*rapid.T) { w.crash() },
-			"cut":    func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
-			"kill":   func(*rapid.T) { w.replaceOwner(func(o *worldOwner) { o.dead = true }) },
-			"freeze": func(*rapid.T) { w.replaceOwner(w.freeze) },
-		})
-		w.heal()
-		require.Empty(t, w.store.records, "no job remains without an end")
-		for id := range w.crashers {
-			require.Equal(t, platform.StateFailed, w.store.progress[id].State)
-		}
+	rapid.Check(t, func(t *rapid.T) { newWorld(t).playCrashing() })
+}
+
+func (w *world) playCrashing() {
+	t := w.t
+	t.Repeat(map[string]func(*rapid.T){
+		"submit":  func(*rapid.T) { w.submit() },
+		"crasher": func(*rapid.T) { w.submitCrasher() },
+		"pass": func(t *rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(1, 10).Draw(t, "tenths")) * 100 * time.Millisecond)
+		},
+		"lossy":  func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
+		"crash":  func(*rapid.T) { w.crash() },
+		"cut":    func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
+		"kill":   func(*rapid.T) { w.replaceOwner(func(o *worldOwner) { o.dead = true }) },
+		"freeze": func(*rapid.T) { w.replaceOwner(w.freeze) },
 	})
+	w.heal()
+	require.Empty(t, w.store.records, "no job remains without an end")
+	for id := range inOrder(w.crashers) {
+		require.Equal(t, platform.StateFailed, w.store.progress[id].State)
+	}
 }
 
 // submitCrasher submits a job whose first task crashes its workers.
--- a/job/world_evacuation_test.go
+++ b/job/world_evacuation_test.go
@@ -124,46 +124,48 @@
 // where that has to have been given up. Finally one data centre is left evacuated, all faults
 // stop, and every job has to end elsewhere.
 func TestEvacuationsHoldUnderFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
-		w.limited = true
-		w.readOperator()
-		dataCentre := func() string {
-			return fmt.Sprint("dc-", rapid.IntRange(0, modelDataCentres-1).Draw(t, "data_centre"))
-		}
-		t.Repeat(map[string]func(*rapid.T){
-			"submit": func(*rapid.T) { w.submit() },
-			"pass": func(t *rapid.T) {
-				w.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
-			},
-			"evacuate": func(*rapid.T) { w.setEvacuated(dataCentre(), true) },
-			"withdraw": func(*rapid.T) { w.setEvacuated(dataCentre(), false) },
-			"both at once": func(*rapid.T) {
-				d := dataCentre()
-				w.setEvacuated(d, true)
-				w.setEvacuated(d, false)
-			},
-			"unseen": func(t *rapid.T) {
-				w.refuseOwner()
-				w.setEvacuated(dataCentre(), true)
-				w.advance(time.Duration(rapid.IntRange(40, 60).Draw(t, "tenths")) * 100 * time.Millisecond)
-				w.submit()
-			},
-			"refuse":  func(*rapid.T) { w.refuseOwner() },
-			"lossy":   func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
-			"cut":     func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
-			"crash":   func(*rapid.T) { w.crash() },
-			"unlist":  func(*rapid.T) { w.unlist() },
-			"kill":    func(*rapid.T) { w.replaceOwner(func(o *worldOwner) { o.dead = true }) },
-			"freeze":  func(*rapid.T) { w.replaceOwner(w.freeze) },
-			"abandon": func(*rapid.T) { w.deposeOwner() },
-			"split":   func(*rapid.T) { w.split() },
-		})
-		for i := range modelDataCentres {
-			w.setEvacuated(fmt.Sprint("dc-", i), i == 0)
-		}
-		clear(w.refused)
-		w.heal()
-		require.Empty(t, w.store.records, "jobs that never end")
+	rapid.Check(t, func(t *rapid.T) { newWorld(t).playEvacuations() })
+}
+
+func (w *world) playEvacuations() {
+	t := w.t
+	w.limited = true
+	w.readOperator()
+	dataCentre := func() string {
+		return fmt.Sprint("dc-", rapid.IntRange(0, modelDataCentres-1).Draw(t, "data_centre"))
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"submit": func(*rapid.T) { w.submit() },
+		"pass": func(t *rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
+		},
+		"evacuate": func(*rapid.T) { w.setEvacuated(dataCentre(), true) },
+		"withdraw": func(*rapid.T) { w.setEvacuated(dataCentre(), false) },
+		"both at once": func(*rapid.T) {
+			d := dataCentre()
+			w.setEvacuated(d, true)
+			w.setEvacuated(d, false)
+		},
+		"unseen": func(t *rapid.T) {
+			w.refuseOwner()
+			w.setEvacuated(dataCentre(), true)
+			w.advance(time.Duration(rapid.IntRange(40, 60).Draw(t, "tenths")) * 100 * time.Millisecond)
+			w.submit()
+		},
+		"refuse":  func(*rapid.T) { w.refuseOwner() },
+		"lossy":   func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
+		"cut":     func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
+		"crash":   func(*rapid.T) { w.crash() },
+		"unlist":  func(*rapid.T) { w.unlist() },
+		"kill":    func(*rapid.T) { w.replaceOwner(func(o *worldOwner) { o.dead = true }) },
+		"freeze":  func(*rapid.T) { w.replaceOwner(w.freeze) },
+		"abandon": func(*rapid.T) { w.deposeOwner() },
+		"split":   func(*rapid.T) { w.split() },
 	})
+	for i := range modelDataCentres {
+		w.setEvacuated(fmt.Sprint("dc-", i), i == 0)
+	}
+	clear(w.refused)
+	w.heal()
+	require.Empty(t, w.store.records, "jobs that never end")
 }
--- a/job/world_faults_test.go
+++ b/job/world_faults_test.go
@@ -20,7 +20,7 @@
 		w.t.Fatalf("start of %s, which was not submitted", o.Task)
 	}
 	s := rec.Steps[k.step]
-	for _, x := range w.workers {
+	for _, x := range w.workersByStart {
 		if x.alive && x.runs[o.Task] != nil {
 			w.t.Fatalf("%s starts on %s while it runs on %s", o.Task, v.ID, x.ID)
 		}
@@ -149,32 +149,34 @@
 // freezes and changes of owner, and checks the promises at each start, end and write. Finally all
 // faults stop, and every job has to end.
 func TestPromisesHoldUnderFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
-		t.Repeat(map[string]func(*rapid.T){
-			"submit": func(*rapid.T) { w.submit() },
-			"pass": func(t *rapid.T) {
-				w.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
-			},
-			"lossy":      func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
-			"cancel":     func(*rapid.T) { w.cancelSome() },
-			"cut":        func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
-			"crash":      func(*rapid.T) { w.crash() },
-			"unlist":     func(*rapid.T) { w.unlist() },
-			"kill":       func(*rapid.T) { w.replaceOwner(func(o *worldOwner) { o.dead = true }) },
-			"freeze":     func(*rapid.T) { w.replaceOwner(w.freeze) },
-			"abandon":    func(*rapid.T) { w.deposeOwner() },
-			"remove":     func(*rapid.T) { w.remove() },
-			"cut record": func(*rapid.T) { w.cutRecord() },
-			"split":      func(*rapid.T) { w.split() },
-			"shrink":     func(t *rapid.T) { w.resize(int64(rapid.IntRange(1, 4).Draw(t, "cores")) * 1000) },
-			"slow": func(t *rapid.T) {
-				w.slowBy = rapid.SampledFrom([]int{1, 10, 100}).Draw(t, "slow_by")
-			},
-		})
-		w.heal()
-		require.Empty(t, w.store.records, "jobs that never end")
+	rapid.Check(t, func(t *rapid.T) { newWorld(t).playPromises() })
+}
+
+func (w *world) playPromises() {
+	t := w.t
+	t.Repeat(map[string]func(*rapid.T){
+		"submit": func(*rapid.T) { w.submit() },
+		"pass": func(t *rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
+		},
+		"lossy":      func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
+		"cancel":     func(*rapid.T) { w.cancelSome() },
+		"cut":        func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
+		"crash":      func(*rapid.T) { w.crash() },
+		"unlist":     func(*rapid.T) { w.unlist() },
+		"kill":       func(*rapid.T) { w.replaceOwner(func(o *worldOwner) { o.dead = true }) },
+		"freeze":     func(*rapid.T) { w.replaceOwner(w.freeze) },
+		"abandon":    func(*rapid.T) { w.deposeOwner() },
+		"remove":     func(*rapid.T) { w.remove() },
+		"cut record": func(*rapid.T) { w.cutRecord() },
+		"split":      func(*rapid.T) { w.split() },
+		"shrink":     func(t *rapid.T) { w.resize(int64(rapid.IntRange(1, 4).Draw(t, "cores")) * 1000) },
+		"slow": func(t *rapid.T) {
+			w.slowBy = rapid.SampledFrom([]int{1, 10, 100}).Draw(t, "slow_by")
+		},
 	})
+	w.heal()
+	require.Empty(t, w.store.records, "jobs that never end")
 }
 
 // pickWorker draws a worker that is alive, and lets time pass until there is one.
@@ -261,7 +263,7 @@
 func (w *world) split() {
 	old := w.owners[len(w.owners)-1]
 	kept := w.pickWorker()
-	for _, v := range w.workers {
+	for _, v := range w.workersByStart {
 		v.unreachableBy[old] = v != kept
 	}
 	w.deposeOwner()
@@ -281,7 +283,7 @@
 	w.lossy = false
 	w.slowBy = 1
 	w.ordersLateUntil = w.now
-	for _, v := range w.workers {
+	for _, v := range w.workersByStart {
 		v.partitioned = false
 		v.Capacity.MilliCores = fullWorkerCores
 		if v.alive && !v.unlisted {
--- a/job/world_lasting_test.go
+++ b/job/world_lasting_test.go
@@ -138,7 +138,7 @@
 // trackLasting updates which lasting tasks are unavailable.
 func (w *world) trackLasting() {
 	ready := map[string]bool{}
-	for _, v := range w.workers {
+	for _, v := range w.workersByStart {
 		for _, r := range v.runs {
 			if v.alive && r.ready(w.now) {
 				ready[r.task] = true
@@ -249,7 +249,7 @@
 func (w *world) inheritWaves(e *Inherited) {
 	e.Waves = w.waves
 	e.WavesBegan, e.WavesEnded = map[int64][]string{}, map[int64]bool{}
-	for k, b := range w.store.ownerKeys {
+	for k, b := range inOrder(w.store.ownerKeys) {
 		if !strings.HasPrefix(k, wavePrefix) {
 			continue
 		}
@@ -276,7 +276,7 @@
 			return e
 		}
 		w.maintainedBy[a.Wave][a.Machine] = true
-		for _, r := range v.runs {
+		for _, r := range inOrder(v.runs) {
 			w.endedByOrder(v, r, false)
 		}
 		w.halt(v)
@@ -334,51 +334,53 @@
 // lost and late orders, tasks that fail or stall, and changes of owner. Each order that ends a
 // ready task is checked against the availability of the other tasks of its step.
 func TestLastingTasksStayWithinMaxUnavailable(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
-		w.pollsWait = true
-		for range 3 {
-			w.hosts++
-			w.addWorker(fmt.Sprint("host-", w.hosts))
-		}
-		// The cap of their team is enough for ten such tasks.
-		for range 2 {
-			w.submitLastingTasks(rapid.IntRange(2, 5).Draw(t, "tasks"), rapid.IntRange(1, 2).Draw(t, "may_miss"))
-		}
-		w.advance(4 * time.Second)
-		t.Repeat(map[string]func(*rapid.T){
-			"wave":   func(*rapid.T) { w.requestWave() },
-			"drain":  func(*rapid.T) { w.drain() },
-			"stall":  func(*rapid.T) { w.stall() },
-			"fail":   func(*rapid.T) { w.failLasting() },
-			"submit": func(*rapid.T) { w.submit() },
-			"pass": func(t *rapid.T) {
-				w.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
-			},
-			"pass on": func(t *rapid.T) {
-				w.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
-			},
-			"lossy":   func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
-			"cut":     func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
-			"crash":   func(*rapid.T) { w.crash() },
-			"late":    func(*rapid.T) { w.ordersLateUntil = w.now.Add(2 * time.Second) },
-			"kill":    func(*rapid.T) { w.replaceOwner(func(o *worldOwner) { o.dead = true }) },
-			"freeze":  func(*rapid.T) { w.replaceOwner(w.freeze) },
-			"split":   func(*rapid.T) { w.split() },
-			"abandon": func(*rapid.T) { w.deposeOwner() },
-			"unlist":  func(*rapid.T) { w.unlist() },
-			"cancel":  func(*rapid.T) { w.cancelSome() },
-			"slow": func(t *rapid.T) {
-				w.slowBy = rapid.SampledFrom([]int{1, 10}).Draw(t, "slow_by")
-			},
-			"remove":     func(*rapid.T) { w.remove() },
-			"cut record": func(*rapid.T) { w.cutRecord() },
-		})
-		w.heal()
-		if l := w.stillUnavailable(); len(l) > 0 {
-			t.Fatalf("tasks that never become ready: %v\n%s", l, w.logLines(anyLogLine))
-		}
+	rapid.Check(t, func(t *rapid.T) { newWorld(t).playLasting() })
+}
+
+func (w *world) playLasting() {
+	t := w.t
+	w.pollsWait = true
+	for range 3 {
+		w.hosts++
+		w.addWorker(fmt.Sprint("host-", w.hosts))
+	}
+	// The cap of their team is enough for ten such tasks.
+	for range 2 {
+		w.submitLastingTasks(rapid.IntRange(2, 5).Draw(t, "tasks"), rapid.IntRange(1, 2).Draw(t, "may_miss"))
+	}
+	w.advance(4 * time.Second)
+	t.Repeat(map[string]func(*rapid.T){
+		"wave":   func(*rapid.T) { w.requestWave() },
+		"drain":  func(*rapid.T) { w.drain() },
+		"stall":  func(*rapid.T) { w.stall() },
+		"fail":   func(*rapid.T) { w.failLasting() },
+		"submit": func(*rapid.T) { w.submit() },
+		"pass": func(t *rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
+		},
+		"pass on": func(t *rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
+		},
+		"lossy":   func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
+		"cut":     func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
+		"crash":   func(*rapid.T) { w.crash() },
+		"late":    func(*rapid.T) { w.ordersLateUntil = w.now.Add(2 * time.Second) },
+		"kill":    func(*rapid.T) { w.replaceOwner(func(o *worldOwner) { o.dead = true }) },
+		"freeze":  func(*rapid.T) { w.replaceOwner(w.freeze) },
+		"split":   func(*rapid.T) { w.split() },
+		"abandon": func(*rapid.T) { w.deposeOwner() },
+		"unlist":  func(*rapid.T) { w.unlist() },
+		"cancel":  func(*rapid.T) { w.cancelSome() },
+		"slow": func(t *rapid.T) {
+			w.slowBy = rapid.SampledFrom([]int{1, 10}).Draw(t, "slow_by")
+		},
+		"remove":     func(*rapid.T) { w.remove() },
+		"cut record": func(*rapid.T) { w.cutRecord() },
 	})
+	w.heal()
+	if l := w.stillUnavailable(); len(l) > 0 {
+		t.Fatalf("tasks that never become ready: %v\n%s", l, w.logLines(anyLogLine))
+	}
 }
 
 // stillUnavailable lets time pass until all lasting tasks are ready, for two minutes at most, and
@@ -396,7 +398,7 @@
 // unavailableNow returns the unavailable lasting tasks of jobs that were not cancelled.
 func (w *world) unavailableNow() []string {
 	var l []string
-	for n := range w.unavailable {
+	for n := range inOrder(w.unavailable) {
 		k, _ := parseTaskKey(n)
 		if _, cancelled := w.cancelledAt[k.id]; !cancelled {
 			l = append(l, n)
--- a/job/world_link_test.go
+++ b/job/world_link_test.go
@@ -90,31 +90,33 @@
 // lease may expire, and all other promises must hold. An owner that sends every start at once
 // delays its renewals by seconds.
 func TestOwnerBehindANarrowLinkKeepsItsLeases(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
-		megabits := rapid.Float64Range(2, 10).Draw(t, "megabits")
-		w.linkRate = megabits * bytesPerMegabit
-		w.spec = strings.Repeat("s", 1000)
-		w.renewals.renewedAt = w.now
-		configured := rapid.SampledFrom([]float64{0, megabits, 2 * megabits}).Draw(t, "told")
-		w.owners[0].core.flow = newFlowControl(Size{LinkMbps: configured}, w.now)
-		workers := rapid.IntRange(20, 40).Draw(t, "workers")
-		for i := range workers {
-			w.hosts++
-			w.addWorker(fmt.Sprint("narrow-host-", i))
-		}
-		w.advance(2 * time.Second)
-		lasting := platform.Step{Count: workers / 2, Lasting: true, MaxUnavailable: 2, MaxPerWorker: 1, Resources: platform.Resources{MilliCores: 500}}
-		w.submitSteps(lasting)
-		w.advance(3 * time.Second)
-		for range rapid.IntRange(50, 150).Draw(t, "jobs") {
-			w.submitSteps(platform.Step{Count: 20, Estimate: 300 * time.Millisecond, Resources: platform.Resources{MilliCores: 250}})
-		}
-		w.advance(10 * time.Second)
-		if configured > 0 {
-			require.Less(t, w.renewals.longest, renewTimeout)
-		}
-		require.Zero(t, w.renewals.expirations)
-		require.Zero(t, w.expiredRuns, "runs whose lease expired")
-	})
+	rapid.Check(t, func(t *rapid.T) { newWorld(t).playNarrowLink() })
+}
+
+func (w *world) playNarrowLink() {
+	t := w.t
+	megabits := rapid.Float64Range(2, 10).Draw(t, "megabits")
+	w.linkRate = megabits * bytesPerMegabit
+	w.spec = strings.Repeat("s", 1000)
+	w.renewals.renewedAt = w.now
+	configured := rapid.SampledFrom([]float64{0, megabits, 2 * megabits}).Draw(t, "told")
+	w.owners[0].core.flow = newFlowControl(Size{LinkMbps: configured}, w.now)
+	workers := rapid.IntRange(20, 40).Draw(t, "workers")
+	for i := range workers {
+		w.hosts++
+		w.addWorker(fmt.Sprint("narrow-host-", i))
+	}
+	w.advance(2 * time.Second)
+	lasting := platform.Step{Count: workers / 2, Lasting: true, MaxUnavailable: 2, MaxPerWorker: 1, Resources: platform.Resources{MilliCores: 500}}
+	w.submitSteps(lasting)
+	w.advance(3 * time.Second)
+	for range rapid.IntRange(50, 150).Draw(t, "jobs") {
+		w.submitSteps(platform.Step{Count: 20, Estimate: 300 * time.Millisecond, Resources: platform.Resources{MilliCores: 250}})
+	}
+	w.advance(10 * time.Second)
+	if configured > 0 {
+		require.Less(t, w.renewals.longest, renewTimeout)
+	}
+	require.Zero(t, w.renewals.expirations)
+	require.Zero(t, w.expiredRuns, "runs whose lease expired")
 }
--- a/job/world_machines_test.go
+++ b/job/world_machines_test.go
@@ -28,7 +28,7 @@
 			Name: v.Host, Pool: v.Service, State: platform.MachineUp, DataCentre: v.DataCentre, Worker: v.ID.Name(), Capacity: v.Capacity,
 		})
 	}
-	for h := range w.inMaintenance {
+	for h := range inOrder(w.inMaintenance) {
 		e.Machines = append(e.Machines, platform.Machine{Name: h, Pool: "blue", State: platform.MachineInMaintenance})
 	}
 	return e
@@ -78,7 +78,7 @@
 
 // runsOn returns the worker on which the task runs, or nil.
 func (w *world) runsOn(task string) *worldWorker {
-	for _, v := range w.workers {
+	for _, v := range w.workersByStart {
 		if v.alive && v.runs[task] != nil {
 			return v
 		}
--- a/job/world_restart_test.go
+++ b/job/world_restart_test.go
@@ -146,37 +146,39 @@
 // messages, crashes and changes of owner. It finds planted faults of the kind that each promise
 // guards against (docs/PROMISES.md).
 func TestPromisesHoldWhenWorkersRestart(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorldOf(t, true)
-		t.Repeat(map[string]func(*rapid.T){
-			"submit":  func(*rapid.T) { w.submit() },
-			"crasher": func(*rapid.T) { w.submitCrasher() },
-			"pass": func(t *rapid.T) {
-				w.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
-			},
-			"again": func(*rapid.T) { w.restart(w.pickWorker()) },
-			"again after a moment": func(t *rapid.T) {
-				v := w.pickWorker()
-				w.after(time.Duration(rapid.IntRange(0, 300).Draw(t, "moment_ms"))*time.Millisecond, func() {
-					if v.alive {
-						w.restart(v)
-					}
-				})
-			},
-			"lossy":      func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
-			"cancel":     func(*rapid.T) { w.cancelSome() },
-			"cut":        func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
-			"crash":      func(*rapid.T) { w.crash() },
-			"unlist":     func(*rapid.T) { w.unlist() },
-			"kill":       func(*rapid.T) { w.replaceOwner(func(o *worldOwner) { o.dead = true }) },
-			"freeze":     func(*rapid.T) { w.replaceOwner(w.freeze) },
-			"split":      func(*rapid.T) { w.split() },
-			"cut record": func(*rapid.T) { w.cutRecord() },
-			"shrink":     func(t *rapid.T) { w.resize(int64(rapid.IntRange(1, 4).Draw(t, "cores")) * 1000) },
-		})
-		w.heal()
-		require.Empty(t, w.store.records, "jobs that never end")
+	rapid.Check(t, func(t *rapid.T) { newWorldOf(t, true).playRestarts() })
+}
+
+func (w *world) playRestarts() {
+	t := w.t
+	t.Repeat(map[string]func(*rapid.T){
+		"submit":  func(*rapid.T) { w.submit() },
+		"crasher": func(*rapid.T) { w.submitCrasher() },
+		"pass": func(t *rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
+		},
+		"again": func(*rapid.T) { w.restart(w.pickWorker()) },
+		"again after a moment": func(t *rapid.T) {
+			v := w.pickWorker()
+			w.after(time.Duration(rapid.IntRange(0, 300).Draw(t, "moment_ms"))*time.Millisecond, func() {
+				if v.alive {
+					w.restart(v)
+				}
+			})
+		},
+		"lossy":      func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
+		"cancel":     func(*rapid.T) { w.cancelSome() },
+		"cut":        func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
+		"crash":      func(*rapid.T) { w.crash() },
+		"unlist":     func(*rapid.T) { w.unlist() },
+		"kill":       func(*rapid.T) { w.replaceOwner(func(o *worldOwner) { o.dead = true }) },
+		"freeze":     func(*rapid.T) { w.replaceOwner(w.freeze) },
+		"split":      func(*rapid.T) { w.split() },
+		"cut record": func(*rapid.T) { w.cutRecord() },
+		"shrink":     func(t *rapid.T) { w.resize(int64(rapid.IntRange(1, 4).Draw(t, "cores")) * 1000) },
 	})
+	w.heal()
+	require.Empty(t, w.store.records, "jobs that never end")
 }
 
 // TestTasksResumeSoonAfterWorkerRestart restarts the worker of a task and requires that the task
--- a/job/world_teams_test.go
+++ b/job/world_teams_test.go
@@ -93,11 +93,11 @@
 	}
 	used := s.MilliCores
 	var running []*worldRun
-	for _, v := range w.workers {
+	for _, v := range w.workersByStart {
 		if !v.alive {
 			continue
 		}
-		for _, r := range v.runs {
+		for _, r := range inOrder(v.runs) {
 			k, _ := parseTaskKey(r.task)
 			if w.jobs[k.id].Team == rec.Team {
 				used += r.step.MilliCores
@@ -118,25 +118,27 @@
 // A team stays within its cap, which changes, despite changes of owner, crashes, cut
 // connections and late orders, and all of its jobs end.
 func TestCapsHoldUnderFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
-		t.Repeat(map[string]func(*rapid.T){
-			"submit": func(*rapid.T) { w.submit() },
-			"more":   func(*rapid.T) { w.submit() },
-			"pass": func(t *rapid.T) {
-				w.advance(time.Duration(rapid.IntRange(1, 20).Draw(t, "tenths")) * 100 * time.Millisecond)
-			},
-			"cap":     func(*rapid.T) { w.changeCap() },
-			"lossy":   func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
-			"cancel":  func(*rapid.T) { w.cancelSome() },
-			"cut":     func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
-			"crash":   func(*rapid.T) { w.crash() },
-			"kill":    func(*rapid.T) { w.replaceOwner(func(o *worldOwner) { o.dead = true }) },
-			"freeze":  func(*rapid.T) { w.replaceOwner(w.freeze) },
-			"split":   func(*rapid.T) { w.split() },
-			"abandon": func(*rapid.T) { w.deposeOwner() },
-		})
-		w.heal()
-		require.Empty(t, w.store.records, "jobs that never end")
+	rapid.Check(t, func(t *rapid.T) { newWorld(t).playCaps() })
+}
+
+func (w *world) playCaps() {
+	t := w.t
+	t.Repeat(map[string]func(*rapid.T){
+		"submit": func(*rapid.T) { w.submit() },
+		"more":   func(*rapid.T) { w.submit() },
+		"pass": func(t *rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(1, 20).Draw(t, "tenths")) * 100 * time.Millisecond)
+		},
+		"cap":     func(*rapid.T) { w.changeCap() },
+		"lossy":   func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
+		"cancel":  func(*rapid.T) { w.cancelSome() },
+		"cut":     func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
+		"crash":   func(*rapid.T) { w.crash() },
+		"kill":    func(*rapid.T) { w.replaceOwner(func(o *worldOwner) { o.dead = true }) },
+		"freeze":  func(*rapid.T) { w.replaceOwner(w.freeze) },
+		"split":   func(*rapid.T) { w.split() },
+		"abandon": func(*rapid.T) { w.deposeOwner() },
 	})
+	w.heal()
+	require.Empty(t, w.store.records, "jobs that never end")
 }
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -17,6 +17,7 @@
 // that are slow, lost or carried out late. It records what is needed to check the promises.
 type world struct {
 	t            *rapid.T
+	trace        *trace
 	now          time.Time
 	events       []delivery
 	store        worldStore
@@ -129,8 +130,13 @@
 
 // newWorldOf returns a world whose workers report their incarnation or do not.
 func newWorldOf(t *rapid.T, withIncarnations bool) *world {
+	return newTracedWorld(t, withIncarnations, nil)
+}
+
+// newTracedWorld returns a world that adds to the trace, which may be nil.
+func newTracedWorld(t *rapid.T, withIncarnations bool, l *trace) *world {
 	w := &world{
-		t: t, now: time.Unix(1e9, 0), workers: map[platform.WorkerID]*worldWorker{}, jobs: map[ID]Record{},
+		t: t, trace: l, now: time.Unix(1e9, 0), workers: map[platform.WorkerID]*worldWorker{}, jobs: map[ID]Record{},
 		doneRuns: map[string][]*worldEnd{}, restarted: map[string][]*worldEnd{}, failures: map[string]int{}, worldCancels: newWorldCancels(), worldLinks: newWorldLinks(), worldCrashes: newWorldCrashes(), worldTeams: newWorldTeams(), worldRestarts: newWorldRestarts(), worldLasting: newWorldLasting(), worldEvacuations: newWorldEvacuations(),
 	}
 	w.tellsIncarnation = withIncarnations
@@ -172,17 +178,17 @@
 	w.noteListed(o)
 	r := w.store.ownerKeys.roster()
 	e := Inherited{Config: w.config(), Progress: map[ID]Progress{}, Roster: r}
-	for _, a := range w.store.records {
+	for _, a := range inOrder(w.store.records) {
 		e.Jobs = append(e.Jobs, a)
 	}
 	for id, p := range w.store.progress {
 		e.Progress[id] = p
 	}
-	for id := range w.store.cancels {
+	for id := range inOrder(w.store.cancels) {
 		e.Cancels = append(e.Cancels, id)
 		w.noteCancelKnown(id)
 	}
-	for _, v := range w.workers {
+	for _, v := range w.workersByStart {
 		if v.alive && !v.unlisted {
 			e.Workers = append(e.Workers, w.recordOf(v))
 		}
@@ -201,7 +207,9 @@
 		w.after(50*time.Millisecond, func() { w.tell(o, e) })
 		return
 	}
+	w.trace.addOutcome(w.now, o, e)
 	for _, a := range o.core.Step(w.now, e) {
+		w.trace.add(w.now, o, a)
 		w.perform(o, a)
 	}
 }
@@ -216,7 +224,7 @@
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.now = w.now.Add(10 * time.Millisecond)
 		w.deliver()
-		for _, v := range w.workers {
+		for _, v := range w.workersByStart {
 			w.endDueRuns(v)
 		}
 		w.checkCancelled()
@@ -380,7 +388,7 @@
 			e.leaseExpired = true
 		}
 	}
-	for n, r := range v.runs {
+	for n, r := range inOrder(v.runs) {
 		how := r.how
 		switch {
 		case v.leaseUntil > 0 && v.clock(w.now) > v.leaseUntil:
@@ -421,7 +429,7 @@
 		w.acknowledge(e)
 		return true
 	})
-	for _, r := range v.runs {
+	for _, r := range inOrder(v.runs) {
 		out.Poll.Running = append(out.Poll.Running, platform.RunningRow{Task: r.task, Run: r.number, Percent: r.percent(w.now)})
 	}
 	for _, e := range v.ended {
