--- a/job/acknowledge.go
+++ b/job/acknowledge.go
@@ -12,9 +12,9 @@
 //   - No poll has such a number while a start that was sent before it has no answer.
 //
 // So an incarnation that has ends to forget has carried out a start with a higher fence than each
-// such poll that was meant for an earlier one. The exceptions are starts that the earlier one had
-// ruled out, and starts of an earlier owner. The fences are the revisions of the owner's writes,
-// which rise, and are below the fence of the next owner.
+// such poll that was meant for an earlier one. Not covered are a start that was given up without an
+// answer, and one of an earlier owner. Fences are revisions of the owner's writes, which rise, and
+// are below the fence of the next owner.
 
 // mayAcknowledge reports whether the next poll may acknowledge ends: the worker has some that it
 // may forget, and the orders that follow get a higher fence.
@@ -22,8 +22,8 @@
 	return w.mayForgetEnds() && c.latestFence > w.fence
 }
 
-// requestFence has something written if the worker's ends cannot be acknowledged before the next
-// write.
+// requestFence has a write made, which may be empty, if the worker's ends cannot be acknowledged
+// before the next one.
 func (c *Core) requestFence(w *worker) {
 	if w.mayForgetEnds() && c.latestFence <= w.fence && c.inFlight == nil && c.writeDueAt.IsZero() {
 		c.writeDueAt = c.now.Add(writeDelay)
--- a/job/listing.go
+++ b/job/listing.go
@@ -97,9 +97,9 @@
 }
 
 // removeOthersOnHost removes the other workers known on the worker's host. A host runs one
-// worker at a time, and this one has just answered a poll that was sent at a time; records are
+// worker at a time, and this one has just answered a poll that was sent at sentAt; records are
 // added and removed late, so they do not show which worker is the later one. A worker that became
-// known after that time may be the later one.
+// known after sentAt may be the later one.
 func (c *Core) removeOthersOnHost(w *worker, sentAt time.Time) {
 	others := slices.Clone(c.workersByHost[w.Host])
 	if w.Host == "" {
--- a/job/orders.go
+++ b/job/orders.go
@@ -188,9 +188,9 @@
 	c.markStarted(r.task.step.instance.job)
 }
 
-// startAcceptedElsewhere handles a start that was accepted by a worker whose clock is behind: a later
-// incarnation, which is yet to be found. The run counts as unconfirmed until a poll tells, and its
-// lease, which ends by the clock of the earlier incarnation, as the longest that there is.
+// startAcceptedElsewhere handles a start that was accepted by a later incarnation, which is yet to
+// be found: its clock is behind. The run counts as unconfirmed until a poll tells. Its lease ends
+// by the clock of the earlier incarnation, so it counts as the longest that there is.
 func (c *Core) startAcceptedElsewhere(r *run, clock platform.WorkerClock) {
 	c.logRun(r, "start answered by another incarnation", "its clock is behind that of the worker that was asked", []any{"clock_ms", int64(clock), "at_least_ms", int64(r.sentClock)})
 	if r.phase == starting {
--- a/job/roster.go
+++ b/job/roster.go
@@ -182,9 +182,9 @@
 func (c *Core) noteInRoster(w *worker) {
 	if !w.inRoster {
 		c.raiseFence(w)
-	}
-	if !w.inRoster && w.restarted {
-		w.expiresBy = c.now.Add(inheritedLease)
+		if w.restarted {
+			w.expiresBy = c.now.Add(inheritedLease)
+		}
 	}
 	w.inRoster = !w.offRoster
 }
