--- a/job/late_fixture_test.go
+++ b/job/late_fixture_test.go
@@ -71,6 +71,16 @@
 	require.True(f.t, f.succeeded(taskB))
 }
 
+// requireDoneAfterRestart has w1 restart and the next incarnation carry out the orders late, whose runs
+// succeed at once. It requires that taskB is done at last.
+func (f *lateFixture) requireDoneAfterRestart(o *lateOwner, late ...func(Action) bool) {
+	second := f.start(secondIncarnation, 0)
+	f.runFor = 0
+	f.carryOutLate(late...)
+	f.list(second)
+	f.requireDone(o)
+}
+
 // stateOf returns the state of a job, or "" if the owner does not know it.
 func (o *lateOwner) stateOf(id ID) platform.JobState {
 	s, _ := o.core.StateOf(id)
--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -55,11 +55,7 @@
 	f.untilKept(isAck)
 	f.submitTask(idB)
 	f.untilKept(startsB)
-	second := f.start(secondIncarnation, 0)
-	f.runFor = 0
-	f.carryOutLate(startsB, isAck)
-	f.list(second)
-	f.requireDone(f.lateOwner)
+	f.requireDoneAfterRestart(f.lateOwner, startsB, isAck)
 }
 
 // A worker had restarted unnoticed and accepted a start. The poll after the start, which came in
@@ -212,11 +208,7 @@
 		f.submitTask(idB)
 		f.untilKept(startsB)
 		f.untilKept(isAck)
-		second := f.start(secondIncarnation, 0)
-		f.runFor = 0
-		f.carryOutLate(startsB, isAck)
-		f.list(second)
-		f.requireDone(f.lateOwner)
+		f.requireDoneAfterRestart(f.lateOwner, startsB, isAck)
 	})
 	t.Run("its lease had expired, and an acknowledgement follows", func(t *testing.T) {
 		f := newLateFixture(t, longUp, isAck, startsB)
@@ -226,11 +218,7 @@
 		f.pass(2 * leaseFor)
 		f.first.silent = false
 		f.untilKept(isAck)
-		second := f.start(secondIncarnation, 0)
-		f.runFor = 0
-		f.carryOutLate(startsB, isAck)
-		f.list(second)
-		f.requireDone(f.lateOwner)
+		f.requireDoneAfterRestart(f.lateOwner, startsB, isAck)
 	})
 	t.Run("its owner was replaced, and an acknowledgement of the next one follows", func(t *testing.T) {
 		f := newLateFixture(t, longUp, isAck, startsB)
@@ -242,11 +230,7 @@
 		require.NotNil(t, f.first.runs[taskC])
 		f.first.end(taskC, platform.EndDone)
 		f.untilKept(isAck)
-		second := f.start(secondIncarnation, 0)
-		f.runFor = 0
-		f.carryOutLate(startsB, isAck)
-		f.list(second)
-		f.requireDone(o)
+		f.requireDoneAfterRestart(o, startsB, isAck)
 	})
 	t.Run("the earlier one knew the fence of a next owner", func(t *testing.T) {
 		f := newLateFixture(t, longUp, startsB)
