job: a next owner waits longer only for workers that are known to have restarted

What callers saw: a task on a new worker that fell silent soon after a change of owner started elsewhere after 10.5 s, in place of some 4.

Cause: the change that has owners wait for leases that late orders gave to a restarted worker took every worker that had been up for less than 12 s for one that may have restarted. Most of them are new.

Evidence: TestCauseOfALateJobIsFoundFromItsID failed in a whole check (one start in place of two: the worker came back after 8 s, before its task was given up). An incarnation before that an earlier owner may have ordered is in the roster, so that the next one counts as restarted anyway: TestLateLeaseOfAnEarlierOwnerIsOutlasted passes without that rule.

--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -149,14 +149,13 @@
 	c.endWorker(w, "the worker has restarted", by)
 }
 
-// noteContact handles the first answer of a worker.
-func (c *Core) noteContact(w *worker, e PollResult) {
+// noteContact handles the first answer of a worker, to a poll that was sent at sentAt.
+func (c *Core) noteContact(w *worker, sentAt time.Time) {
 	w.contacted = true
 	c.raiseFence(w)
-	c.removeOthersOnHost(w, e.SentAt)
-	if w.restarted || c.mayHaveRestarted(w, e.Poll.Clock) {
+	c.removeOthersOnHost(w, sentAt)
+	if w.restarted {
 		// Until now it has known no fence that refuses the orders to an earlier incarnation.
-		w.restarted = true
 		w.expiresBy = c.now.Add(inheritedLease)
 	}
 	// Jobs may have waited for its report on the runs of earlier owners.
--- a/job/poll.go
+++ b/job/poll.go
@@ -130,7 +130,7 @@
 	w.missedPolls, w.missedLists = 0, 0
 	w.unverified = false
 	if !w.contacted {
-		c.noteContact(w, e)
+		c.noteContact(w, e.SentAt)
 	}
 	w.nextPollAt = c.now
 	w.polledAt, w.answeredPollSentAt = c.now, e.SentAt
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -181,13 +181,6 @@
 	return c.now.Sub(c.ownedUntil) < ownerTTL-maxSuspended
 }
 
-// mayHaveRestarted reports whether orders of an earlier owner may have come late to a worker that
-// shows the clock at its first answer, having been meant for an earlier incarnation.
-func (c *Core) mayHaveRestarted(w *worker, clock platform.WorkerClock) bool {
-	age := time.Duration(clock) * time.Millisecond
-	return w.ID.Incarnation() != 0 && age < maxOrderDelay && c.now.Before(c.earlierOrdersUntil)
-}
-
 // advanceTo sets the time of a step, and detects a pause of the owner.
 func (c *Core) advanceTo(now time.Time) {
 	d := now.Sub(c.now)
