--- a/request/callerstop_test.go
+++ b/request/callerstop_test.go
@@ -263,6 +263,7 @@
 	require.Equal(t, "keep-alive", res.Header.Get("Connection"))
 	require.Equal(t, "timeout=3", res.Header.Get("Keep-Alive"))
 	wait := stop(t, c, l)
+	require.Eventually(t, c.keepAlivesDisabled.Load, time.Second, time.Millisecond, "the stop begins")
 	require.NoError(t, k.send("last"))
 	res, err = k.answer("last")
 	require.NoError(t, err)
