request: a second test waits until the stop that it asks about has begun

As in the test before, its last request was answered before the stop had begun, so that the connection stayed idle. Its check is the same.

--- a/request/callerstop_test.go
+++ b/request/callerstop_test.go
@@ -55,6 +55,14 @@
 	}
 }
 
+// beginStop is like stop, but returns only once answers close their connections.
+func beginStop(t *testing.T, c *CallerServer, l *CallerListener) (wait func() StopReport) {
+	t.Helper()
+	wait = stop(t, c, l)
+	require.Eventually(t, c.keepAlivesDisabled.Load, time.Second, time.Millisecond)
+	return wait
+}
+
 // echo answers with the request's body.
 func echo(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(w, r.Body)
@@ -154,7 +162,7 @@
 	c, l := startCallerServer(t, echo)
 	k := dialRaw(t, l)
 	require.NoError(t, k.ask("before"))
-	wait := stop(t, c, l)
+	wait := beginStop(t, c, l)
 	require.NoError(t, k.ask("last"))
 	began := time.Now()
 	wait()
@@ -262,8 +270,7 @@
 	require.NoError(t, err)
 	require.Equal(t, "keep-alive", res.Header.Get("Connection"))
 	require.Equal(t, "timeout=3", res.Header.Get("Keep-Alive"))
-	wait := stop(t, c, l)
-	require.Eventually(t, c.keepAlivesDisabled.Load, time.Second, time.Millisecond, "the stop begins")
+	wait := beginStop(t, c, l)
 	require.NoError(t, k.send("last"))
 	res, err = k.answer("last")
 	require.NoError(t, err)
