--- a/job/core_test.go
+++ b/job/core_test.go
@@ -50,7 +50,7 @@
 // roster returns the roster that the next owner would read.
 func (s ownerStore) roster() Roster {
 	var l []platform.Entry
-	for k, v := range inOrder(s) {
+	for k, v := range sorted(s) {
 		l = append(l, platform.Entry{Key: k, Value: v})
 	}
 	return readRoster(l)
--- a/job/crash_test.go
+++ b/job/crash_test.go
@@ -89,7 +89,7 @@
 
 // endOthers has runs of jobs other than idA succeed after half a second.
 func (f *crashing) endOthers() {
-	for id, w := range inOrder(f.core.workers) {
+	for id, w := range sorted(f.core.workers) {
 		if _, ok := f.polls[id]; !ok {
 			continue
 		}
@@ -118,10 +118,10 @@
 	f.core = NewCore(before.fence+1000, "entry-2", Size{}, f.now)
 	f.polls = map[platform.WorkerID]PollWorker{}
 	e := Inherited{Config: testConfig(), Progress: f.stored, Roster: roster}
-	for _, w := range inOrder(before.workers) {
+	for _, w := range sorted(before.workers) {
 		e.Workers = append(e.Workers, w.Worker)
 	}
-	for id, j := range inOrder(before.jobs) {
+	for id, j := range sorted(before.jobs) {
 		if !f.stored[id].State.Final() {
 			e.Jobs = append(e.Jobs, Accepted{ID: id, Record: j.Record, Created: j.created})
 		}
--- a/job/world_cancel_test.go
+++ b/job/world_cancel_test.go
@@ -65,7 +65,7 @@
 			w.disturbedAt[v.ID] = w.now
 			continue
 		}
-		for _, r := range inOrder(v.runs) {
+		for _, r := range sorted(v.runs) {
 			k, _ := parseTaskKey(r.task)
 			knownAt, known := w.cancelKnownAt[k.id]
 			if !known {
@@ -212,7 +212,7 @@
 // leftovers returns the worker's runs of cancelled jobs.
 func (v *worldWorker) leftovers(w *world) []string {
 	var l []string
-	for n := range inOrder(v.runs) {
+	for n := range sorted(v.runs) {
 		k, _ := parseTaskKey(n)
 		if _, cancelled := w.cancelledAt[k.id]; cancelled && v.alive {
 			l = append(l, n)
--- a/job/world_crash_test.go
+++ b/job/world_crash_test.go
@@ -149,7 +149,7 @@
 	})
 	w.heal()
 	require.Empty(t, w.store.records, "no job remains without an end")
-	for id := range inOrder(w.crashers) {
+	for id := range sorted(w.crashers) {
 		require.Equal(t, platform.StateFailed, w.store.progress[id].State)
 	}
 }
--- a/job/world_lasting_test.go
+++ b/job/world_lasting_test.go
@@ -243,7 +243,7 @@
 func (w *world) inheritWaves(e *Inherited) {
 	e.Waves = w.waves
 	e.WavesBegan, e.WavesEnded = map[int64][]string{}, map[int64]bool{}
-	for k, b := range inOrder(w.store.ownerKeys) {
+	for k, b := range sorted(w.store.ownerKeys) {
 		if !strings.HasPrefix(k, wavePrefix) {
 			continue
 		}
@@ -270,7 +270,7 @@
 			return e
 		}
 		w.maintainedBy[a.Wave][a.Machine] = true
-		for _, r := range inOrder(v.runs) {
+		for _, r := range sorted(v.runs) {
 			w.endedByOrder(v, r, false)
 		}
 		w.halt(v)
@@ -392,7 +392,7 @@
 // unavailableNow returns the unavailable lasting tasks of jobs that were not cancelled.
 func (w *world) unavailableNow() []string {
 	var l []string
-	for n := range inOrder(w.unavailable) {
+	for n := range sorted(w.unavailable) {
 		k, _ := parseTaskKey(n)
 		if _, cancelled := w.cancelledAt[k.id]; !cancelled {
 			l = append(l, n)
--- a/job/world_machines_test.go
+++ b/job/world_machines_test.go
@@ -28,7 +28,7 @@
 			Name: v.Host, Pool: v.Service, State: platform.MachineUp, DataCentre: v.DataCentre, Worker: v.ID.Name(), Capacity: v.Capacity,
 		})
 	}
-	for h := range inOrder(w.inMaintenance) {
+	for h := range sorted(w.inMaintenance) {
 		e.Machines = append(e.Machines, platform.Machine{Name: h, Pool: "blue", State: platform.MachineInMaintenance})
 	}
 	return e
--- a/job/world_teams_test.go
+++ b/job/world_teams_test.go
@@ -97,7 +97,7 @@
 		if !v.alive {
 			continue
 		}
-		for _, r := range inOrder(v.runs) {
+		for _, r := range sorted(v.runs) {
 			k, _ := parseTaskKey(r.task)
 			if w.jobs[k.id].Team == rec.Team {
 				used += r.step.MilliCores
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -178,13 +178,13 @@
 	w.noteListed(o)
 	r := w.store.ownerKeys.roster()
 	e := Inherited{Config: w.config(), Progress: map[ID]Progress{}, Roster: r}
-	for _, a := range inOrder(w.store.records) {
+	for _, a := range sorted(w.store.records) {
 		e.Jobs = append(e.Jobs, a)
 	}
 	for id, p := range w.store.progress {
 		e.Progress[id] = p
 	}
-	for id := range inOrder(w.store.cancels) {
+	for id := range sorted(w.store.cancels) {
 		e.Cancels = append(e.Cancels, id)
 		w.noteCancelKnown(id)
 	}
@@ -389,7 +389,7 @@
 			e.leaseExpired = true
 		}
 	}
-	for n, r := range inOrder(v.runs) {
+	for n, r := range sorted(v.runs) {
 		how := r.how
 		switch {
 		case v.leaseUntil > 0 && v.clock(w.now) > v.leaseUntil:
@@ -430,7 +430,7 @@
 		w.acknowledge(e)
 		return true
 	})
-	for _, r := range inOrder(v.runs) {
+	for _, r := range sorted(v.runs) {
 		out.Poll.Running = append(out.Poll.Running, platform.RunningRow{Task: r.task, Run: r.number, Percent: r.percent(w.now)})
 	}
 	for _, e := range v.ended {
--- a/job/world_trace_test.go
+++ b/job/world_trace_test.go
@@ -1,11 +1,7 @@
 package job
 
 import (
-	"cmp"
 	"fmt"
-	"iter"
-	"maps"
-	"slices"
 	"testing"
 	"time"
 
@@ -13,18 +9,6 @@
 	"pgregory.net/rapid"
 )
 
-// inOrder iterates over a map in the order of its keys, so that what a play does follows from its
-// seed. Elements may be deleted meanwhile.
-func inOrder[K cmp.Ordered, V any](m map[K]V) iter.Seq2[K, V] {
-	return func(yield func(K, V) bool) {
-		for _, k := range slices.Sorted(maps.Keys(m)) {
-			if v, ok := m[k]; ok && !yield(k, v) {
-				return
-			}
-		}
-	}
-}
-
 // trace records what owners decide and what they are told, if it is not nil.
 type trace struct {
 	lines []string
