internal: a proxy that holds up what it forwards

Hold keeps accepted connections from being opened upstream, and bytes from being forwarded, until Release. Tests use it to have a process end while a connection to it is being opened, or while a request is on its way.

--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -1,5 +1,5 @@
-// Package proxy forwards TCP connections over loopback, for tests of what silent
-// connections cost.
+// Package proxy forwards TCP connections over loopback, for tests of connections that are
+// silent or held up.
 package proxy
 
 import (
@@ -24,7 +24,7 @@
 )
 
 // Proxy forwards connections to an address. Open connections can be silenced for
-// good, without a reset, while new ones work.
+// good, without a reset, while new ones work. All can be held up for a time.
 type Proxy struct {
 	listener net.Listener
 	upstream netip.AddrPort
@@ -32,6 +32,8 @@
 	mu       sync.Mutex
 	links    map[*link]bool
 	steps    []Step
+	// held is closed by Release. It is nil unless the proxy is held.
+	held chan struct{}
 }
 
 // maxSteps is how many steps a Proxy records at most: those of the setup of a few connections.
@@ -99,9 +101,40 @@
 	return len(p.links)
 }
 
+// Hold holds up what is forwarded until Release: bytes stay in the proxy, and connections
+// that are accepted are opened to the upstream address only then.
+func (p *Proxy) Hold() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held == nil {
+		p.held = make(chan struct{})
+	}
+}
+
+// Release ends a Hold.
+func (p *Proxy) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held != nil {
+		close(p.held)
+		p.held = nil
+	}
+}
+
+// waitReleased returns once the proxy is not held.
+func (p *Proxy) waitReleased() {
+	p.mu.Lock()
+	held := p.held
+	p.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+}
+
 // Close closes the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
+	p.Release()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for l := range p.links {
@@ -116,21 +149,27 @@
 			return
 		}
 		p.notef("accepted a connection")
-		s, err := net.Dial("tcp", p.upstream.String())
-		if err != nil {
-			p.notef("upstream not dialled: %v", err)
-			_ = c.Close()
-			continue
-		}
-		number := p.opened.Add(1)
-		p.notef("connection %d: upstream dialled", number)
-		l := &link{number: number, client: c, server: s}
-		p.mu.Lock()
-		p.links[l] = true
-		p.mu.Unlock()
-		go p.forward(l, "request", c, s, &l.silent[0])
-		go p.forward(l, "answer", s, c, &l.silent[1])
+		go p.open(c)
+	}
+}
+
+// open opens the connection to the upstream address that belongs to an accepted one.
+func (p *Proxy) open(c net.Conn) {
+	p.waitReleased()
+	s, err := net.Dial("tcp", p.upstream.String())
+	if err != nil {
+		p.notef("upstream not dialled: %v", err)
+		_ = c.Close()
+		return
 	}
+	number := p.opened.Add(1)
+	p.notef("connection %d: upstream dialled", number)
+	l := &link{number: number, client: c, server: s}
+	p.mu.Lock()
+	p.links[l] = true
+	p.mu.Unlock()
+	go p.forward(l, "request", c, s, &l.silent[0])
+	go p.forward(l, "answer", s, c, &l.silent[1])
 }
 
 // forward copies bytes, or discards them while the link is silent. The end of one
@@ -139,9 +178,9 @@
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
-		lost := silent.Load()
-		p.notef("connection %d: %s of %d bytes, lost %t, error %v", l.number, what, n, lost, err)
-		if n > 0 && !lost {
+		p.notef("connection %d: %s of %d bytes, lost %t, error %v", l.number, what, n, silent.Load(), err)
+		p.waitReleased()
+		if n > 0 && !silent.Load() {
 			_, _ = to.Write(b[:n])
 		}
 		if err != nil {
