Starts reach only the incarnation of a worker that they name

What callers saw: a task ran twice at once, or was done again after its first success had been noted.

Cause: a start names a worker by its id, which a restarted worker keeps, and the client sent it on any connection to the worker's address. A process reads only from connections that it has accepted, so a late start reached the next incarnation on a connection that this one had accepted: one opened after the restart, or whose opening was under way across it.

Evidence: TestStartReachesOnlyTheIncarnationThatItNames has worker processes killed and started again at their address, behind a proxy that holds connections up, silences or resets them.

Fix: the pool remembers which incarnation has answered on a connection. A start is sent only on one of its own incarnation; if none is idle, a poll asks first on that connection, without a lease and an acknowledgement. If another incarnation answers, the start was not sent, and the worker counts as restarted; without an answer in half of the order's time it was not sent either. A start is then carried out by its incarnation or by none, whatever ruled it out, also if it is of an earlier owner, and nothing waits. Where workers report no start, a restart changes their id, and nothing changes.

An answer of another incarnation on one connection would break this. It is logged and counted, and treated as a restart.

What guards against late orders stays, as hosts of the version before do not bind their starts. Tests of those guards play such starts (newUnboundLateFixture). The fixture and the model now play connections: a bound start that is late reaches its own incarnation or is lost with it. The processes in the new test show that the client keeps what they assume.

--- a/common/http_client.go
+++ b/common/http_client.go
@@ -137,6 +137,11 @@
 	MaxReplyBytes int64
 	// repeatable says that the client repeats the call if its connection is not trusted.
 	repeatable bool
+	// on is the connection to use; nil takes an idle or a new one.
+	on *pooledConn
+	// reserves says that the connection must have no known peer, and is not put into the pool
+	// after the answer.
+	reserves bool
 }
 
 // failsEarly reports whether the call is abandoned on a silent reused connection before
@@ -163,6 +168,10 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// conn is the connection of an unencrypted call, and reusable says whether it may carry
+	// another one.
+	conn     *pooledConn
+	reusable bool
 }
 
 // Decode decodes the answer's JSON body into v.
--- a/common/plain_client.go
+++ b/common/plain_client.go
@@ -32,9 +32,17 @@
 // readBufferSize is the read buffer of each connection, in bytes: most answers fit in it.
 const readBufferSize = 2 << 10
 
-// acquireConn returns a pooled connection or a new one, and begins the call on it.
+// acquireConn returns the connection of the call, a pooled one or a new one, and begins the call
+// on it.
 func (c *plainClient) acquireConn(a *attempt) (*pooledConn, error) {
-	conn := c.pool.take(a.address, time.Now())
+	conn := a.on
+	switch {
+	case conn != nil:
+	case a.reserves:
+		conn = c.pool.take(a.address, Peer(0).is, time.Now())
+	default:
+		conn = c.pool.take(a.address, anyPeer, time.Now())
+	}
 	reused := conn != nil
 	if !reused {
 		n, err := c.conns.Dial(a.ctx, "tcp", a.address)
@@ -56,6 +64,9 @@
 	defer buffers.Put(b)
 	b.Reset()
 	if err := a.writeRequest(b); err != nil {
+		if a.on != nil {
+			_ = a.on.Close()
+		}
 		return nil, nil, nil, err
 	}
 	k, err := c.acquireConn(a)
@@ -74,7 +85,8 @@
 	return k, res, release, nil
 }
 
-// call makes the call, and puts its connection into the pool if it can be reused.
+// call makes the call, and puts its connection into the pool if it can be reused and is not
+// reserved.
 func (c *plainClient) call(a *attempt) (Reply, error) {
 	conn, res, release, err := c.send(a)
 	if err != nil {
@@ -90,7 +102,8 @@
 	if err != nil {
 		return Reply{}, errors.Join(err, context.Cause(a.ctx))
 	}
-	if reusable {
+	r.conn, r.reusable = conn, reusable
+	if reusable && !a.reserves {
 		c.pool.put(conn, time.Now(), reuseTimeout(r.Header))
 	}
 	return r, nil
--- a/common/pool.go
+++ b/common/pool.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -22,6 +23,8 @@
 	net.Conn
 	reader  *bufio.Reader
 	address string
+	// peer is the process that has answered on the connection, or zero if no answer has told.
+	peer atomic.Int64
 	// idleUntil is when the connection is closed unless it is used.
 	idleUntil time.Time
 	// element is its place in the pool's list of idle connections.
@@ -42,11 +45,11 @@
 	return &pool{Limits: l, byAddress: map[string][]*pooledConn{}, idle: list.New()}
 }
 
-// take removes and returns an idle connection to the address that has not timed out and is
-// usable, or returns nil.
-func (p *pool) take(address string, now time.Time) *pooledConn {
+// take removes and returns an idle connection to the address that matches, has not timed out
+// and is usable, or returns nil.
+func (p *pool) take(address string, match func(*pooledConn) bool, now time.Time) *pooledConn {
 	for {
-		conn := p.takeNewest(address)
+		conn := p.takeNewest(address, match)
 		if conn == nil || (now.Before(conn.idleUntil) && conn.usable()) {
 			return conn
 		}
@@ -54,18 +57,18 @@
 	}
 }
 
-// takeNewest removes and returns the most recently used connection to the address, or
-// returns nil.
-func (p *pool) takeNewest(address string) *pooledConn {
+// takeNewest removes and returns the most recently used connection to the address that
+// matches, or returns nil.
+func (p *pool) takeNewest(address string, match func(*pooledConn) bool) *pooledConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.byAddress[address]
-	if len(l) == 0 {
-		return nil
+	for _, conn := range slices.Backward(p.byAddress[address]) {
+		if match(conn) {
+			p.remove(conn)
+			return conn
+		}
 	}
-	conn := l[len(l)-1]
-	p.remove(conn)
-	return conn
+	return nil
 }
 
 // remove removes the connection from the pool. The caller holds mu.
--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -24,6 +24,9 @@
 // record in a watch that was held up, and of an answer to an order.
 const replacedFor = time.Minute
 
+// whatConnectionShared is the What of the log line for answers of two incarnations on one connection.
+const whatConnectionShared = "connection shared"
+
 // replacement is the incarnation that replaced another one, and when.
 type replacement struct {
 	by platform.WorkerID
--- a/job/late_crossed_test.go
+++ b/job/late_crossed_test.go
@@ -11,7 +11,7 @@
 // A task ran twice at once: a worker that had restarted unnoticed accepted a start with a lease by
 // the clock of the earlier incarnation, and fell silent before its next poll.
 func TestLeaseOfAStartAtAnUnnoticedIncarnationIsOutlasted(t *testing.T) {
-	f := newLateFixture(t, longUp)
+	f := newUnboundLateFixture(t, longUp)
 	f.pass(2 * time.Second)
 	second := f.start(secondIncarnation, 0)
 	f.submitTask(idB)
@@ -25,7 +25,7 @@
 // the run was reassigned to the later one. That one was then not told to stop it, and carried out
 // the start late.
 func TestStopConfirmedByAnEarlierIncarnationHoldsForThatOneOnly(t *testing.T) {
-	f := newLateFixture(t, longUp, startsB, isStop)
+	f := newUnboundLateFixture(t, longUp, startsB, isStop)
 	f.submitTask(idB)
 	f.untilKept(startsB)
 	f.untilKept(isStop)
--- a/job/late_fixture_test.go
+++ b/job/late_fixture_test.go
@@ -54,6 +54,14 @@
 	return f
 }
 
+// newUnboundLateFixture returns a fixture whose owners' hosts do not bind starts to incarnations, as in
+// versions before. Such hosts run beside others during an upgrade.
+func newUnboundLateFixture(t *testing.T, clock platform.WorkerClock, keep ...func(Action) bool) *lateFixture {
+	f := newLateFixture(t, clock, keep...)
+	f.unboundStarts = true
+	return f
+}
+
 // submitTask submits a job of one task.
 func (f *lateFixture) submitTask(id string) {
 	f.submit(id, "quick", platform.Step{Count: 1, Resources: platform.Resources{MilliCores: 1000}, Estimate: time.Minute})
--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -11,7 +11,8 @@
 
 // A call without an answer may be carried out seconds later, by an incarnation that its sender
 // did not know of: orders name a worker, not its incarnation. The numbers of ends, the clock and
-// the fence start anew there. The tests force the order in which such calls are carried out, and
+// the fence start anew there. Only starts are bound to an incarnation, by their connection, unless a
+// host of a version before has sent them. The tests force the order in which such calls are carried out, and
 // require only what callers and workers see, so that an owner may withhold starts, raise its
 // fence or do anything else that keeps the promises.
 
@@ -51,7 +52,7 @@
 // A start that nobody had an answer to was carried out by the next incarnation, and the end of its
 // run forgotten: the poll sent before the start came after it.
 func TestPollSentBeforeALateStartLosesNoEnd(t *testing.T) {
-	f := newLateFixture(t, longUp, isAck, startsB)
+	f := newUnboundLateFixture(t, longUp, isAck, startsB)
 	f.untilKept(isAck)
 	f.submitTask(idB)
 	f.untilKept(startsB)
@@ -70,7 +71,7 @@
 		"the last end is not acknowledged yet": {clock: longUp},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newLateFixture(t, c.clock)
+			f := newUnboundLateFixture(t, c.clock)
 			f.pass(c.idle)
 			second := f.start(secondIncarnation, 0)
 			f.pass(c.up)
@@ -88,7 +89,7 @@
 func TestLateLeaseOfAnEarlierIncarnationIsOutlasted(t *testing.T) {
 	for name, match := range map[string]func(Action) bool{"poll": renewsLease, "start": startsB} {
 		t.Run(name, func(t *testing.T) {
-			f := newLateFixture(t, longUp, match)
+			f := newUnboundLateFixture(t, longUp, match)
 			if name == "start" {
 				f.submitTask(idB)
 			}
@@ -147,7 +148,7 @@
 // The next owner started a task whose end the worker had forgotten: a start and a poll of the
 // earlier owner were both carried out late by an incarnation that knew no fence.
 func TestLateStartAndPollOfAnEarlierOwnerLoseNoEnd(t *testing.T) {
-	f := newLateFixture(t, longUp, isAck, startsB)
+	f := newUnboundLateFixture(t, longUp, isAck, startsB)
 	f.untilKept(isAck)
 	f.submitTask(idB)
 	f.untilKept(startsB)
@@ -175,7 +176,7 @@
 func TestLateStopOfAnEarlierOwnerLosesNoTask(t *testing.T) {
 	for name, order := range map[string][]func(Action) bool{"after the start": {startsB, isStop}, "before the start": {isStop, startsB}, "alone": {isStop}} {
 		t.Run(name, func(t *testing.T) {
-			f := newLateFixture(t, longUp, isStop, startsB)
+			f := newUnboundLateFixture(t, longUp, isStop, startsB)
 			f.submitTask(idB)
 			f.untilKept(isStop)
 			second := f.start(secondIncarnation, 0)
--- a/job/late_worker_test.go
+++ b/job/late_worker_test.go
@@ -27,6 +27,9 @@
 	// keep reports whether an order is kept back in late. Its sender gets no answer.
 	keep func(a Action) bool
 	late []Action
+	// unboundStarts says that the owners' hosts are of a version that sends starts on any
+	// connection. Such a start reaches whichever incarnation is running.
+	unboundStarts bool
 	// started is called after a worker has begun a run, runFor is how long runs take.
 	started func(w *lateWorker, task string)
 	runFor  time.Duration
@@ -219,6 +222,9 @@
 	}
 	w := f.running[to]
 	switch {
+	case f.reachesOther(a, w):
+		f.notef("not sent, as %s answers: %s", w.ID, describeOrder(a))
+		o.answerLater(f.startNotSent(a, w), f.now)
 	case f.keep(a):
 		f.notef("kept back: %s", describeOrder(a))
 		f.late = append(f.late, a)
@@ -236,10 +242,39 @@
 			o.step(e)
 			return
 		}
-		o.answers = append(o.answers, delivery{at: f.now.Add(tickEvery), f: func() { o.step(e) }})
+		o.answerLater(e, f.now)
 	}
 }
 
+// answerLater tells the owner of an answer at the next tick.
+func (o *lateOwner) answerLater(e Event, now time.Time) {
+	o.answers = append(o.answers, delivery{at: now.Add(tickEvery), f: func() { o.step(e) }})
+}
+
+// reachesOther reports whether the order is a start that is bound to another incarnation than the
+// running one. It travels on a connection that its own incarnation has answered on, which ends with
+// that one (TestStartReachesOnlyTheIncarnationThatItNames in package platform).
+func (f *lateFleet) reachesOther(a Action, running *lateWorker) bool {
+	s, ok := a.(StartRun)
+	return ok && !f.unboundStarts && running != nil && running.ID != s.Worker.ID
+}
+
+// startNotSent returns the outcome of a start whose handshake the running incarnation gets.
+func (f *lateFleet) startNotSent(a Action, running *lateWorker) Event {
+	s, _ := a.(StartRun)
+	out := StartResult{Worker: s.Worker.ID, Run: s.Order.Run, Task: s.Order.Task, Fence: s.Order.Fence}
+	switch {
+	case running.silent:
+		out.Err = platform.ErrNotSent
+	case s.Order.Fence < running.fence:
+		out.Rejection = platform.RejectedFenced
+	default:
+		running.fence = s.Order.Fence
+		out.Err = &platform.OtherIncarnationError{ReportedStart: platform.ReportedStart{Incarnation: running.ID.Incarnation()}}
+	}
+	return out
+}
+
 // store keeps the progress of jobs that a write holds, unless the store does not answer.
 func (o *lateOwner) store(a WriteStore) {
 	for _, p := range a.Puts {
@@ -257,9 +292,14 @@
 func (f *lateFleet) carryOutLate(match ...func(Action) bool) {
 	for _, m := range match {
 		for _, a := range f.late {
-			if to, _ := recipientOf(a); m(a) && f.running[to] != nil {
+			to, _ := recipientOf(a)
+			switch w := f.running[to]; {
+			case !m(a) || w == nil:
+			case f.reachesOther(a, w):
+				f.notef("lost, as its incarnation has ended: %s", describeOrder(a))
+			default:
 				f.notef("late: %s", describeOrder(a))
-				f.running[to].carryOut(a)
+				w.carryOut(a)
 			}
 		}
 		f.late = slices.DeleteFunc(f.late, m)
--- a/job/metrics.go
+++ b/job/metrics.go
@@ -25,6 +25,7 @@
 	served        metric.Int64Counter
 	machineOrders metric.Int64Counter
 	takeovers     metric.Int64Counter
+	sharedConns   metric.Int64Counter
 	labels        labelSets
 }
 
@@ -39,6 +40,8 @@
 	worstTenth func() (float64, bool)
 	evacuated  func() int
 	poolHosts  func() map[string]poolHosts
+	// handshakes counts the answered polls before starts.
+	handshakes func() int64
 }
 
 func newMetrics(m metric.Meter, o observed) (*metrics, error) {
@@ -52,6 +55,7 @@
 		{"amberway.jobs.served", "{job}", "jobs that were done, by whether in time and the data centre that took them in", &s.served},
 		{"amberway.machines.orders", "{order}", "orders to machines, by outcome", &s.machineOrders},
 		{"amberway.owner.tenures", "{tenure}", "times that this host took ownership over, by kind", &s.takeovers},
+		{"amberway.workers.connections.shared", "{poll}", "polls answered on a connection that has carried answers of another incarnation", &s.sharedConns},
 	} {
 		if *i.counter, err = m.Int64Counter(i.name, metric.WithUnit(i.unit), metric.WithDescription(i.help)); err != nil {
 			return nil, fmt.Errorf("job: metric %s: %w", i.name, err)
@@ -63,7 +67,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("job: metric amberway.jobs.wait: %w", err)
 	}
-	return s, errors.Join(observeWorstTenth(m, o.worstTenth), observeEvacuations(m, o.evacuated), observePoolHosts(m, o.poolHosts))
+	return s, errors.Join(observeWorstTenth(m, o.worstTenth), observeEvacuations(m, o.evacuated), observePoolHosts(m, o.poolHosts), observeHandshakes(m, o.handshakes))
+}
+
+// observeHandshakes registers the counter of handshakes with workers.
+func observeHandshakes(m metric.Meter, count func() int64) error {
+	_, err := m.Int64ObservableCounter("amberway.workers.handshakes", metric.WithUnit("{poll}"),
+		metric.WithDescription("answered polls before starts, which ask which incarnation of a worker a connection reaches"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(count())
+			return nil
+		}))
+	if err != nil {
+		return fmt.Errorf("job: metric amberway.workers.handshakes: %w", err)
+	}
+	return nil
 }
 
 // observeEvacuations registers the gauge of the evacuated data centres.
@@ -230,6 +248,8 @@
 // record updates the metrics that are derived from the owner's log lines.
 func (s *metrics) record(n LogLine) {
 	switch n.What {
+	case whatConnectionShared:
+		s.sharedConns.Add(context.Background(), 1)
 	case "end":
 		s.ends.Add(context.Background(), 1, s.labels.of(labelEnd, n.Why, "")...)
 	case whatJobServed:
--- a/job/node.go
+++ b/job/node.go
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	var err error
-	n.metrics, err = newMetrics(d.Meter, observed{worstTenth: n.worstTenth, evacuated: n.evacuatedCount, poolHosts: n.poolHosts})
+	n.metrics, err = newMetrics(d.Meter, observed{worstTenth: n.worstTenth, evacuated: n.evacuatedCount, poolHosts: n.poolHosts, handshakes: p.Workers.Handshakes})
 	return n, errors.Join(err, observeLimits(d.Meter, n.limitOverviews))
 }
 
--- a/job/orders.go
+++ b/job/orders.go
@@ -146,7 +146,14 @@
 	}
 	k, _ := parseTaskKey(e.Task)
 	r := w.findRun(k, e.Run)
+	var other *platform.OtherIncarnationError
 	switch {
+	case errors.As(e.Err, &other) && w.ID == e.Worker:
+		if r != nil {
+			c.startRefused(r, e)
+		}
+		c.checkAnswerer(w, other.ReportedStart)
+		return
 	case errors.Is(e.Err, platform.ErrOtherIncarnation) && w.ID == e.Worker:
 		c.removeWorker(w, "another incarnation answers at its address")
 		return
@@ -219,6 +226,8 @@
 	case errors.Is(e.Err, platform.ErrNotSent):
 		w.missedPolls = max(w.missedPolls, 1)
 		w.nextPollAt = c.now
+	case errors.Is(e.Err, platform.ErrOtherIncarnation) && w.ID != e.Worker:
+		// It concerns the incarnation before.
 	case e.Err != nil:
 		w.noRoomUntil = c.now.Add(unhealthyPause)
 	default:
--- a/job/poll.go
+++ b/job/poll.go
@@ -117,6 +117,9 @@
 		c.reconcileWorker(w)
 		return
 	}
+	if e.Poll.SharedConnection {
+		c.emit(LogLine{What: whatConnectionShared, Worker: w.ID, Why: "another incarnation has answered on it before", Fields: []any{"answered_by", int64(e.Poll.Incarnation)}})
+	}
 	if !c.checkAnswerer(w, e.Poll.ReportedStart) {
 		return
 	}
--- a/job/world_restart_test.go
+++ b/job/world_restart_test.go
@@ -25,6 +25,7 @@
 	// staleRecords are the records in the store of names whose latest incarnation has not written
 	// its own yet.
 	staleRecords map[platform.WorkerName]platform.Worker
+	worldBinding
 }
 
 func newWorldRestarts() worldRestarts {
@@ -57,14 +58,18 @@
 }
 
 // recipient returns the worker that an order to v reaches: orders name a worker, not its
-// incarnation. A start that an earlier incarnation would have rejected, since the run was
-// stopped there or a later owner had sent orders there, never reaches the later incarnation. The
-// later one knows of neither and would accept it: the model does not cover that case.
-func (w *world) recipient(v *worldWorker, a Action) *worldWorker {
+// incarnation. Only a bound start reaches none but v. A start of a version before that an earlier
+// incarnation would have rejected, since the run was stopped there or a later owner had sent orders
+// there, never reaches the later incarnation. The later one knows of neither and would accept it:
+// the model does not cover that case.
+func (w *world) recipient(o *worldOwner, v *worldWorker, a Action) *worldWorker {
 	last := w.latestByName[v.ID.Name()]
 	s, start := a.(StartRun)
-	if !start || last == v {
+	switch {
+	case !start || last == v:
 		return last
+	case o.bindsStarts:
+		return v
 	}
 	for _, o := range w.workersByStart {
 		if o.ID.Name() == v.ID.Name() && (o.fence > s.Order.Fence || o.highestRun[s.Order.Task] >= s.Order.Run) {
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -119,6 +119,8 @@
 	renewedAt time.Time
 	// heard are the evacuations that it was last told.
 	heard Evacuations
+	// bindsStarts says that its starts reach no incarnation but the one that they name.
+	bindsStarts bool
 }
 
 func (r *worldRun) percent(now time.Time) int {
@@ -180,6 +182,7 @@
 
 func (w *world) newOwner(f platform.Fence) *worldOwner {
 	o := &worldOwner{fence: f, core: NewCore(f, "entry", Size{}, w.now), renewedAt: w.now}
+	o.bindsStarts = w.drawBinding()
 	w.owners = append(w.owners, o)
 	return o
 }
@@ -307,10 +310,7 @@
 		w.checkEvacuated(o, a)
 		w.noteOrder(a)
 		w.recordCap(o, a)
-		w.send(o, a.Worker.ID, a, orderTimeout, func(v *worldWorker, _ bool, answer func(Event)) { answer(w.start(v, a)) },
-			func(err error) Event {
-				return StartResult{Worker: a.Worker.ID, Run: a.Order.Run, Task: a.Order.Task, Err: err}
-			})
+		w.sendStart(o, a)
 	case StopRun:
 		w.send(o, a.Worker.ID, a, orderTimeout, func(v *worldWorker, late bool, answer func(Event)) { answer(w.stop(v, a, late)) },
 			func(err error) Event { return StopResult{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Err: err} })
@@ -342,7 +342,7 @@
 	timeoutAt := w.now.Add(timeout)
 	unanswered := func() { w.tell(o, failed(common.ErrUnknownOutcome)) }
 	w.after(there, func() {
-		v := w.recipient(v, a)
+		v := w.recipient(o, v, a)
 		if (!v.alive || v.restarting) && !lost {
 			// The worker ended while the order was in flight.
 			w.after(timeout, unanswered)
