--- a/job/late_orders_test.go
+++ b/job/late_orders_test.go
@@ -11,10 +11,10 @@
 
 // A call without an answer may be carried out seconds later, by an incarnation that its sender
 // did not know of: orders name a worker, not its incarnation. The numbers of ends, the clock and
-// the fence start anew there. Only starts are bound to an incarnation, by their connection, unless a
-// host of a version before has sent them. The tests force the order in which such calls are carried out, and
-// require only what callers and workers see, so that an owner may withhold starts, raise its
-// fence or do anything else that keeps the promises.
+// the fence start anew there. Only starts are bound to an incarnation, by their connection, unless
+// a host of a version before has sent them. The tests force the order in which such calls are
+// carried out, and require only what callers and workers see, so that an owner may withhold starts,
+// raise its fence or do anything else that keeps the promises.
 
 // A task ran again after its job's caller could have seen it succeed: a poll to an earlier
 // incarnation came late and made the later one forget an end that nobody had read.
--- a/job/late_worker_test.go
+++ b/job/late_worker_test.go
@@ -262,7 +262,7 @@
 // startNotSent returns the outcome of a start whose handshake the running incarnation gets.
 func (f *lateFleet) startNotSent(a Action, running *lateWorker) Event {
 	s, _ := a.(StartRun)
-	out := StartResult{Worker: s.Worker.ID, Run: s.Order.Run, Task: s.Order.Task, Fence: s.Order.Fence}
+	out := startFailed(s, nil)
 	switch {
 	case running.silent:
 		out.Err = platform.ErrNotSent
--- a/job/world_binding_test.go
+++ b/job/world_binding_test.go
@@ -41,45 +41,50 @@
 	return StartResult{Worker: a.Worker.ID, Run: a.Order.Run, Task: a.Order.Task, Fence: a.Order.Fence, Err: err}
 }
 
-// handshake sends the poll that precedes a start on a new connection. It may be lost, or be carried out
+// handshake plays the poll that precedes a start on a new connection. It may be lost, or be carried out
 // late like any other. The start is sent if its own incarnation answers in time.
 func (w *world) handshake(o *worldOwner, a StartRun, send func()) {
 	const within = orderTimeout / 2
 	v := w.workers[a.Worker.ID]
 	there, back, lost := w.drawDelivery(o, v)
-	if lost || there+back > within {
-		w.after(within, func() { w.tell(o, startFailed(a, common.ErrNotSent)) })
-		lost = true
+	lost = lost || there+back > within
+	notSent := func() { w.tell(o, startFailed(a, common.ErrNotSent)) }
+	if lost {
+		w.after(within, notSent)
 	}
 	w.after(there, func() {
 		last := w.latestByName[v.ID.Name()]
-		switch {
-		case !last.alive || last.restarting || (lost && (last.partitioned || last.unreachableBy[o])):
+		if !last.alive || last.restarting || (lost && (last.partitioned || last.unreachableBy[o])) {
 			if !lost {
-				w.after(within-there, func() { w.tell(o, startFailed(a, common.ErrNotSent)) })
+				w.after(within-there, notSent)
 			}
 			return
-		case a.Order.Fence >= last.fence:
-			last.fence = a.Order.Fence
-		case !lost:
-			w.after(back, func() {
-				e := startFailed(a, nil)
-				e.Rejection = platform.RejectedFenced
-				w.tell(o, e)
-			})
-			return
 		}
+		e, ok := last.answerHandshake(a)
 		switch {
 		case lost:
-		case last == v:
+		case ok:
 			w.after(back, send)
 		default:
-			start := platform.ReportedStart{Incarnation: last.ID.Incarnation()}
-			w.after(back, func() { w.tell(o, startFailed(a, &platform.OtherIncarnationError{ReportedStart: start})) })
+			w.after(back, func() { w.tell(o, e) })
 		}
 	})
 }
 
+// answerHandshake reports whether the start may be sent, and its outcome if not.
+func (v *worldWorker) answerHandshake(a StartRun) (StartResult, bool) {
+	e := startFailed(a, nil)
+	switch {
+	case a.Order.Fence < v.fence:
+		e.Rejection = platform.RejectedFenced
+		return e, false
+	case v.ID != a.Worker.ID:
+		e.Err = &platform.OtherIncarnationError{ReportedStart: platform.ReportedStart{Incarnation: v.ID.Incarnation()}}
+	}
+	v.fence = a.Order.Fence
+	return e, e.Err == nil
+}
+
 // playLateStarts has workers restart every 1.5 s while messages are lost or late, and the owner
 // replaced twice.
 func (w *world) playLateStarts() {
