--- a/job/bound_start_test.go
+++ b/job/bound_start_test.go
@@ -29,30 +29,29 @@
 	require.Zero(t, f.countLogged("crash counted"))
 }
 
-// An outcome that concerns a replaced incarnation says nothing about the health of the next one.
-func TestStartNotSentToAReplacedIncarnationLeavesTheNextOneItsStarts(t *testing.T) {
-	f := newRestartFixture(t)
+// replaceFirst has the second incarnation listed and answer while a start to the first one is not
+// answered yet, which turns out not to have been sent. It returns the next start of the task.
+func (f *restartFixture) replaceFirst() StartRun {
 	f.step(WorkerListed{Worker: onHost(secondIncarnation)})
 	f.advance(tickEvery)
 	f.answeredBy(secondIncarnation, 1700000000400, platform.PollReply{})
 	f.step(notSentTo(f.run, 1700000000400))
 	f.advance(2*refusedPause + tickEvery)
 	l := f.starts()
-	require.Len(t, l, 1)
-	require.EqualValues(t, secondIncarnation, l[0].Worker.ID)
+	require.Len(f.t, l, 1)
+	return l[0]
+}
+
+// An outcome that concerns a replaced incarnation says nothing about the health of the next one.
+func TestStartNotSentToAReplacedIncarnationLeavesTheNextOneItsStarts(t *testing.T) {
+	s := newRestartFixture(t).replaceFirst()
+	require.EqualValues(t, secondIncarnation, s.Worker.ID)
 }
 
 // An incarnation that is known to be replaced cannot have answered last.
 func TestStartAnsweredByAReplacedIncarnationProvesNothing(t *testing.T) {
 	f := newRestartFixture(t)
-	f.step(WorkerListed{Worker: onHost(secondIncarnation)})
-	f.advance(tickEvery)
-	f.answeredBy(secondIncarnation, 1700000000400, platform.PollReply{})
-	f.step(notSentTo(f.run, 1700000000400))
-	f.advance(2*refusedPause + tickEvery)
-	l := f.starts()
-	require.Len(t, l, 1)
-	f.step(notSentTo(l[0], 1700000000500))
+	f.step(notSentTo(f.replaceFirst(), 1700000000500))
 	require.Contains(t, f.core.workers, platform.WorkerID(secondIncarnation))
 	f.advance(unhealthyPause / 2)
 	require.Empty(t, f.starts(), "it is not asked again at once")
