--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -32,8 +32,10 @@
 	mu       sync.Mutex
 	links    map[*link]bool
 	steps    []Step
-	// held is closed by Release. It is nil unless the proxy is held.
-	held chan struct{}
+	// held is closed by Release. It is nil unless something is held up. holdsNew says that only
+	// new connections are.
+	held     chan struct{}
+	holdsNew bool
 }
 
 // maxSteps is how many steps a Proxy records at most: those of the setup of a few connections.
@@ -104,14 +106,24 @@
 // Hold holds up what is forwarded until Release: bytes stay in the proxy, and connections
 // that are accepted are opened to the upstream address only then.
 func (p *Proxy) Hold() {
+	p.hold(false)
+}
+
+// HoldNew is a Hold of connections that are accepted from now on. The first bytes on them are
+// forwarded after Release even if the client has closed them meanwhile.
+func (p *Proxy) HoldNew() {
+	p.hold(true)
+}
+
+func (p *Proxy) hold(onlyNew bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.held == nil {
-		p.held = make(chan struct{})
+		p.held, p.holdsNew = make(chan struct{}), onlyNew
 	}
 }
 
-// Release ends a Hold.
+// Release ends a Hold or HoldNew.
 func (p *Proxy) Release() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -121,16 +133,50 @@
 	}
 }
 
-// waitReleased returns once the proxy is not held.
-func (p *Proxy) waitReleased() {
+// heldUp returns a channel that is closed once a new connection, or the bytes of an open one, are
+// no longer held up. It is nil if they are not.
+func (p *Proxy) heldUp(newConn bool) chan struct{} {
 	p.mu.Lock()
-	held := p.held
-	p.mu.Unlock()
-	if held != nil {
+	defer p.mu.Unlock()
+	if p.holdsNew && !newConn {
+		return nil
+	}
+	return p.held
+}
+
+// waitReleased returns once the bytes of open connections are not held up.
+func (p *Proxy) waitReleased() {
+	if held := p.heldUp(false); held != nil {
 		<-held
 	}
 }
 
+// receiveHeld receives the first bytes of a new connection and returns them once it is not held up.
+func (p *Proxy) receiveHeld(c net.Conn) []byte {
+	held := p.heldUp(true)
+	if held == nil {
+		return nil
+	}
+	b := make([]byte, 32<<10)
+	n, err := c.Read(b)
+	p.notef("held up: request of %d bytes, error %v", n, err)
+	<-held
+	return b[:n]
+}
+
+// exchangeHeld forwards the first bytes of a connection that was held up, and waits for the answer, also
+// if the client has closed the connection.
+func (p *Proxy) exchangeHeld(c, s net.Conn, first []byte) {
+	if len(first) == 0 {
+		return
+	}
+	_, _ = s.Write(first)
+	b := make([]byte, 32<<10)
+	n, err := s.Read(b)
+	p.notef("held up: answer of %d bytes, error %v", n, err)
+	_, _ = c.Write(b[:n])
+}
+
 // Close closes the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -155,7 +201,7 @@
 
 // open opens the connection to the upstream address that belongs to an accepted one.
 func (p *Proxy) open(c net.Conn) {
-	p.waitReleased()
+	first := p.receiveHeld(c)
 	s, err := net.Dial("tcp", p.upstream.String())
 	if err != nil {
 		p.notef("upstream not dialled: %v", err)
@@ -164,6 +210,7 @@
 	}
 	number := p.opened.Add(1)
 	p.notef("connection %d: upstream dialled", number)
+	p.exchangeHeld(c, s, first)
 	l := &link{number: number, client: c, server: s}
 	p.mu.Lock()
 	p.links[l] = true
