job: the test of the predecessor's lease asks while the store refuses

Cause: the first refused read of a load cancels its other calls, one of which revokes the lease. The handler of an abandoned call may begin after the test has ended the fault, and the stand-in then carries the call out. The product does nothing wrong: what was abandoned may be carried out late, and the lease is to be revoked.

--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -99,6 +99,15 @@
 	return s.calls
 }
 
+// HasLease reports whether the lease exists. It works while the store has a fault.
+func (s *Store) HasLease(id int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases()
+	_, ok := s.leases[id]
+	return ok
+}
+
 // Put writes a key as the operator or a worker does.
 func (s *Store) Put(key string, v any) error {
 	b, err := json.Marshal(v)
