common, internal: a test server without state that never changes; one buffer size

The server of the peer tests kept a constant behind its lock. The proxy wrote the size of its buffers three times. Assertions and behaviour are as before.

--- a/common/peer_test.go
+++ b/common/peer_test.go
@@ -15,12 +15,11 @@
 	"github.com/stretchr/testify/require"
 )
 
-// identifyingServer answers "/who" with the number of a process, and records which connections
+// identifyingServer is process 7. It answers with that number, and records which connections
 // carried which calls.
 type identifyingServer struct {
 	*httptest.Server
-	mu      sync.Mutex
-	process Peer
+	mu sync.Mutex
 	// who serves "/who" in place of the number if it is set.
 	who http.HandlerFunc
 	// calls are the paths by connection.
@@ -28,17 +27,17 @@
 }
 
 func newIdentifyingServer(t *testing.T) *identifyingServer {
-	s := &identifyingServer{process: 7, calls: map[string][]string{}}
+	s := &identifyingServer{calls: map[string][]string{}}
 	s.Server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.calls[r.RemoteAddr] = append(s.calls[r.RemoteAddr], r.URL.Path)
-		process, who := s.process, s.who
+		who := s.who
 		s.mu.Unlock()
 		if r.URL.Path == "/who" && who != nil {
 			who(rw, r)
 			return
 		}
-		_, _ = rw.Write([]byte(strconv.FormatInt(int64(process), 10)))
+		_, _ = rw.Write([]byte("7"))
 	}))
 	t.Cleanup(s.Close)
 	t.Cleanup(s.CloseClientConnections)
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -41,6 +41,9 @@
 // maxSteps is how many steps a Proxy records at most: those of the setup of a few connections.
 const maxSteps = 200
 
+// bufferSize is how many bytes are forwarded at once.
+const bufferSize = 32 << 10
+
 // Step is something that a Proxy did, and when.
 type Step struct {
 	At   time.Time
@@ -157,7 +160,7 @@
 	if held == nil {
 		return nil
 	}
-	b := make([]byte, 32<<10)
+	b := make([]byte, bufferSize)
 	n, err := c.Read(b)
 	p.notef("held up: request of %d bytes, error %v", n, err)
 	<-held
@@ -171,7 +174,7 @@
 		return
 	}
 	_, _ = s.Write(first)
-	b := make([]byte, 32<<10)
+	b := make([]byte, bufferSize)
 	n, err := s.Read(b)
 	p.notef("held up: answer of %d bytes, error %v", n, err)
 	_, _ = c.Write(b[:n])
@@ -222,7 +225,7 @@
 // forward copies bytes, or discards them while the link is silent. The end of one
 // side ends the other, except on a silent link, where it is lost as well.
 func (p *Proxy) forward(l *link, what string, from, to net.Conn, silent *atomic.Bool) {
-	b := make([]byte, 32<<10)
+	b := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(b)
 		p.notef("connection %d: %s of %d bytes, lost %t, error %v", l.number, what, n, silent.Load(), err)
