--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -20,7 +20,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(couldNot)
 	}
-	cases := map[string]func(*recorder, bool) int{"steps": runSteps, "ends": runEnds}
+	cases := map[string]func(*recorder, bool) int{"steps": runSteps, "ends": runEnds, "cuts": runCuts}
 	f := cases[os.Args[1]]
 	if f == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
