--- a/review/_standin/ends.go
+++ b/review/_standin/ends.go
@@ -9,18 +9,18 @@
 	"amberway/internal/standin/fleet"
 )
 
-// Figures of the case "ends". The workers and the time of a task are like those of a small site with workers of 64
-// cores; the jobs are as wide as the widest on the sheets, and the store is down for as long as the site files say.
+// Figures of the case "ends". The workers and the time of a task are like those of melitzana-prod. The jobs have as many
+// tasks as the widest on the sheets, and the store is down for less than twice as long as in the site file.
 const (
 	endsWorkers      = 2
 	endsTaskCPU      = 500
 	endsTaskMemMB    = 500
 	endsTaskTime     = 800 * time.Millisecond
-	endsJobs         = 110
+	endsJobs         = 130
 	endsTasks        = 24
-	endsJobEvery     = 23 * time.Millisecond
+	endsJobEvery     = 22 * time.Millisecond
 	endsOutageAt     = 3 * time.Second
-	endsOutageFor    = 4500 * time.Millisecond
+	endsOutageFor    = 5500 * time.Millisecond
 	endsFinishWithin = 40 * time.Second
 )
 
