--- a/review/_standin/cuts.go
+++ b/review/_standin/cuts.go
@@ -12,12 +12,13 @@
 	cutsFirstAt  = 3 * time.Second
 	cutsFor      = 5500 * time.Millisecond
 	cutsPause    = 2 * time.Second
-	cutsTraffic  = 32 * time.Second
+	cutsRounds   = 2
+	cutsTraffic  = 55 * time.Second
 	cutsTaskTime = 2 * time.Second
 )
 
-// runCuts cuts off one worker after the other, which run on meanwhile. Once all can be reached again, accepted jobs
-// have to run.
+// runCuts cuts off one worker after the other, which run on meanwhile, in two rounds. Once all can be reached again,
+// accepted jobs have to run.
 func runCuts(rec *recorder, trouble bool) int {
 	demand := func(task, _ string) (capacity, time.Duration) {
 		return capacity{CPU: stepsTaskCPU, MemMB: stepsTaskMemMB}, time.Duration(spread(task) * float64(cutsTaskTime))
@@ -38,7 +39,8 @@
 	if trouble {
 		g.Go(func() {
 			time.Sleep(cutsFirstAt)
-			for _, k := range d.workers {
+			for i := range cutsRounds * len(d.workers) {
+				k := d.workers[i%len(d.workers)]
 				rec.printf("%s is cut off", k.id)
 				k.listener.cut()
 				w.disturbedAt(time.Now().Add(cutsFor))
--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -53,6 +53,7 @@
 	rec     *recorder
 	runs    *runLog
 	store   *fleet.Store
+	gate    *gate
 	workers []*worker
 	entries []*entry
 	servers []*http.Server
@@ -86,7 +87,8 @@
 		return nil, err
 	}
 	d := &deployment{dir: dir, rec: rec, runs: newRunLog(rec), store: fleet.NewStore()}
-	s, at, err := serve(d.store.Handler())
+	d.gate = newGate(d.store.Handler())
+	s, at, err := serve(d.gate)
 	if err != nil {
 		return d, err
 	}
--- a/review/_standin/ends.go
+++ b/review/_standin/ends.go
@@ -5,8 +5,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"amberway/internal/standin/fleet"
 )
 
 // Figures of the case "ends". The workers and the time of a task are like those of melitzana-prod. The jobs have as many
@@ -42,11 +40,11 @@
 	if trouble {
 		time.AfterFunc(endsOutageAt, func() {
 			rec.printf("the store is down")
-			d.store.SetFault(fleet.StoreFault{Refuse: true})
+			d.gate.close()
 		})
 		time.AfterFunc(endsOutageAt+endsOutageFor, func() {
 			rec.printf("the store is back")
-			d.store.SetFault(fleet.StoreFault{})
+			d.gate.open()
 		})
 	}
 	ids := make([]string, endsJobs)
