--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -310,6 +310,7 @@
 			return 0, err.Error()
 		}
 		b = bytes.NewReader(text)
+		d.rec.printf("%s %s at %s, %d bytes: %.200s", method, id, e.name, len(text), text)
 	}
 	q, err := http.NewRequest(method, "http://"+e.callers.String()+routePrefix+id, b)
 	if err != nil {
