--- a/review/_standin/ends.go
+++ b/review/_standin/ends.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// Figures of the case "ends". The workers and the time of a task are like those of melitzana-prod. The jobs have as many
-// tasks as the widest on the sheets, and the store is down for less than twice as long as in the site file.
+// Figures of the case "ends". The workers and the time of a task are like those of melitzana-prod, the tasks take less of a
+// worker. A job has as many tasks as the widest of its short jobs, and the store is down for less than twice as long as
+// in its site file.
 const (
 	endsWorkers      = 2
 	endsTaskCPU      = 500
