job: critical paths in time linear in the dependencies of a job

Callers saw: after three accepted jobs of 26 steps, each after all earlier ones, no task of any job was started any more (46 or 47 of 67 jobs never ran), and reads of states at the owner's host got no answer.

Cause: criticalPath searched all chains of dependent steps, whose number doubles with each such step, for each unblocked step in each placement, in the decision loop of the owner.

The times of all steps are computed in one pass over the dependencies, and again only when the queue's average run time has changed. The check for cycles at intake and at takeover uses the same order in place of one pass for each step.

The model submits jobs of up to 26 chained steps, and the soak one in twenty jobs of 26.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -25,6 +25,9 @@
 	settleTime = 40 * time.Second
 	// firstStepTasks and secondStepTasks are the numbers of tasks in the two steps of a job.
 	firstStepTasks, secondStepTasks = 3, 2
+	// One job in manyStepsEvery has moreSteps short steps after these, each after all earlier ones.
+	manyStepsEvery = 20
+	moreSteps      = 24
 )
 
 // queues are the names of the queues. Each has a pool of the same name.
@@ -36,10 +39,28 @@
 	if n%longJobEvery == 0 {
 		spec = "2500ms"
 	}
-	return fleet.Job{Spec: spec, Steps: []fleet.Step{
+	j := fleet.Job{Spec: spec, Steps: []fleet.Step{
 		{Count: firstStepTasks, CPU: 1000, MemMB: 100, EstimateMs: 300},
 		{Count: secondStepTasks, CPU: 1500, MemMB: 100, EstimateMs: 300, After: []int{0}},
 	}}
+	if n%manyStepsEvery == 1 {
+		j.Spec = "30ms"
+		j.Steps = append(j.Steps, laterSteps(len(j.Steps))...)
+	}
+	return j
+}
+
+// laterSteps returns moreSteps steps of one task that follow the given number of steps.
+func laterSteps(before int) []fleet.Step {
+	var l []fleet.Step
+	for i := range moreSteps {
+		s := fleet.Step{Count: 1, CPU: 500, MemMB: 100, EstimateMs: 30}
+		for a := range before + i {
+			s.After = append(s.After, a)
+		}
+		l = append(l, s)
+	}
+	return l
 }
 
 // succeeded is the answer for a job that has succeeded.
@@ -77,7 +98,7 @@
 		code, body, err := r.entry(i).Call(http.MethodGet, queue, id, nil)
 		switch {
 		case err == nil && code == http.StatusOK && body == succeeded:
-			r.checkDone(id)
+			r.checkDone(id, newJob(n))
 			r.count("succeeded")
 			return
 		case err == nil && code == http.StatusGone:
@@ -121,9 +142,9 @@
 }
 
 // checkDone checks that all tasks of a job that is reported as succeeded are done.
-func (r *Run) checkDone(id string) {
-	for step, count := range []int{firstStepTasks, secondStepTasks} {
-		for x := range count {
+func (r *Run) checkDone(id string, j fleet.Job) {
+	for step, s := range j.Steps {
+		for x := range s.Count {
 			t := fmt.Sprintf("%s.0.%d.%d", id, step, x)
 			if !r.deployment.Fleet.Checker.Done(t) {
 				r.violationf("%s is reported as succeeded, but its task %s is not done", id, t)
--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -137,3 +137,27 @@
 	}
 	return c
 }
+
+// BenchmarkManyDependencies measures a Tick after the average run time has changed, with jobs that
+// have as many steps and dependencies as a job may have.
+func BenchmarkManyDependencies(b *testing.B) {
+	for name, steps := range map[string][]platform.Step{"chain": chained(maxSteps), "two layers": layered(2, maxSteps/2)} {
+		b.Run(name, func(b *testing.B) {
+			c := NewCore(100, "entry-1", Size{}, time.Unix(1e9, 0))
+			now := time.Unix(1e9, 0)
+			c.Step(now, ConfigChanged{Config: testConfig()})
+			for i := range 10 {
+				r := NewRecord(c.queues["quick"], platform.Submission{Spec: "s", Steps: steps}, now)
+				c.Step(now, Accepted{ID: ID(fmt.Sprintf("%016x", i)), Record: r, Created: platform.Revision(1000 + i)})
+			}
+			e := &runTimeEstimate{runs: 5}
+			c.runTimes["quick"] = e
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				e.mean += time.Millisecond
+				c.Step(now, Tick{})
+			}
+		})
+	}
+}
--- a/job/capacity_inputs.go
+++ b/job/capacity_inputs.go
@@ -95,7 +95,7 @@
 	if n == nil || !j.limitedByCapacity() {
 		return
 	}
-	c.loadOf(j.queue.Name).addSlack(c.deadline(j, n).Sub(n.due) - c.longestPath(n))
+	c.loadOf(j.queue.Name).addSlack(c.deadline(j, n).Sub(n.due) - c.criticalPaths(j).longest)
 }
 
 // expectedWork returns the work of a job's tasks that do not last, in core-milliseconds.
--- a/job/first_class.go
+++ b/job/first_class.go
@@ -42,12 +42,11 @@
 		}
 		beyond := c.beyondShare(j)
 		for n := range j.inOrder() {
-			deadline := c.deadline(j, n)
 			for _, s := range n.steps {
 				if s.remaining == 0 || beyond && !s.Lasting {
 					continue
 				}
-				latest := deadline.Add(-c.criticalPath(n, s))
+				latest := c.latestStart(s)
 				l = append(l, c.firstTasks(s, latest, at))
 				c.addSpread(&need, s, latest, at)
 			}
--- a/job/outcomes.go
+++ b/job/outcomes.go
@@ -34,17 +34,27 @@
 	e.mean += time.Duration(runTimeWeight * float64(took-e.mean))
 }
 
+// averageRunTime returns the average run time of the queue's tasks, or zero before enough of them
+// have ended.
+func (c *Core) averageRunTime(queue string) time.Duration {
+	e := c.runTimes[queue]
+	if e == nil || e.runs < 5 {
+		return 0
+	}
+	return e.mean
+}
+
 // expectedRunTime returns how long a task of the step is expected to take: the mean of the
 // caller's estimate, which can be off by up to nine tenths, and the average of its queue.
 func (c *Core) expectedRunTime(j *job, s *platform.Step) time.Duration {
-	e := c.runTimes[j.queue.Name]
-	if e == nil || e.runs < 5 {
+	average := c.averageRunTime(j.queue.Name)
+	if average == 0 {
 		return s.Estimate
 	}
 	if s.Estimate == 0 {
-		return e.mean
+		return average
 	}
-	return (s.Estimate + e.mean) / 2
+	return (s.Estimate + average) / 2
 }
 
 // Limits for the quarantine of workers.
--- a/job/place.go
+++ b/job/place.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"amberway/platform"
 )
@@ -200,37 +199,6 @@
 	return v
 }
 
-// deadline returns when the instance of the job has to be done: its due time, plus the
-// expected time of its critical path times the queue's stretch, plus the queue's goal.
-func (c *Core) deadline(j *job, n *instance) time.Time {
-	stretch := j.queue.Stretch
-	if stretch <= 0 {
-		stretch = 1
-	}
-	return n.due.Add(time.Duration(stretch*float64(c.longestPath(n))) + j.queue.Goal)
-}
-
-// longestPath returns the expected time of the longest chain of dependent steps of the instance.
-func (c *Core) longestPath(n *instance) time.Duration {
-	longest := time.Duration(0)
-	for _, s := range n.steps {
-		longest = max(longest, c.criticalPath(n, s))
-	}
-	return longest
-}
-
-// criticalPath returns the expected time of the longest chain of dependent steps that
-// begins with the step.
-func (c *Core) criticalPath(n *instance, s *step) time.Duration {
-	longest := time.Duration(0)
-	for _, o := range n.steps {
-		if o != s && slices.Contains(o.After, s.index) {
-			longest = max(longest, c.criticalPath(n, o))
-		}
-	}
-	return longest + c.expectedRunTime(n.job, s.Step)
-}
-
 // ticket returns the ticket that permits the step to run on the worker. Queues without
 // advice need none.
 func (c *Core) ticket(s *step, w *worker) (string, bool) {
--- a/job/record.go
+++ b/job/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -131,18 +132,12 @@
 
 // checkCycle returns an error if steps wait for each other.
 func (r *Record) checkCycle() error {
-	done := make([]bool, len(r.Steps))
-	for range r.Steps {
-		for i, s := range r.Steps {
-			ready := true
-			for _, a := range s.After {
-				ready = ready && done[a]
-			}
-			done[i] = done[i] || ready
-		}
+	order := stepOrder(r.Steps)
+	if len(order) == len(r.Steps) {
+		return nil
 	}
-	for i, d := range done {
-		if !d {
+	for i := range r.Steps {
+		if !slices.Contains(order, i) {
 			return fmt.Errorf("step %d: waits for itself", i)
 		}
 	}
--- a/job/state.go
+++ b/job/state.go
@@ -34,6 +34,7 @@
 	// nextInstance that of the first that is not yet due.
 	oldestInstance, nextInstance int
 	dirty                        bool
+	paths                        criticalPaths
 	// failedOn are the workers on which a run of the job has failed.
 	failedOn map[platform.WorkerID]bool
 	// crashVersion counts the changes of its tasks' crash counts, storedCrashVersion those that
--- a/job/transfers.go
+++ b/job/transfers.go
@@ -176,7 +176,7 @@
 		n := s.instance
 		expected := c.expectedRunTime(n.job, s.Step)
 		longest = max(longest, expected-c.now.Sub(r.sentAt), expected/overdueDivisor)
-		if !c.beyondShare(n.job) && !r.sentAt.After(c.deadline(n.job, n).Add(-c.criticalPath(n, s))) {
+		if !c.beyondShare(n.job) && !r.sentAt.After(c.latestStart(s)) {
 			first += s.MilliCores
 		}
 	}
--- a/job/waitlist.go
+++ b/job/waitlist.go
@@ -172,7 +172,7 @@
 		if s.remaining == 0 || !s.unblocked() {
 			continue
 		}
-		latest := c.deadline(n.job, n).Add(-c.criticalPath(n, s))
+		latest := c.latestStart(s)
 		l.steps = append(l.steps, candidate{
 			step:        s,
 			priority:    q.Priority,
--- a/job/world_faults_test.go
+++ b/job/world_faults_test.go
@@ -156,6 +156,9 @@
 	t := w.t
 	t.Repeat(map[string]func(*rapid.T){
 		"submit": func(*rapid.T) { w.submit() },
+		"submit many steps": func(t *rapid.T) {
+			w.submitSteps(chained(rapid.IntRange(4, 26).Draw(t, "chained"))...)
+		},
 		"pass": func(t *rapid.T) {
 			w.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
 		},
