job, platform: a list of ends that may be cut is not taken for a complete one

Cause: a worker lists 500 ends at once. A run whose end is not among them was dropped as lost (runMissing), and a new owner was content with the first answer of each worker (inheritedRunsKnown) and started the tasks of such runs again. Their ends were listed, and acknowledged, after those before them.

The first path, an owner that keeps its lease while its writes fail, has a test of its own.

A reply tells whether there may be more ends. A run that is not in progress stays until its end is listed, except for lasting tasks, which start again in any case. Inherited jobs of a service wait until its inherited workers have listed all ends; such a worker is polled as soon as it may forget some. A worker whose list is cut gets no starts and is not moved as idle.

The stand-in lists 500 ends, the model's workers one to four, and writes of the model fail while the owner's lease is renewed. The soak has jobs with 300 small tasks. A limit on the runs and unacknowledged ends of a worker was tried and dropped: workers may have room for more.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -28,6 +28,10 @@
 	// One job in manyStepsEvery has moreSteps short steps after these, each after all earlier ones.
 	manyStepsEvery = 20
 	moreSteps      = 24
+	// One job in wideJobEvery has another step of wideStepTasks small tasks, so that workers have
+	// more ends than they list at once while the store refuses writes.
+	wideJobEvery  = 40
+	wideStepTasks = 300
 )
 
 // queues are the names of the queues. Each has a pool of the same name.
@@ -43,9 +47,12 @@
 		{Count: firstStepTasks, CPU: 1000, MemMB: 100, EstimateMs: 300},
 		{Count: secondStepTasks, CPU: 1500, MemMB: 100, EstimateMs: 300, After: []int{0}},
 	}}
-	if n%manyStepsEvery == 1 {
+	switch {
+	case n%manyStepsEvery == 1:
 		j.Spec = "30ms"
 		j.Steps = append(j.Steps, laterSteps(len(j.Steps))...)
+	case n%wideJobEvery == 2:
+		j.Steps = append(j.Steps, fleet.Step{Count: wideStepTasks, CPU: 20, MemMB: 1, EstimateMs: 300})
 	}
 	return j
 }
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// maxListedEnds is the most ends that a worker lists in one answer.
+const maxListedEnds = 500
+
 // worker is one incarnation of a worker.
 type worker struct {
 	id      string
@@ -215,7 +218,7 @@
 	for t, o := range w.runs {
 		running = append(running, []any{t, o.number, "", o.percent(), 0})
 	}
-	writeJSON(rw, http.StatusOK, map[string]any{"born": w.reportedStart.UnixMilli(), "clock_ms": w.clockMs(), "running": running, "ended": w.endedRuns})
+	writeJSON(rw, http.StatusOK, map[string]any{"born": w.reportedStart.UnixMilli(), "clock_ms": w.clockMs(), "running": running, "ended": w.endedRuns[:min(len(w.endedRuns), maxListedEnds)]})
 }
 
 // yieldLock releases the lock for a moment.
--- a/job/acknowledge.go
+++ b/job/acknowledge.go
@@ -40,7 +40,7 @@
 // hasUnconfirmedStart reports whether the worker may still carry out a start.
 func (w *worker) hasUnconfirmedStart() bool {
 	for _, r := range w.runs {
-		if !r.startConfirmed {
+		if !r.startConfirmed && !r.stoppedUnlisted {
 			return true
 		}
 	}
--- a/job/ends.go
+++ b/job/ends.go
@@ -20,6 +20,9 @@
 	}
 	if !unstored {
 		w.markStored(w.lastEndSeen)
+	} else if w.moreEnds && c.inFlight == nil && c.writeDueAt.IsZero() {
+		// No job has anything to write, and the worker lists no other ends before the next write.
+		c.writeDueAt = c.now.Add(writeDelay)
 	}
 }
 
--- a/job/explain.go
+++ b/job/explain.go
@@ -210,7 +210,7 @@
 	}
 	switch {
 	case !c.inheritedRunsKnown(j):
-		e.Blocked = "workers that an earlier owner used have not answered yet"
+		e.Blocked = "workers that an earlier owner used have not answered yet, or not listed all ends"
 	case c.mayHaveMissedEvacuation():
 		e.Blocked = "the owner cannot read whether a data centre has been evacuated"
 	case c.beyondShare(j):
--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -211,7 +211,7 @@
 func (r *run) reassign(to *worker, now time.Time) {
 	r.detach()
 	r.worker = to
-	r.stopPending, r.stopConfirmed, r.absent = false, false, false
+	r.stopPending, r.stopConfirmed, r.absent, r.stoppedUnlisted = false, false, false, false
 	r.knownAt = now
 	r.attach()
 }
--- a/job/machines.go
+++ b/job/machines.go
@@ -255,7 +255,7 @@
 	if w == nil {
 		return c.runsExpired(m)
 	}
-	return c.dormant(w) || w.contacted && w.missedPolls == 0
+	return c.dormant(w) || w.contacted && w.missedPolls == 0 && !w.hidesEnds()
 }
 
 // drainMachine keeps new runs from the machine and evicts its lasting tasks. It reports whether the
--- a/job/poll.go
+++ b/job/poll.go
@@ -34,6 +34,8 @@
 		return w.nextPollAt
 	case w.lastEndSeen > w.lastEndStored && c.writesFailing:
 		return w.nextPollAt
+	case w.moreEnds && c.mayAcknowledge(w):
+		return w.nextPollAt
 	case w.lastEndSeen > w.lastEndStored:
 		// The next poll waits for the write, so that it acknowledges the ends, but not for
 		// longer than pollWait.
@@ -139,6 +141,7 @@
 	w.polledAt, w.answeredPollSentAt = c.now, e.SentAt
 	w.noteClock(e.Poll.Clock, c.now)
 	w.lastEndAcked = max(w.lastEndAcked, e.Acked)
+	c.noteListedEnds(w, e.Poll)
 	c.handleEnds(w, e.Poll.Ended)
 	c.handleRunning(w, e.SentAt, e.Poll.Running)
 	c.adjustPace(w)
@@ -166,8 +169,23 @@
 	c.listAt = earliest(c.listAt, c.now.Add(listAfterSilence))
 }
 
+// noteListedEnds notes whether the worker has listed all of its ends.
+func (c *Core) noteListedEnds(w *worker, p platform.PollReply) {
+	if w.moreEnds == p.MoreEnds {
+		return
+	}
+	w.moreEnds = p.MoreEnds
+	what := "all ends listed"
+	if w.moreEnds {
+		what = "not all ends listed"
+	}
+	c.emit(LogLine{What: what, Worker: w.ID, Fields: []any{"ends", len(p.Ended), "stored", w.lastEndStored, "acked", w.lastEndAcked, "runs", len(w.runs)}})
+	// Inherited jobs may have waited for the ends.
+	c.reorder(w.Service)
+}
+
 // handleRunning compares the reported runs with the known ones. Runs that were started after the
-// poll was sent may be missing from the report.
+// poll was sent may be missing from the report, and runs whose ends are not listed yet as well.
 func (c *Core) handleRunning(w *worker, sentAt time.Time, rows []platform.RunningRow) {
 	reported := make(map[rawRunID]bool, len(rows))
 	for _, v := range rows {
@@ -188,6 +206,10 @@
 		if reported[rawRunID{task: r.task.key().String(), number: r.number}] || !r.sentAt.Before(sentAt) {
 			continue
 		}
+		if w.moreEnds && !r.task.step.Lasting {
+			c.endUnlisted(r, sentAt)
+			continue
+		}
 		c.runMissing(r, sentAt)
 	}
 	for n := range w.orphans {
@@ -257,6 +279,19 @@
 	return &orphan{job: j, usage: j.Steps[k.step].Resources}
 }
 
+// endUnlisted handles a run that is not in progress while the worker does not list all ends. The
+// run may have succeeded, so that its task waits for the ends that are listed later. A tainted
+// worker may never list them: the task is started again, and the end is not acknowledged.
+func (c *Core) endUnlisted(r *run, sentAt time.Time) {
+	w := r.worker
+	r.stoppedUnlisted = r.phase == stopping && r.stopConfirmed && r.knownAt.Before(sentAt)
+	if w.hidesEnds() || r.phase == starting {
+		return
+	}
+	w.abandoned[rawRunID{task: r.task.key().String(), number: r.number}] = true
+	c.dropRun(r, lossUnlisted, "a tainted worker does not list its end")
+}
+
 // runMissing handles a known run that the worker does not report.
 func (c *Core) runMissing(r *run, sentAt time.Time) {
 	switch r.phase {
--- a/job/state.go
+++ b/job/state.go
@@ -151,8 +151,11 @@
 	lateStopUntil time.Time
 	// absent reports whether the last poll did not list the run. For an unconfirmed start, only
 	// a poll sent after its answer was lost counts.
-	absent  bool
-	percent int
+	absent bool
+	// stoppedUnlisted reports whether a poll sent after a confirmed stop did not list the run, but
+	// not all ends either: it will not start any more, and may have ended before the stop.
+	stoppedUnlisted bool
+	percent         int
 	// adoptedPercent is the progress at which the owner adopted the run.
 	adoptedPercent int
 	// level is the tail latency of a latency-sensitive run in milliseconds, or the thousandths of
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -15,7 +15,10 @@
 	// uncontacted holds the services with workers that have not answered this owner yet
 	// and on which runs of an earlier owner may continue, with the time of that finding.
 	uncontacted map[string]time.Time
-	roster      rosterChanges
+	// unlisted holds the services with inherited workers that have yet to list ends of earlier
+	// owners' runs.
+	unlisted map[string]bool
+	roster   rosterChanges
 	// rosterUnknownUntil is when all runs of earlier owners must have ended. It is set if
 	// part of the roster could not be read.
 	rosterUnknownUntil time.Time
@@ -44,7 +47,7 @@
 const maxPause = ownerTTL - renewEvery
 
 func newTakeover(now time.Time) takeover {
-	return takeover{uncontacted: map[string]time.Time{}, earlierOrdersUntil: now.Add(inheritedLease), ownedUntil: now}
+	return takeover{uncontacted: map[string]time.Time{}, unlisted: map[string]bool{}, earlierOrdersUntil: now.Add(inheritedLease), ownedUntil: now}
 }
 
 // Inherited is the state that an owner finds in the store when it takes over.
@@ -130,7 +133,7 @@
 }
 
 // inheritedRunsKnown reports whether each worker on which an earlier owner may have runs of
-// the job has answered, or its lease has expired.
+// the job has answered and listed all ends, or its lease has expired.
 func (c *Core) inheritedRunsKnown(j *job) bool {
 	if int64(j.created) > int64(c.fence) {
 		return true
@@ -138,19 +141,31 @@
 	if c.now.Before(c.rosterUnknownUntil) {
 		return false
 	}
-	_, pending := c.uncontacted[j.queue.Service]
-	_, pendingAtSubmission := c.uncontacted[j.Service]
-	return !pending && !pendingAtSubmission
+	return !c.inheritedRunsPending(j.queue.Service) && !c.inheritedRunsPending(j.Service)
+}
+
+// inheritedRunsPending reports whether an earlier owner may have runs on workers of the service
+// whose state or end this owner does not know yet.
+func (c *Core) inheritedRunsPending(service string) bool {
+	_, uncontacted := c.uncontacted[service]
+	return uncontacted || c.unlisted[service]
 }
 
 // updateUncontacted finds the services with inherited workers that have not answered this
-// owner and whose leases may not have expired.
+// owner, or not listed all ends, and whose leases may not have expired.
 func (c *Core) updateUncontacted() {
 	previous := c.uncontacted
 	c.uncontacted = map[string]time.Time{}
+	clear(c.unlisted)
 	var capacity uncontactedCapacity
 	for w := range c.workersByAge.All() {
-		if !w.inherited || w.contacted || c.leaseExpired(w) {
+		if !w.inherited || w.missedPolls > 0 && c.leaseExpired(w) {
+			continue
+		}
+		if w.hidesEnds() {
+			c.unlisted[w.Service] = true
+		}
+		if w.contacted || c.leaseExpired(w) {
 			continue
 		}
 		capacity.add(w)
--- a/job/worker.go
+++ b/job/worker.go
@@ -90,6 +90,8 @@
 	// lastEndSeen is the number of the last end received, lastEndStored of the last that the
 	// store holds, lastEndAcked of the last that the worker has forgotten.
 	lastEndSeen, lastEndStored, lastEndAcked int64
+	// moreEnds reports whether the worker may have more ends than its last answer listed.
+	moreEnds bool
 	// abandoned are runs whose tasks were started elsewhere when the worker's lease had expired.
 	// The lease of an idle worker may not have expired after all: if it reports that such a run
 	// succeeded, that end and all later ones are never acknowledged, and barrier is the number
@@ -196,6 +198,12 @@
 	return w.lastEndSeen > w.lastEndStored && !w.tainted
 }
 
+// hidesEnds reports whether runs may have ended that the worker will list later. Ends beyond the
+// barrier of a tainted worker are ignored, whether or not it ever lists them.
+func (w *worker) hidesEnds() bool {
+	return w.moreEnds && !w.tainted
+}
+
 // taint sets the barrier before the end of an abandoned run, so that neither it nor any later
 // one is acknowledged.
 func (w *worker) taint(number int64) {
@@ -237,7 +245,7 @@
 // acceptsStarts reports whether the worker may get starts now. It may not while it has orphans,
 // as the room that they take is not always known.
 func (w *worker) acceptsStarts(now time.Time) bool {
-	return w.listed && !w.stale && !w.unverified && !w.tainted && w.contacted && w.inRoster && !w.Draining && !w.cordoned && !w.evacuated && w.missedPolls == 0 && len(w.orphans) == 0 &&
+	return w.listed && !w.stale && !w.unverified && !w.tainted && !w.moreEnds && w.contacted && w.inRoster && !w.Draining && !w.cordoned && !w.evacuated && w.missedPolls == 0 && len(w.orphans) == 0 &&
 		!now.Before(w.noRoomUntil) && !now.Before(w.quarantinedUntil)
 }
 
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -44,6 +44,7 @@
 	worldLasting
 	worldEvacuations
 	worldProcesses
+	worldLists
 }
 
 // delivery is a function that is due at a time.
@@ -372,6 +373,10 @@
 		o.dead = true
 		return
 	}
+	if w.now.Before(w.writesFailUntil) {
+		w.tell(o, WriteResult{Number: a.Number, Err: errWriteRefused})
+		return
+	}
 	w.store.revision++
 	w.store.ownerKeys.apply(a)
 	for _, p := range a.Puts {
@@ -450,9 +455,7 @@
 	for _, r := range sorted(v.runs) {
 		out.Poll.Running = append(out.Poll.Running, platform.RunningRow{Task: r.task, Run: r.number, Percent: r.percent(w.now)})
 	}
-	for _, e := range v.ended {
-		out.Poll.Ended = append(out.Poll.Ended, e.row)
-	}
+	w.listEnds(v, &out.Poll)
 	return out
 }
 
--- a/job/world_trace_test.go
+++ b/job/world_trace_test.go
@@ -56,6 +56,7 @@
 	const seeds = 8
 	for name, p := range map[string]play{
 		"promises":    {do: (*world).playPromises},
+		"lists":       {do: (*world).playLists},
 		"caps":        {do: (*world).playCaps},
 		"cancel":      {do: (*world).playCancelled},
 		"crash":       {do: (*world).playCrashing},
