--- a/job/expendable.go
+++ b/job/expendable.go
@@ -27,13 +27,19 @@
 	return w.tainted() && !slices.ContainsFunc(w.runs, func(r *run) bool { return !r.expendable })
 }
 
-// startExpendable starts waiting tasks on tainted workers, one on each.
+// startExpendable starts waiting tasks of the listed steps on tainted workers, one on each.
 func (c *Core) startExpendable(tainted []*worker, l []candidate) {
+	var waiting []candidate
+	for _, s := range l {
+		if s.idle > 0 {
+			waiting = append(waiting, s)
+		}
+	}
 	for _, w := range tainted {
-		if !c.flow.mayStart() {
+		if len(waiting) == 0 || !c.flow.mayStart() {
 			return
 		}
-		t := c.expendableTask(w, l)
+		t := c.expendableTask(w, waiting)
 		if t == nil {
 			continue
 		}
@@ -41,7 +47,7 @@
 			c.start(t, w, c.nextRun(), ticket)
 		}
 	}
-	c.startExpendableGang(slices.DeleteFunc(tainted, func(w *worker) bool { return len(w.runs) > 0 }), l)
+	c.startExpendableGang(slices.DeleteFunc(tainted, func(w *worker) bool { return len(w.runs) > 0 }), waiting)
 }
 
 // expendableTask returns the least urgent waiting task that may start on the worker, or nil. One
