--- a/job/ackhold_test.go
+++ b/job/ackhold_test.go
@@ -50,11 +50,9 @@
 	f.silence()
 	again := f.starts()
 	require.Len(f.t, again, 1)
-	f.acceptStart(again[0])
 	e := ended(1, l[0], platform.EndDone)
 	f.reply("w1", platform.PollReply{Ended: []platform.EndedRow{e}})
-	f.reply("w2", platform.PollReply{Ended: []platform.EndedRow{ended(1, again[0], platform.EndDone)}})
-	require.Equal(f.t, platform.StateSucceeded, f.state())
+	f.finish(again)
 	f.core.workers["w2"].Draining = true
 	return e
 }
@@ -188,13 +186,7 @@
 	f.join("w1")
 	l := f.startAll(1)
 	next := f.successor("w1", "w2")
-	next.reply("w2", platform.PollReply{})
-	for len(next.starts()) == 0 {
-		if _, polled := next.polls["w1"]; polled {
-			next.fail("w1", platform.ErrUnknownOutcome)
-		}
-		next.advance(tickEvery)
-	}
+	next.giveUp()
 	next.reply("w1", platform.PollReply{Ended: []platform.EndedRow{ended(1, l[0], platform.EndDone)}})
 	next.advance(time.Second)
 	require.Zero(t, next.core.workers["w1"].lastAckable())
@@ -215,3 +207,85 @@
 	next.advance(time.Second)
 	require.NotEmpty(t, next.starts())
 }
+
+// giveUp has an owner run the tasks of idA on w2, as w1 has not answered it before all leases must have
+// expired.
+func (f *fixture) giveUp() {
+	f.reply("w2", platform.PollReply{})
+	var l []StartRun
+	for len(l) == 0 {
+		if _, polled := f.polls["w1"]; polled {
+			f.fail("w1", platform.ErrUnknownOutcome)
+		}
+		f.advance(tickEvery)
+		l = f.starts()
+	}
+	f.finish(l)
+}
+
+// finish has w2 run tasks of idA, all that are left of it, to their successful ends.
+func (f *fixture) finish(l []StartRun) {
+	var rows []platform.EndedRow
+	for i, v := range l {
+		f.acceptStart(v)
+		rows = append(rows, ended(int64(1+i), v, platform.EndDone))
+	}
+	f.reply("w2", platform.PollReply{Ended: rows})
+	require.Equal(f.t, platform.StateSucceeded, f.state())
+}
+
+// TestExpiryProvesNothingOfLaterEnds checks that an expired run releases the ends before it only: the
+// lease may have been extended again before the worker fell silent.
+func TestExpiryProvesNothingOfLaterEnds(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	l := f.startAll(3)
+	next := f.successor("w1", "w2")
+	next.giveUp()
+	next.reply("w1", platform.PollReply{Ended: []platform.EndedRow{
+		ended(1, l[0], platform.EndDone), ended(2, l[1], platform.EndExpired), ended(3, l[2], platform.EndDone),
+	}})
+	next.advance(time.Second)
+	require.EqualValues(t, 2, next.core.workers["w1"].lastAckable())
+}
+
+// TestExpiryBeforeAHoldDoesNotEndIt checks a next owner to which the worker lists an expired run that
+// the owner before had seen already.
+func TestExpiryBeforeAHoldDoesNotEndIt(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	l := f.startAll(2)
+	expired := ended(1, l[0], platform.EndExpired)
+	f.holdWrites = true
+	f.advance(time.Second)
+	f.answer("w1", platform.PollReply{Ended: []platform.EndedRow{expired}, Running: []platform.RunningRow{runningRow(l[1], 10)}})
+	f.answerHeldWrites()
+	f.join("w2")
+	f.silence()
+	next := f.successor("w1", "w2")
+	next.reply("w1", platform.PollReply{Ended: []platform.EndedRow{expired, ended(2, l[1], platform.EndDone)}})
+	require.True(t, next.core.workers["w1"].tainted())
+	require.EqualValues(t, 1, next.core.workers["w1"].lastAckable())
+}
+
+// TestWorkerThatWasTakenForRemovedHoldsItsEnds checks a worker whose host is missing in the machine
+// lists for a while.
+func TestWorkerThatWasTakenForRemovedHoldsItsEnds(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	l := f.startAll(1)
+	f.join("w2")
+	f.step(WorkerUnlisted{Name: "w1"})
+	f.fail("w1", platform.ErrUnknownOutcome)
+	f.advance(relistedWithin)
+	for range removedAfterLists {
+		f.advance(2 * tickEvery)
+		f.step(MachineList{SentAt: f.now, Machines: []platform.Machine{{Name: "host-of-w2", Worker: "w2"}}})
+	}
+	require.NotContains(t, f.core.workers, platform.WorkerID("w1"))
+	f.finish(f.starts())
+	f.step(WorkerListed{Worker: testWorker("w1")})
+	f.reply("w1", platform.PollReply{Ended: []platform.EndedRow{ended(1, l[0], platform.EndDone)}})
+	f.advance(time.Second)
+	require.Zero(t, f.core.workers["w1"].lastAckable())
+}
