--- a/job/ackhold_test.go
+++ b/job/ackhold_test.go
@@ -17,6 +17,15 @@
 	f.step(ConfigChanged{Config: v})
 }
 
+// newBusyWorkerFixture returns an owner whose worker w1 runs n tasks of the job idA, and w2 none.
+func newBusyWorkerFixture(t *testing.T, n int) (*fixture, []StartRun) {
+	f := newFixture(t)
+	f.join("w1")
+	l := f.startAll(n)
+	f.join("w2")
+	return f, l
+}
+
 // silence has polls of w1 go unanswered until its lease has expired.
 func (f *fixture) silence() {
 	for range int((leaseFor + time.Second) / tickEvery) {
@@ -128,10 +137,7 @@
 // TestEndsBeforeAnExpiredRunAreAcknowledged checks that a worker which lists an expired run after a
 // doubtful end is not tainted.
 func TestEndsBeforeAnExpiredRunAreAcknowledged(t *testing.T) {
-	f := newFixture(t)
-	f.join("w1")
-	l := f.startAll(2)
-	f.join("w2")
+	f, l := newBusyWorkerFixture(t, 2)
 	f.silence()
 	require.Len(t, f.starts(), 2)
 	f.reply("w1", platform.PollReply{Ended: []platform.EndedRow{ended(1, l[0], platform.EndDone), ended(2, l[1], platform.EndExpired)}})
@@ -143,10 +149,7 @@
 // and acknowledges the end of a run whose task has run a second time.
 func TestNextOwnerHoldsEnds(t *testing.T) {
 	for _, listed := range []bool{false, true} {
-		f := newFixture(t)
-		f.join("w1")
-		l := f.startAll(1)
-		f.join("w2")
+		f, l := newBusyWorkerFixture(t, 1)
 		if !listed {
 			f.step(WorkerUnlisted{Name: "w1"})
 		}
@@ -163,10 +166,7 @@
 // TestWorkerThatWasTakenForEndedHoldsItsEnds guards against a worker whose record and answers are
 // missing for longer than its lease, and which comes back with its ends.
 func TestWorkerThatWasTakenForEndedHoldsItsEnds(t *testing.T) {
-	f := newFixture(t)
-	f.join("w1")
-	l := f.startAll(1)
-	f.join("w2")
+	f, l := newBusyWorkerFixture(t, 1)
 	f.step(WorkerUnlisted{Name: "w1"})
 	f.silence()
 	require.NotContains(t, f.core.workers, platform.WorkerID("w1"))
@@ -195,10 +195,7 @@
 // TestTaintedWorkerWithACutListHoldsUpNobody checks that jobs do not wait for ends that a worker may
 // never list, as those before them are held.
 func TestTaintedWorkerWithACutListHoldsUpNobody(t *testing.T) {
-	f := newFixture(t)
-	f.join("w1")
-	l := f.startAll(2)
-	f.join("w2")
+	f, l := newBusyWorkerFixture(t, 2)
 	f.silence()
 	require.Len(t, f.starts(), 2)
 	next := f.successor("w1", "w2")
@@ -271,10 +268,7 @@
 // TestWorkerThatWasTakenForRemovedHoldsItsEnds checks a worker whose host is missing in the machine
 // lists for a while.
 func TestWorkerThatWasTakenForRemovedHoldsItsEnds(t *testing.T) {
-	f := newFixture(t)
-	f.join("w1")
-	l := f.startAll(1)
-	f.join("w2")
+	f, l := newBusyWorkerFixture(t, 1)
 	f.step(WorkerUnlisted{Name: "w1"})
 	f.fail("w1", platform.ErrUnknownOutcome)
 	f.advance(relistedWithin)
