--- a/review/_standin2/large.go
+++ b/review/_standin2/large.go
@@ -12,13 +12,29 @@
 
 // Figures of the large jobs. maxBodyBytes is body_bytes of the small deployments.
 const (
-	largeJobs    = 60
-	largeSteps   = 250
+	largeJobs    = 40
+	largeSteps   = 256
 	maxBodyBytes = 262144
 	// largeEvery is the pause between two of them without the disruption.
 	largeEvery = 250 * time.Millisecond
 )
 
+// largeImage names what the tasks run, as registries name images.
+const largeImage = "registry.kitchen.example/media/transcode/step-photo-ingredient-tagger:2026.11.3@sha256:" +
+	"9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+
+// largeStep is a step with the name of its image.
+type largeStep struct {
+	fleet.Step
+	Image string `json:"image"`
+}
+
+// largeSubmission is a job of such steps.
+type largeSubmission struct {
+	Spec  string      `json:"spec"`
+	Steps []largeStep `json:"steps"`
+}
+
 // largeConfig returns a configuration with the limit of bodies of the small deployments.
 func largeConfig(version int64) (any, error) {
 	b, err := json.Marshal(config(version, "alpha", "beta"))
@@ -34,10 +50,10 @@
 }
 
 // largeJob is a job of many small steps, each of which comes after all earlier ones.
-func largeJob() fleet.Job {
-	j := fleet.Job{Spec: "20ms"}
+func largeJob() largeSubmission {
+	j := largeSubmission{Spec: "20ms"}
 	for i := range largeSteps {
-		s := fleet.Step{Count: 1, CPU: 1000, MemMB: 100, EstimateMs: 20}
+		s := largeStep{Step: fleet.Step{Count: 1, CPU: 1000, MemMB: 100, EstimateMs: 20}, Image: largeImage}
 		for a := range i {
 			s.After = append(s.After, a)
 		}
