--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves out the disruption. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2 ] && [ -x target/amberwayd ] || exit 2
-exec target/review-2 large review/6/record.txt
+exec target/review-2 foreign review/6/record.txt
