job: a next owner waits for workers of services to which a queue was sent in between

Callers saw: a task ran twice at the same time after its queue had been sent to two services in turn, as the worker in the first of them was cut off and the owner was killed.

Cause: jobs of earlier owners wait for workers of two services only, the queue's present one and the one of the job's acceptance (inheritedRunsKnown). The claim names the place; related are ends that a worker of such a service does not list, a queue that is dropped, a worker whose record names another service since, and what final jobs have left of their team's cap.

The store names each other service to which a queue was sent before the first task starts there, so that the next owner knows no less than what was started. It is one write for a queue that is sent elsewhere while it has jobs, and none otherwise. The roster keeps the former service of a worker that moved.

--- a/internal/local/jobs.go
+++ b/internal/local/jobs.go
@@ -48,6 +48,8 @@
 	dir     string
 	bin     string
 	version int64
+	// rotation is how many pools further each queue is sent than to its own.
+	rotation int
 	// mu guards the elements of Entries, which Replace changes, and removed, which has the
 	// entry hosts that were replaced.
 	mu      sync.Mutex
@@ -111,8 +113,8 @@
 	j.version += 3
 	pools := slices.Sorted(maps.Keys(j.Workers))
 	var queues []fleet.Queue
-	for _, p := range pools {
-		queues = append(queues, fleet.Queue{Name: p, Pool: p})
+	for i, p := range pools {
+		queues = append(queues, fleet.Queue{Name: p, Pool: pools[(i+j.rotation)%len(pools)]})
 	}
 	for _, q := range extra {
 		queues = append(queues, fleet.Queue{Name: q, Pool: pools[0]})
@@ -124,6 +126,11 @@
 	return j.Fleet.Configure(c)
 }
 
+// RotateQueues has the next configuration send each queue to the next pool.
+func (j *JobsDeployment) RotateQueues() {
+	j.rotation++
+}
+
 // teamCap is the team's cap on running tasks, in millicores: six tenths of all workers.
 func (j *JobsDeployment) teamCap() int64 {
 	n := 0
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -66,6 +66,8 @@
 		time.Sleep(e.Duration)
 	case Configure:
 		r.configure()
+	case Reroute:
+		r.reroute()
 	case Wave:
 		r.requestWave()
 	case Evacuation:
@@ -88,7 +90,7 @@
 // host, like a reset of its links.
 func (e Event) scope(entry string) string {
 	switch e.Kind {
-	case Configure, Wave, Hup, Evacuation:
+	case Configure, Reroute, Wave, Hup, Evacuation:
 		return ""
 	case KillAll:
 		return scopeAll
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,6 +32,8 @@
 	NextProcesses bool
 	// NoSparePool leaves the spare pool out, and has workers cut off one after the other.
 	NoSparePool bool
+	// Reroutes has the queues sent to other pools.
+	Reroutes bool
 	// BinDir holds the programs, LogDir takes the logs.
 	BinDir, LogDir string
 	// Out gets a line for each event.
@@ -79,9 +81,13 @@
 func Do(o Options) (Report, error) {
 	r := &Run{Options: o, links: map[string]links{}, busy: map[string]bool{}, counts: map[string]int{}, faults: map[string]*faultState{}, incarnations: map[string]int{}}
 	defer r.close()
+	workers := map[string]int{"blue": o.Workers, "green": o.Workers}
+	if o.Reroutes {
+		workers[reroutedPool] = o.Workers
+	}
 	var err error
 	r.deployment, err = local.StartJobsDeployment(o.BinDir, o.LogDir, local.JobsOptions{
-		Entries: o.Entries, Workers: map[string]int{"blue": o.Workers, "green": o.Workers}, SpareMachines: 2, NoSparePool: o.NoSparePool, ProxyAddress: r.proxyAddress, KeysWithin: keysWithin, EvacuationWithin: evacuationWithin,
+		Entries: o.Entries, Workers: workers, SpareMachines: 2, NoSparePool: o.NoSparePool, ProxyAddress: r.proxyAddress, KeysWithin: keysWithin, EvacuationWithin: evacuationWithin,
 	})
 	if err != nil {
 		return Report{}, err
@@ -187,6 +193,9 @@
 	if r.NextProcesses {
 		l = sortByTime(append(l, nextProcesses(rand.New(rand.NewPCG(r.Seed, 7)), r.Entries, r.Duration)...))
 	}
+	if r.Reroutes {
+		l = sortByTime(append(l, reroutes(rand.New(rand.NewPCG(r.Seed, 9)), r.Duration)...))
+	}
 	if r.NoSparePool {
 		l = sortByTime(append(l, workerCuts(rand.New(rand.NewPCG(r.Seed, 8)), r.Duration)...))
 	}
--- a/job/core.go
+++ b/job/core.go
@@ -47,6 +47,7 @@
 	machines
 	evacuationState
 	waitlists
+	serviceHistory
 	flow         flowControl
 	admission    admissionState
 	nextForgetAt time.Time
@@ -63,28 +64,29 @@
 // holder names the owner in orders to machines.
 func NewCore(f platform.Fence, holder string, s Size, now time.Time) *Core {
 	return &Core{
-		now:           now,
-		fence:         f,
-		lastRun:       int64(f) * runsPerFence,
-		config:        &platform.Config{},
-		queues:        map[string]platform.Queue{},
-		teams:         newTeams(),
-		jobs:          map[ID]*job{},
-		active:        map[ID]*job{},
-		cancelled:     map[ID]bool{},
-		workers:       map[platform.WorkerID]*worker{},
-		incarnations:  newIncarnations(),
-		pools:         map[string][]*worker{},
-		stalePools:    map[string]bool{},
-		unconfigured:  map[platform.WorkerName]platform.Worker{},
-		listedByHost:  map[string]*worker{},
-		workersByHost: map[string][]*worker{},
-		runTimes:      map[string]*runTimeEstimate{},
-		takeover:      newTakeover(now),
-		writeQueue:    newWriteQueue(f),
-		machines:      newMachines(holder, s.OrdersPerSecond, now),
-		waitlists:     newWaitlists(),
-		flow:          newFlowControl(s, now),
+		now:            now,
+		fence:          f,
+		lastRun:        int64(f) * runsPerFence,
+		config:         &platform.Config{},
+		queues:         map[string]platform.Queue{},
+		teams:          newTeams(),
+		jobs:           map[ID]*job{},
+		active:         map[ID]*job{},
+		cancelled:      map[ID]bool{},
+		workers:        map[platform.WorkerID]*worker{},
+		incarnations:   newIncarnations(),
+		pools:          map[string][]*worker{},
+		stalePools:     map[string]bool{},
+		unconfigured:   map[platform.WorkerName]platform.Worker{},
+		listedByHost:   map[string]*worker{},
+		workersByHost:  map[string][]*worker{},
+		runTimes:       map[string]*runTimeEstimate{},
+		takeover:       newTakeover(now),
+		writeQueue:     newWriteQueue(f),
+		machines:       newMachines(holder, s.OrdersPerSecond, now),
+		waitlists:      newWaitlists(),
+		serviceHistory: newServiceHistory(),
+		flow:           newFlowControl(s, now),
 	}
 }
 
@@ -117,6 +119,7 @@
 	c.rebuildPools()
 	c.checkConnectivity()
 	c.checkOperatorRead()
+	c.pruneServices()
 	c.forgetJobs()
 	c.reconcileMachines()
 	c.reconcileAdmission()
--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -149,6 +149,9 @@
 	delete(c.replaced, by.ID)
 	by.restarted = true
 	by.sentFence = max(by.sentFence, w.sentFence)
+	if w.Service != by.Service {
+		by.formerService = w.Service
+	}
 	by.inherited = by.inherited || w.inherited && (!w.contacted || c.now.Before(c.earlierOrdersUntil))
 	c.current[by.ID.Name()] = by
 	c.endWorker(w, "the worker has restarted", by)
--- a/job/listing.go
+++ b/job/listing.go
@@ -48,6 +48,9 @@
 	if relisted {
 		c.emit(LogLine{What: "worker listed again", Worker: v.ID})
 	}
+	if moved {
+		w.formerService = before
+	}
 	w.listed, w.missedLists = true, 0
 	w.Worker = v
 	w.rack = v.Rack()
--- a/job/progress.go
+++ b/job/progress.go
@@ -31,6 +31,8 @@
 type LeftoverRuns struct {
 	Team    string `json:"m"`
 	Service string `json:"s"`
+	// OtherServices are those to which the queue was sent before.
+	OtherServices []string `json:"o,omitempty"`
 	// Tasks is the demand of a task, by step; Running is the demand of all runs that had
 	// not ended.
 	Tasks   []platform.Resources `json:"w"`
@@ -43,7 +45,7 @@
 	if j.team == nil || j.team.Cap == (platform.Resources{}) {
 		return nil
 	}
-	r := &LeftoverRuns{Team: j.Team, Service: j.queue.Service, Running: j.orphanUsage}
+	r := &LeftoverRuns{Team: j.Team, Service: j.queue.Service, OtherServices: c.otherServices(j), Running: j.orphanUsage}
 	for _, i := range j.instances {
 		for _, s := range i.steps {
 			n := s.runCount()
--- a/job/roster.go
+++ b/job/roster.go
@@ -46,6 +46,9 @@
 	Ordered []string `json:"o,omitempty"`
 	// Held names the workers with held ends. Some of them may have been taken for ended.
 	Held []HeldEnds `json:"-"`
+	// Services are the services in which jobs that were accepted for another one may have runs, by
+	// queue.
+	Services queueServices `json:"-"`
 	// legacy reports whether the roster was stored as one value.
 	legacy bool
 	// unreadableKeys are the keys of shards that could not be decoded.
@@ -58,10 +61,12 @@
 	Service string            `json:"s"`
 	Address netip.AddrPort    `json:"a"`
 	Host    string            `json:"h,omitempty"`
+	// Former is the service that it was one of before.
+	Former string `json:"f,omitempty"`
 }
 
 func rosterEntryOf(w *worker) RosterEntry {
-	return RosterEntry{ID: w.ID, Service: w.Service, Address: w.Address, Host: w.Host}
+	return RosterEntry{ID: w.ID, Service: w.Service, Address: w.Address, Host: w.Host, Former: w.formerService}
 }
 
 // rosterShard returns the number of the shard that holds a worker.
@@ -95,6 +100,8 @@
 			r.Workers = append(r.Workers, p.Workers...)
 			r.Ordered = append(r.Ordered, p.Ordered...)
 			r.legacy = true
+		case e.Key == queueServicesKey:
+			r.Services, err = decodeQueueServices(e.Value)
 		case strings.HasPrefix(e.Key, orderedPrefix):
 			var o []string
 			err = json.Unmarshal(e.Value, &o)
@@ -120,6 +127,8 @@
 	shards  [rosterShards]bool
 	ordered [orderedShards]bool
 	held    [heldShards]bool
+	// services says that the services of queues have yet to be written.
+	services bool
 }
 
 // any reports whether any shard has yet to be written.
@@ -129,7 +138,7 @@
 
 // split returns the changes for the next write, and those for later ones.
 func (r rosterChanges) split() (now, later rosterChanges) {
-	now.ordered = r.ordered
+	now.ordered, now.services = r.ordered, r.services
 	n := 0
 	splitShards(&n, r.held[:], now.held[:], later.held[:])
 	splitShards(&n, r.shards[:], now.shards[:], later.shards[:])
@@ -167,6 +176,10 @@
 			c.addWorker(w)
 		}
 		w.inherited = true
+		w.formerService = e.Former
+		if e.Service != w.Service {
+			w.formerService = e.Service
+		}
 		w.inRoster = !r.legacy && e == rosterEntryOf(w)
 		named[e.ID] = true
 	}
@@ -219,6 +232,7 @@
 func (c *Core) addRoster(k *storeWrite) {
 	k.changes, c.roster = c.roster.split()
 	c.addOrdered(k)
+	c.addServices(k)
 	c.addHeld(k)
 	c.addRosterShards(k)
 }
@@ -282,10 +296,11 @@
 	for shard, failed := range k.changes.held {
 		c.roster.held[shard] = c.roster.held[shard] || failed
 	}
+	c.roster.services = c.roster.services || k.changes.services
 }
 
 // isRosterKey reports whether the key is that of a shard, which is always written from the
 // present roster.
 func isRosterKey(key string) bool {
-	return strings.HasPrefix(key, orderedPrefix) || strings.HasPrefix(key, heldPrefix) || strings.HasPrefix(key, rosterPrefix)
+	return key == queueServicesKey || strings.HasPrefix(key, orderedPrefix) || strings.HasPrefix(key, heldPrefix) || strings.HasPrefix(key, rosterPrefix)
 }
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"amberway/platform"
@@ -85,6 +86,7 @@
 	OperatorRead{StartsUntil: e.StartsUntil}.apply(c)
 	EvacuationsChanged{Evacuations: e.Evacuations, Source: "takeover"}.apply(c)
 	c.inheritRoster(e.Roster)
+	c.inheritServices(e.Roster.Services)
 	c.inheritAdmission(e.Admission)
 	for _, m := range e.Roster.Ordered {
 		c.noOrdersUntil[m] = c.now.Add(handoverPause)
@@ -141,7 +143,7 @@
 	if c.now.Before(c.rosterUnknownUntil) {
 		return false
 	}
-	return !c.inheritedRunsPending(j.queue.Service) && !c.inheritedRunsPending(j.Service)
+	return !slices.ContainsFunc(c.servicesOf(j), c.inheritedRunsPending)
 }
 
 // inheritedRunsPending reports whether an earlier owner may have runs on workers of the service
@@ -166,22 +168,12 @@
 			c.holdEnds(w)
 			continue
 		}
-		if w.hidesEnds() {
-			c.unlisted[w.Service] = true
+		for _, s := range w.services() {
+			c.addPending(w, s, previous)
 		}
-		if w.contacted {
-			continue
-		}
-		capacity.add(w)
-		if _, counted := c.uncontacted[w.Service]; counted {
-			continue
-		}
-		since, known := previous[w.Service]
-		if !known {
-			since = c.now
-			c.emit(LogLine{What: "inherited jobs wait", Worker: w.ID, Why: "an earlier owner's runs may continue on a worker that has not answered", Fields: []any{"service", w.Service, "host", w.Host, "silent", w.missedPolls, "at_most_ms", w.expiresBy.Sub(c.now).Milliseconds()}})
+		if !w.contacted {
+			capacity.add(w)
 		}
-		c.uncontacted[w.Service] = since
 	}
 	for s, since := range sorted(previous) {
 		if _, waits := c.uncontacted[s]; !waits {
@@ -191,6 +183,31 @@
 	c.countUncontacted(capacity)
 }
 
+// addPending notes that an earlier owner may have runs on the worker as one of the service, whose
+// state or end is not known.
+func (c *Core) addPending(w *worker, service string, previous map[string]time.Time) {
+	if w.hidesEnds() {
+		c.unlisted[service] = true
+	}
+	if _, counted := c.uncontacted[service]; counted || w.contacted {
+		return
+	}
+	since, known := previous[service]
+	if !known {
+		since = c.now
+		c.emit(LogLine{What: "inherited jobs wait", Worker: w.ID, Why: "an earlier owner's runs may continue on a worker that has not answered", Fields: []any{"service", service, "host", w.Host, "silent", w.missedPolls, "at_most_ms", w.expiresBy.Sub(c.now).Milliseconds()}})
+	}
+	c.uncontacted[service] = since
+}
+
+// services returns the services as one of which the worker may have runs.
+func (w *worker) services() []string {
+	if w.formerService == "" {
+		return []string{w.Service}
+	}
+	return []string{w.Service, w.formerService}
+}
+
 // uncontactedCapacity is the total capacity of inherited workers that have not answered.
 type uncontactedCapacity struct {
 	platform.Resources
--- a/job/waitlist.go
+++ b/job/waitlist.go
@@ -156,7 +156,7 @@
 func (c *Core) collect(l *waitlist) {
 	l.steps = l.steps[:0]
 	for j := range l.jobs.All() {
-		if !c.inheritedRunsKnown(j) {
+		if !c.inheritedRunsKnown(j) || !c.mayStartInService(j) {
 			continue
 		}
 		for _, n := range j.instances {
--- a/job/worker.go
+++ b/job/worker.go
@@ -66,6 +66,9 @@
 	// inherited reports whether an earlier owner may have started runs on it; inRoster, whether
 	// the stored roster says that this owner may have.
 	inherited, inRoster bool
+	// formerService is the service that it was one of before its record named another. Runs of that
+	// time may continue.
+	formerService string
 	// offRoster reports whether it has been removed from the roster because its machine has an
 	// order and nothing runs on it.
 	offRoster bool
--- a/job/world_faults_test.go
+++ b/job/world_faults_test.go
@@ -128,7 +128,7 @@
 func (w *world) submitSteps(steps ...platform.Step) ID {
 	id := w.jobID()
 	w.store.revision++
-	rec := NewRecord(testConfig().Queues[0], platform.Submission{Spec: w.spec, Steps: steps}, w.now)
+	rec := NewRecord(w.acceptingQueue(), platform.Submission{Spec: w.spec, Steps: steps}, w.now)
 	rec.Attempts = 3
 	rec.Team = w.team()
 	a := Accepted{ID: id, Record: rec, Created: w.store.revision}
--- a/job/world_teams_test.go
+++ b/job/world_teams_test.go
@@ -41,6 +41,10 @@
 	d := testConfig()
 	d.Version = w.version
 	d.Services = w.services(d.Services)
+	d.Queues = w.queues(d.Queues)
+	if w.hostServices != nil {
+		d.Services = append(d.Services, platform.Service{Name: redService, RejectsOverload: true})
+	}
 	d.Teams = []platform.Team{{Name: "paint", Weight: 2, Cap: platform.Resources{MilliCores: w.limit}}, {Name: "tint", Weight: 1}}
 	return d
 }
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -46,6 +46,7 @@
 	worldProcesses
 	worldLists
 	worldCuts
+	worldServices
 }
 
 // delivery is a function that is due at a time.
@@ -167,7 +168,7 @@
 func (w *world) addIncarnation(host string, id platform.WorkerID) *worldWorker {
 	v := &worldWorker{alive: true, born: w.now, clockRate: []float64{1, 0.98}[w.incarnations%2], runs: map[string]*worldRun{}, highestRun: map[string]int64{}, unreachableBy: map[*worldOwner]bool{}}
 	v.Worker = platform.Worker{
-		ID: id, Service: "blue", Host: host, DataCentre: dataCentreOf(host), Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		ID: id, Service: w.serviceOf(host), Host: host, DataCentre: dataCentreOf(host), Address: netip.MustParseAddrPort("10.0.0.1:80"),
 		Capacity: platform.Resources{MilliCores: fullWorkerCores, MemoryMB: 4000},
 	}
 	w.workers[id] = v
--- a/job/write_queue.go
+++ b/job/write_queue.go
@@ -53,6 +53,8 @@
 	changes  rosterChanges
 	workers  []*worker
 	machines []string
+	// services are the services of queues in the write.
+	services queueServices
 }
 
 // writtenState is the state of a job as a write holds it.
@@ -202,6 +204,7 @@
 		c.noteInRoster(w)
 		c.replan(w.Service)
 	}
+	c.noteServicesStored(k.services)
 	c.sendRecorded(k.machines, e.Revision)
 	for _, s := range k.states {
 		j := s.job
