job: instances of a recurring job are created as the tasks of earlier ones begin

Callers saw: after one accepted job of 10,000 times of 100 tasks, all due, no job of any queue started any more, while each owner in turn went over its memory and was killed.

Cause: addDueInstances created every due instance with all of its tasks at once.

Further instances are created while fewer than 1,000 tasks of the job wait. An owner that is behind its predecessor creates an instance as soon as a worker lists a run or an end of it, and starts no inherited task before all workers have listed theirs, so that nothing more is stored. Uncreated instances count against a team's cap until the workers have answered.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -34,6 +34,8 @@
 	NoSparePool bool
 	// Reroutes has the queues sent to other pools.
 	Reroutes bool
+	// RecurringJobs adds recurring jobs of which all times are due.
+	RecurringJobs bool
 	// BinDir holds the programs, LogDir takes the logs.
 	BinDir, LogDir string
 	// Out gets a line for each event.
@@ -109,6 +111,9 @@
 	if o.CrashingJobs {
 		wg.Go(r.runCrashingJobs)
 	}
+	if o.RecurringJobs {
+		wg.Go(r.runRecurringJobs)
+	}
 	for i := range o.Entries {
 		c := &configChecker{run: r, index: i, reported: -1}
 		wg.Go(c.watch)
--- a/internal/standin/fleet/operator.go
+++ b/internal/standin/fleet/operator.go
@@ -103,4 +103,8 @@
 type Job struct {
 	Spec  string `json:"spec"`
 	Steps []Step `json:"steps"`
+	// Times is how often the steps run, zero once. The first time is due at InitialMs since 1970.
+	Times      int   `json:"times,omitempty"`
+	InitialMs  int64 `json:"initial_ms,omitempty"`
+	IntervalMs int64 `json:"interval_ms,omitempty"`
 }
--- a/job/core.go
+++ b/job/core.go
@@ -53,7 +53,9 @@
 	nextForgetAt time.Time
 	// cutOffSince is when most workers stopped answering.
 	cutOffSince time.Time
-	actions     []Action
+	// maxWaiting is how many tasks of a job may wait before no further instance of it is created.
+	maxWaiting int
+	actions    []Action
 }
 
 // runsPerFence is the maximum number of runs that one owner starts: a run number is the
@@ -87,6 +89,7 @@
 		waitlists:      newWaitlists(),
 		serviceHistory: newServiceHistory(),
 		flow:           newFlowControl(s, now),
+		maxWaiting:     defaultMaxWaiting,
 	}
 }
 
@@ -203,14 +206,8 @@
 	c.jobs[id] = j
 	c.active[id] = j
 	c.enqueue(j)
+	c.restoreInstances(j, p)
 	c.addDueInstances(j)
-	for k, n := range j.instances {
-		if q, ok := p.Instances[k]; ok {
-			n.restore(q, c.now)
-			j.started = true
-		}
-	}
-	c.finishInstances(j)
 	c.reorder(j.queue.Service)
 	if c.cancelled[id] {
 		delete(c.cancelled, id)
@@ -219,46 +216,6 @@
 	return j
 }
 
-// addDueInstances creates the instances of a job that have come due.
-func (c *Core) addDueInstances(j *job) {
-	if j.state.Final() {
-		return
-	}
-	if j.Times == 0 {
-		if j.nextInstance == 0 {
-			j.instances[0] = newInstance(j, 0, j.ReceivedAt)
-			j.nextInstance = 1
-		}
-		return
-	}
-	for j.nextInstance < j.Times {
-		due := j.First.Add(time.Duration(j.nextInstance) * j.Every)
-		if c.now.Before(due) {
-			return
-		}
-		j.instances[j.nextInstance] = newInstance(j, j.nextInstance, due)
-		j.nextInstance++
-		c.reorder(j.queue.Service)
-	}
-}
-
-// finishInstances drops the oldest instances whose tasks are all done, and completes a job
-// that has none left.
-func (c *Core) finishInstances(j *job) {
-	for k := j.oldestInstance; k < j.nextInstance; k++ {
-		n := j.instances[k]
-		if n == nil || n.remaining > 0 {
-			break
-		}
-		c.recordServed(j, n)
-		delete(j.instances, k)
-		j.oldestInstance++
-	}
-	if j.oldestInstance >= max(1, j.Times) && !j.state.Final() {
-		c.finalise(j, platform.StateSucceeded, "all tasks done")
-	}
-}
-
 // finalise sets the final state of a job and stops its runs.
 func (c *Core) finalise(j *job, s platform.JobState, why string) {
 	j.state = s
--- a/job/ends.go
+++ b/job/ends.go
@@ -40,6 +40,7 @@
 		return false
 	}
 	r := w.findRun(k, e.Run)
+	c.openListedInstance(k)
 	t := c.task(k)
 	if r == nil && e.End == platform.EndDone && w.startedElsewhere(e, t) {
 		c.taint(w, e)
@@ -119,6 +120,7 @@
 		c.reorder(j.queue.Service)
 	}
 	if n.remaining == 0 {
+		c.completeInstance(n)
 		c.finishInstances(j)
 	}
 }
--- a/job/iteration.go
+++ b/job/iteration.go
@@ -71,14 +71,3 @@
 		}
 	}
 }
-
-// inOrder iterates over the job's instances, the oldest first.
-func (j *job) inOrder() iter.Seq[*instance] {
-	return func(yield func(*instance) bool) {
-		for k := j.oldestInstance; k < j.nextInstance; k++ {
-			if n := j.instances[k]; n != nil && !yield(n) {
-				return
-			}
-		}
-	}
-}
--- a/job/poll.go
+++ b/job/poll.go
@@ -239,6 +239,7 @@
 // adopt takes over a run that an earlier owner started. A run that is no longer wanted becomes
 // an orphan, and adopt returns nil.
 func (c *Core) adopt(w *worker, k taskKey, v platform.RunningRow) *run {
+	c.openListedInstance(k)
 	t := c.task(k)
 	wanted := t != nil && !t.done && (len(t.runs) == 0 || t.step.Speculative)
 	if !wanted {
--- a/job/progress.go
+++ b/job/progress.go
@@ -48,13 +48,12 @@
 	r := &LeftoverRuns{Team: j.Team, Service: j.queue.Service, OtherServices: c.otherServices(j), Running: j.orphanUsage}
 	for _, i := range j.instances {
 		for _, s := range i.steps {
-			n := s.runCount()
-			if !c.inheritedRunsKnown(j) {
-				n += s.idle
-			}
-			r.Running = r.Running.AddTimes(s.Resources, int64(n))
+			r.Running = r.Running.AddTimes(s.Resources, int64(s.runCount()))
 		}
 	}
+	if !c.inheritedRunsKnown(j) {
+		r.Running = c.addUnknownRuns(r.Running, j)
+	}
 	if r.Running == (platform.Resources{}) {
 		return nil
 	}
@@ -156,7 +155,10 @@
 		return p
 	}
 	p.OldestInstance = j.oldestInstance
-	p.Instances = make(map[int]InstanceProgress, len(j.instances))
+	p.Instances = make(map[int]InstanceProgress, len(j.instances)+len(j.complete))
+	for k := range j.complete {
+		p.Instances[k] = InstanceProgress{Complete: true}
+	}
 	for k, n := range j.instances {
 		if !n.noTaskEnded() {
 			p.Instances[k] = n.progress()
@@ -166,9 +168,6 @@
 }
 
 func (n *instance) progress() InstanceProgress {
-	if n.remaining == 0 {
-		return InstanceProgress{Complete: true}
-	}
 	p := InstanceProgress{Done: make([]*big.Int, len(n.steps))}
 	for i, s := range n.steps {
 		p.Done[i] = new(big.Int)
--- a/job/state.go
+++ b/job/state.go
@@ -30,8 +30,10 @@
 	// leftover is what runs of earlier owners may still take, as far as their ends were not
 	// seen.
 	leftover *LeftoverRuns
+	// complete holds the instances after oldestInstance whose tasks are all done.
+	complete map[int]bool
 	// oldestInstance is the number of the first instance that is not completely done,
-	// nextInstance that of the first that is not yet due.
+	// nextInstance that of the first that has yet to be created in its turn.
 	oldestInstance, nextInstance int
 	dirty                        bool
 	paths                        criticalPaths
--- a/job/teams.go
+++ b/job/teams.go
@@ -181,11 +181,7 @@
 	if j.leftover != nil {
 		j.team.uncontactedUsage = j.team.uncontactedUsage.AddTimes(j.leftover.Running, 1)
 	}
-	for _, n := range j.instances {
-		for _, s := range n.steps {
-			j.team.uncontactedUsage = j.team.uncontactedUsage.AddTimes(s.Resources, int64(s.idle))
-		}
-	}
+	j.team.uncontactedUsage = c.addUnknownRuns(j.team.uncontactedUsage, j)
 }
 
 // countUncontacted estimates what earlier owners may have started for each team on workers
--- a/job/waitlist.go
+++ b/job/waitlist.go
@@ -160,7 +160,9 @@
 			continue
 		}
 		for _, n := range j.instances {
-			c.collectSteps(l, n)
+			if j.Times == 0 || !c.now.Before(n.due) {
+				c.collectSteps(l, n)
+			}
 		}
 	}
 	sortCandidates(l.steps)
--- a/job/world_faults_test.go
+++ b/job/world_faults_test.go
@@ -26,6 +26,7 @@
 		}
 	}
 	w.checkOrder(k, rec)
+	w.checkDue(k, rec)
 	w.checkNotDone(o.Task)
 	w.restarted[o.Task] = append(w.restarted[o.Task], w.doneRuns[o.Task]...)
 	used := s.MilliCores
@@ -88,12 +89,8 @@
 func (w *world) checkFinal(id ID, s platform.JobState) {
 	rec := w.jobs[id]
 	if s == platform.StateSucceeded {
-		for i, d := range rec.Steps {
-			for x := range d.Count {
-				if len(w.doneRuns[taskKey{id: id, step: i, index: x}.String()]) == 0 {
-					w.t.Fatalf("job %s succeeded without task %d of step %d", id, x, i)
-				}
-			}
+		for n := range max(1, rec.Times) {
+			w.checkInstanceDone(id, rec, n)
 		}
 	}
 	if s == platform.StateFailed {
@@ -104,6 +101,18 @@
 	}
 }
 
+// checkInstanceDone checks that all tasks of an instance have succeeded.
+func (w *world) checkInstanceDone(id ID, rec Record, n int) {
+	for i, d := range rec.Steps {
+		for x := range d.Count {
+			k := taskKey{id: id, instance: n, step: i, index: x}
+			if len(w.doneRuns[k.String()]) == 0 {
+				w.t.Fatalf("job %s succeeded without task %s", id, k)
+			}
+		}
+	}
+}
+
 func (w *world) submit() {
 	var steps []platform.Step
 	for i := range rapid.IntRange(1, 3).Draw(w.t, "steps") {
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -47,6 +47,7 @@
 	worldLists
 	worldCuts
 	worldServices
+	worldRecurring
 }
 
 // delivery is a function that is due at a time.
@@ -185,6 +186,9 @@
 
 func (w *world) newOwner(f platform.Fence) *worldOwner {
 	o := &worldOwner{fence: f, core: NewCore(f, "entry", Size{}, w.now), renewedAt: w.now}
+	if w.maxWaiting > 0 {
+		o.core.maxWaiting = w.maxWaiting
+	}
 	o.bindsStarts = w.drawBinding()
 	w.owners = append(w.owners, o)
 	return o
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -64,3 +64,11 @@
 	require.Empty(t, r.Violations)
 	require.Positive(t, r.Counts["succeeded"])
 }
+
+// Recurring jobs have more times due than an owner could hold at once.
+func TestSoakWithRecurringJobsFindsNoViolation(t *testing.T) {
+	r, err := soak.Do(soak.Options{Seed: 73000, Duration: 10 * time.Second, Entries: 4, Workers: 5, RecurringJobs: true, BinDir: binaries, LogDir: t.TempDir(), Out: io.Discard})
+	require.NoError(t, err)
+	require.Empty(t, r.Violations)
+	require.Positive(t, r.Counts["recurring"])
+}
