--- a/job/cancel_test.go
+++ b/job/cancel_test.go
@@ -113,7 +113,8 @@
 // until then. All runs that it lists are stopped.
 func TestRunOnWorkerThatAnswersLaterIsStopped(t *testing.T) {
 	f := newOwnerFixture(t, 200)
-	f.step(Inherited{Config: testConfig(), Workers: []platform.Worker{testWorker("w1")}})
+	w := testWorker("w1")
+	f.step(Inherited{Config: testConfig(), Workers: []platform.Worker{w}, Roster: Roster{Workers: []RosterEntry{rosterEntryOf(newWorker(w, f.now))}}})
 	for range 10 {
 		f.fail("w1", platform.ErrUnknownOutcome)
 		f.advance(pollRetry + tickEvery)
--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -162,7 +162,7 @@
 func (c *Core) noteContact(w *worker, sentAt time.Time) {
 	w.contacted = true
 	c.raiseFence(w)
-	if !w.inRoster {
+	if !w.inRoster && !c.inFlight.names(w) {
 		c.markRosterDirty(w)
 	}
 	c.removeOthersOnHost(w, sentAt)
--- a/job/listing.go
+++ b/job/listing.go
@@ -93,7 +93,7 @@
 	if before != nil && before.hadRecord {
 		c.replaceWorker(before, w, "its record has another start time")
 	}
-	if w.mayHaveRuns() {
+	if c.belongsInRoster(w) {
 		c.markRosterDirty(w)
 	}
 	c.reconcileWorker(w)
--- a/job/query.go
+++ b/job/query.go
@@ -72,7 +72,7 @@
 // or the machine list names it.
 func (c *Core) knownToExist(w *worker) bool {
 	m := c.machinesByName[w.Host]
-	return w.mayHaveRuns() || m != nil && m.Worker == w.ID.Name()
+	return w.mayHaveRuns() || c.now.Before(c.rosterUnknownUntil) || m != nil && m.Worker == w.ID.Name()
 }
 
 // whyCutOff is the reason for stepping down if too few workers are reachable.
--- a/job/roster.go
+++ b/job/roster.go
@@ -200,8 +200,14 @@
 	return w.contacted || w.inherited || w.answeredBefore
 }
 
-// markRosterDirty has the worker's shard of the roster written, without the worker if it is gone,
-// offRoster or has never answered. A worker gets its first start only after that.
+// belongsInRoster reports whether the roster is to name the worker: it may have runs, or may soon get its
+// first one, as its record names a machine that there is.
+func (c *Core) belongsInRoster(w *worker) bool {
+	return !w.offRoster && (w.mayHaveRuns() || c.machinesByName[w.Host] != nil && !c.dormant(w))
+}
+
+// markRosterDirty has the worker's shard of the roster written, without the worker if it is gone or does
+// not belong there. A worker gets its first start only after that.
 func (c *Core) markRosterDirty(w *worker) {
 	c.roster.shards[rosterShard(w.ID)] = true
 	c.writeSoon()
@@ -268,7 +274,7 @@
 	}
 	var entries [rosterShards][]RosterEntry
 	for id, w := range c.workers {
-		if shard := rosterShard(id); k.changes.shards[shard] && !w.offRoster && w.mayHaveRuns() {
+		if shard := rosterShard(id); k.changes.shards[shard] && c.belongsInRoster(w) {
 			entries[shard] = append(entries[shard], rosterEntryOf(w))
 			k.workers = append(k.workers, w)
 		}
@@ -281,6 +287,11 @@
 	}
 }
 
+// names reports whether the write has the worker in a shard of the roster. There may be no write.
+func (k *storeWrite) names(w *worker) bool {
+	return k != nil && slices.Contains(k.workers, w)
+}
+
 // addJSON adds a value to the write.
 func (c *Core) addJSON(k *storeWrite, key string, v any) {
 	b, err := json.Marshal(v)
