job: the next owner learns from the roster which workers have restarted

Cause: a poll that was meant for the earlier life of a worker gives the later one the longest lease that it accepts. The owner that sees the restart waits for that, and hands the worker on to the next owner as if it had never restarted; the next one starts its tasks elsewhere 4.2 s after its own last poll.

The roster says that a worker has restarted, until no lease can last that an order to an earlier incarnation gave it, and the next owner waits as long as the one before.

--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -174,6 +174,15 @@
 	c.reorder(w.Service)
 }
 
+// forgetRestart has the roster say no longer that the worker has restarted, once no lease can last that an
+// order to an earlier incarnation gave it. It refuses such orders from its first start on.
+func (c *Core) forgetRestart(w *worker) {
+	if w.restarted && w.contacted && w.inRoster && !w.unverified && c.now.After(w.expiresBy) {
+		w.restarted = false
+		c.markRosterDirty(w)
+	}
+}
+
 // answeredBy returns the worker that answered a request to w: w itself, or a later incarnation
 // if it has restarted since. It returns false if the answer is from an incarnation that was
 // already replaced, and so proves nothing.
--- a/job/orders.go
+++ b/job/orders.go
@@ -214,6 +214,7 @@
 	w.nextPollAt = c.now
 	w.restarted = true
 	w.expiresBy = c.now.Add(inheritedLease)
+	c.markRosterDirty(w)
 }
 
 // startRefused drops a run that is certain not to have started.
--- a/job/poll.go
+++ b/job/poll.go
@@ -17,6 +17,7 @@
 		return
 	}
 	c.reconcileRuns(w)
+	c.forgetRestart(w)
 	if (c.shuttingDown(w) || w.tainted() && !w.letsLeaseExpire()) && w.contacted && w.missedPolls == 0 {
 		c.evictLasting(w)
 	}
--- a/job/roster.go
+++ b/job/roster.go
@@ -63,10 +63,13 @@
 	Host    string            `json:"h,omitempty"`
 	// Former is the service that it was one of before.
 	Former string `json:"f,omitempty"`
+	// Restarted says that an order to an earlier incarnation may have given it a longer lease than any
+	// order to itself.
+	Restarted bool `json:"r,omitempty"`
 }
 
 func rosterEntryOf(w *worker) RosterEntry {
-	return RosterEntry{ID: w.ID, Service: w.Service, Address: w.Address, Host: w.Host, Former: w.formerService}
+	return RosterEntry{ID: w.ID, Service: w.Service, Address: w.Address, Host: w.Host, Former: w.formerService, Restarted: w.restarted}
 }
 
 // rosterShard returns the number of the shard that holds a worker.
@@ -176,6 +179,7 @@
 			c.addWorker(w)
 		}
 		w.inherited = true
+		w.restarted = w.restarted || e.Restarted
 		w.formerService = e.Former
 		if e.Service != w.Service {
 			w.formerService = e.Service
--- a/job/world_restart_test.go
+++ b/job/world_restart_test.go
@@ -162,7 +162,8 @@
 		"pass": func(t *rapid.T) {
 			w.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond)
 		},
-		"again": func(*rapid.T) { w.restart(w.pickWorker()) },
+		"again":         func(*rapid.T) { w.restart(w.pickWorker()) },
+		"again and cut": func(*rapid.T) { w.restartAndCut() },
 		"again after a moment": func(t *rapid.T) {
 			v := w.pickWorker()
 			w.after(time.Duration(rapid.IntRange(0, 300).Draw(t, "moment_ms"))*time.Millisecond, func() {
@@ -186,6 +187,30 @@
 	require.Empty(t, w.store.records, "jobs that never end")
 }
 
+// restartAndCut restarts the worker of a long task, whose next incarnation may carry out orders to the
+// earlier one, replaces the owner, and cuts the worker off soon after.
+func (w *world) restartAndCut() {
+	task := taskKey{id: w.submitSteps(platform.Step{Count: 1, Resources: platform.Resources{MilliCores: 500}, Estimate: 15 * time.Second})}.String()
+	w.advance(w.drawMillis("started_after", 1500))
+	v := w.runsOn(task)
+	if v == nil {
+		return
+	}
+	w.restart(v)
+	w.advance(500*time.Millisecond + w.drawMillis("again_after", 1500))
+	w.owner().dead = true
+	w.advance(w.drawMillis("owned_after", 1500))
+	w.takeOver()
+	w.advance(w.drawMillis("cut_after", 1000))
+	for _, v := range w.workersByStart {
+		if v.alive && v.runs[task] != nil {
+			v.partitioned = true
+			w.after(9*time.Second, func() { v.partitioned = false })
+		}
+	}
+	w.advance(w.drawMillis("cut_for", 9000))
+}
+
 // TestTasksResumeSoonAfterWorkerRestart restarts the worker of a task and requires that the task
 // runs again a second after the new incarnation's record at the latest.
 func TestTasksResumeSoonAfterWorkerRestart(t *testing.T) {
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -409,6 +409,11 @@
 	return platform.WorkerClock(float64(now.Sub(v.born).Milliseconds()) * v.clockRate)
 }
 
+// extendLease extends the worker's lease, but no further ahead than maxHold.
+func (v *worldWorker) extendLease(until platform.WorkerClock, now time.Time) {
+	v.leaseUntil = max(v.leaseUntil, min(until, v.clock(now)+platform.WorkerClock(maxHold.Milliseconds())))
+}
+
 // endDueRuns ends the worker's runs that are due, and all of them once its lease has expired.
 func (w *world) endDueRuns(v *worldWorker) {
 	if !v.alive {
@@ -452,7 +457,7 @@
 	}
 	v.fence = a.Order.Fence
 	if a.Order.LeaseUntil > 0 {
-		v.leaseUntil = max(v.leaseUntil, a.Order.LeaseUntil)
+		v.extendLease(a.Order.LeaseUntil, w.now)
 	}
 	v.ended = slices.DeleteFunc(v.ended, func(e *worldEnd) bool {
 		if e.row.Number > a.Order.LastAcked {
@@ -481,7 +486,7 @@
 		out.Rejection = platform.RejectedExpired
 	default:
 		v.fence = o.Fence
-		v.leaseUntil = max(v.leaseUntil, o.LeaseUntil)
+		v.extendLease(o.LeaseUntil, w.now)
 		v.highestRun[o.Task] = o.Run
 		w.begin(v, o)
 	}
