job: services of queues that cannot be read are written anew

An odd value under owner/services made each next owner wait for all leases, as only a queue that is sent elsewhere had it written again. Shards of workers were written anew already.

--- a/job/roster.go
+++ b/job/roster.go
@@ -169,6 +169,7 @@
 	if len(r.unreadableKeys) > 0 {
 		c.rosterUnknownUntil = c.now.Add(inheritedLease)
 		c.emit(LogLine{What: "roster not read", Why: "jobs of earlier owners wait until all leases must have expired", Fields: []any{"keys", strings.Join(r.unreadableKeys, " ")}})
+		c.markServicesDirty()
 	}
 	named := map[platform.WorkerID]bool{}
 	for _, e := range r.Workers {
--- a/job/services_test.go
+++ b/job/services_test.go
@@ -180,3 +180,12 @@
 	f.step(ConfigChanged{Config: reroutedConfig(4, redService)})
 	require.Equal(t, []string{"blue", "green"}, f.core.leftoverRuns(j).OtherServices)
 }
+
+// A value that cannot be read holds up the jobs of one owner, not of each next one.
+func TestUnreadableServicesAreWrittenAnew(t *testing.T) {
+	f := newFixture(t)
+	f.ownerKeys[queueServicesKey] = []byte("[")
+	f.step(Inherited{Config: testConfig(), Roster: f.roster()})
+	f.advance(time.Second)
+	require.Empty(t, f.roster().unreadableKeys)
+}
