job: the checks of a takeover allocate nothing where no queue was sent elsewhere

The lists of services that each check of an inherited job made, and the look-ups of machines in each tick, are left out all the same.

--- a/job/progress.go
+++ b/job/progress.go
@@ -45,7 +45,7 @@
 	if j.team == nil || j.team.Cap == (platform.Resources{}) {
 		return nil
 	}
-	r := &LeftoverRuns{Team: j.Team, Service: j.queue.Service, OtherServices: c.otherServices(j), Running: j.orphanUsage}
+	r := &LeftoverRuns{Team: j.Team, Service: j.queue.Service, OtherServices: c.formerServices(j), Running: j.orphanUsage}
 	for _, i := range j.instances {
 		for _, s := range i.steps {
 			r.Running = r.Running.AddTimes(s.Resources, int64(s.runCount()))
--- a/job/query.go
+++ b/job/query.go
@@ -71,8 +71,11 @@
 // knownToExist reports whether more than its record says that the worker exists: it has answered an owner,
 // or the machine list names it.
 func (c *Core) knownToExist(w *worker) bool {
+	if w.mayHaveRuns() || c.now.Before(c.rosterUnknownUntil) {
+		return true
+	}
 	m := c.machinesByName[w.Host]
-	return w.mayHaveRuns() || c.now.Before(c.rosterUnknownUntil) || m != nil && m.Worker == w.ID.Name()
+	return m != nil && m.Worker == w.ID.Name()
 }
 
 // whyCutOff is the reason for stepping down if too few workers are reachable.
--- a/job/services.go
+++ b/job/services.go
@@ -67,13 +67,13 @@
 	}
 }
 
-// servicesOf returns the services in which the job may have runs.
-func (c *Core) servicesOf(j *job) []string {
-	l := append([]string{j.queue.Service, j.Service}, c.used[j.Queue]...)
+// otherServices returns the services in which the job may have runs besides the queue's present one and
+// the one of its acceptance.
+func (c *Core) otherServices(j *job) []string {
 	if j.leftover != nil {
-		l = append(l, j.leftover.OtherServices...)
+		return j.leftover.OtherServices
 	}
-	return l
+	return c.used[j.Queue]
 }
 
 // mayStartInService reports whether the next owner will know that the job may have runs in its
@@ -161,17 +161,14 @@
 	l := map[string]bool{}
 	for w := range c.workersByAge.All() {
 		if w.busy() || w.moreEnds || w.hasUnstoredEnds() || w.inherited && !w.contacted {
-			for _, s := range w.services() {
-				l[s] = true
-			}
+			l[w.Service], l[w.formerService] = true, true
 		}
 	}
 	return l
 }
 
-// otherServices returns the services but the queue's present one in which the job may have runs.
-func (c *Core) otherServices(j *job) []string {
-	l := c.servicesOf(j)
-	slices.Sort(l)
-	return slices.DeleteFunc(slices.Compact(l), func(s string) bool { return s == j.queue.Service })
+// formerServices returns the services but the queue's present one in which the job may have runs.
+func (c *Core) formerServices(j *job) []string {
+	l := append([]string{j.Service}, c.otherServices(j)...)
+	return slices.DeleteFunc(l, func(s string) bool { return s == j.queue.Service })
 }
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -143,7 +143,7 @@
 	if c.now.Before(c.rosterUnknownUntil) {
 		return false
 	}
-	return !slices.ContainsFunc(c.servicesOf(j), c.inheritedRunsPending)
+	return !c.inheritedRunsPending(j.queue.Service) && !c.inheritedRunsPending(j.Service) && !slices.ContainsFunc(c.otherServices(j), c.inheritedRunsPending)
 }
 
 // inheritedRunsPending reports whether an earlier owner may have runs on workers of the service
@@ -168,8 +168,9 @@
 			c.holdEnds(w)
 			continue
 		}
-		for _, s := range w.services() {
-			c.addPending(w, s, previous)
+		c.addPending(w, w.Service, previous)
+		if w.formerService != "" {
+			c.addPending(w, w.formerService, previous)
 		}
 		if !w.contacted {
 			capacity.add(w)
@@ -200,14 +201,6 @@
 	c.uncontacted[service] = since
 }
 
-// services returns the services as one of which the worker may have runs.
-func (w *worker) services() []string {
-	if w.formerService == "" {
-		return []string{w.Service}
-	}
-	return []string{w.Service, w.formerService}
-}
-
 // uncontactedCapacity is the total capacity of inherited workers that have not answered.
 type uncontactedCapacity struct {
 	platform.Resources
