job: the log tells why a worker's lease counts as expired

A task that ran twice at once after a restart could have one of several causes, and the log did not distinguish them: whether the owner that started the second run knew that the worker had restarted, and which wait was over. The line 'lease expired' says so, and 'worker listed' says whether an earlier incarnation is known.

--- a/job/listing.go
+++ b/job/listing.go
@@ -89,7 +89,7 @@
 	w.listed, w.hadRecord = true, true
 	before := c.current[v.ID.Name()]
 	c.addWorker(w)
-	c.emit(LogLine{What: "worker listed", Worker: v.ID, Fields: []any{"service", v.Service, "host", v.Host, "draining", v.Draining}})
+	c.emit(LogLine{What: "worker listed", Worker: v.ID, Fields: []any{"service", v.Service, "host", v.Host, "draining", v.Draining, "restarted", w.restarted}})
 	if before != nil && before.hadRecord {
 		c.replaceWorker(before, w, "its record has another start time")
 	}
@@ -236,6 +236,9 @@
 	if !c.leaseExpired(w) {
 		return
 	}
+	if w.busy() {
+		c.logExpiry(w)
+	}
 	c.holdEnds(w)
 	for _, r := range w.runs {
 		w.abandoned[rawRunID{task: r.task.key().String(), number: r.number}] = true
@@ -247,6 +250,15 @@
 	}
 }
 
+// logExpiry logs what the owner knows of a lease that counts as expired, and of the wait for leases that
+// others may have given.
+func (c *Core) logExpiry(w *worker) {
+	c.emit(LogLine{What: "lease expired", Worker: w.ID, Why: "the worker has been silent for as long as its runs may last", Fields: []any{
+		"runs", len(w.runs) + len(w.orphans), "silent_ms", c.now.Sub(w.answeredAt).Milliseconds(), "lease_ms", int64(w.leaseUntil - w.clock),
+		"wait_over_ms", c.now.Sub(w.expiresBy).Milliseconds(), "met", w.contacted, "restarted", w.restarted, "inherited", w.inherited,
+	}})
+}
+
 // removeWorker removes a worker that has ended.
 func (c *Core) removeWorker(w *worker, why string) {
 	c.endWorker(w, why, nil)
