job: the lease of a restarted worker counts from when it refuses orders to its earlier life

Callers would see a task run twice at once, on a worker that had restarted under its id and was cut off soon after.

Cause: a poll to the earlier incarnation that extends the lease may be carried out by the next one until that one knows a fence above the poll's. The owner took the worker to refuse it as soon as the roster named the worker. But nothing tells an idle worker the higher fence before its first start, and if no write of the owner lay between the two polls, its first poll has the fence of the late one.

Evidence: TestLateLeaseOfAnIdleRestartedWorkerIsOutlasted failed before: the poll is carried out 7 s after the restart was noticed, the task starts elsewhere 4.1 s after the worker fell silent, while its first run goes on.

The wait of 10.5 s now counts from the first order with a higher fence that the worker answers, or from when the poll can no longer be carried out, whichever is first. No order is sent that was not sent before.

TestLeaseOfRestartedWorkerCountsFromItsFirstStart checked that the late poll is not refused by looking at a poll that had been answered, so that it compared with zero, and the worker did know a higher fence. It checks the poll that the worker answers now, and holds writes back from earlier on so that it has no higher fence; it passes before and after.

The fixture's next owner finds in the store what all earlier owners have written, not only the last one.

--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -147,7 +147,7 @@
 	}})
 	c.replaced[w.ID] = replacement{by: by.ID, at: c.now}
 	delete(c.replaced, by.ID)
-	by.restarted = true
+	c.markRestarted(by, w.sentFence)
 	by.sentFence = max(by.sentFence, w.sentFence)
 	by.answeredBefore = by.answeredBefore || w.mayHaveRuns()
 	if w.Service != by.Service {
@@ -166,23 +166,10 @@
 		c.markRosterDirty(w)
 	}
 	c.removeOthersOnHost(w, sentAt)
-	if w.restarted {
-		// Until now it has known no fence that refuses the orders to an earlier incarnation.
-		w.expiresBy = c.now.Add(inheritedLease)
-	}
 	// Jobs may have waited for its report on the runs of earlier owners.
 	c.reorder(w.Service)
 }
 
-// forgetRestart has the roster say no longer that the worker has restarted, once no lease can last that an
-// order to an earlier incarnation gave it. It refuses such orders from its first start on.
-func (c *Core) forgetRestart(w *worker) {
-	if w.restarted && w.contacted && w.inRoster && !w.unverified && c.now.After(w.expiresBy) {
-		w.restarted = false
-		c.markRosterDirty(w)
-	}
-}
-
 // answeredBy returns the worker that answered a request to w: w itself, or a later incarnation
 // if it has restarted since. It returns false if the answer is from an incarnation that was
 // already replaced, and so proves nothing.
--- a/job/late_fixture_test.go
+++ b/job/late_fixture_test.go
@@ -42,6 +42,12 @@
 	f.first.end(taskA, platform.EndDone)
 	f.passUntil(time.Second, func() bool { return f.stateOf(idA) == platform.StateSucceeded })
 	require.Equal(t, platform.StateSucceeded, f.stateOf(idA))
+	f.keepFirst(keep...)
+	return f
+}
+
+// keepFirst has, for each of the functions, the next order to the first incarnation that matches kept back.
+func (f *lateFixture) keepFirst(keep ...func(Action) bool) {
 	f.keep = func(a Action) bool {
 		to, _ := recipientOf(a)
 		if f.running[to] != f.first {
@@ -51,7 +57,6 @@
 		keep = slices.DeleteFunc(keep, func(match func(Action) bool) bool { return match(a) })
 		return len(keep) < n
 	}
-	return f
 }
 
 // newUnboundLateFixture returns a fixture whose owners' hosts do not bind starts to incarnations, as in
--- a/job/late_lease_test.go
+++ b/job/late_lease_test.go
@@ -22,6 +22,7 @@
 	f.join(firstIncarnation)
 	acknowledged := f.finishTask(firstIncarnation)
 	f.answer(firstIncarnation, platform.PollReply{})
+	f.holdWrites = true
 	s := f.startOf(idB)
 	f.acceptStart(s)
 	f.advance(time.Second)
@@ -29,13 +30,13 @@
 	f.advance(tickEvery)
 	held := f.polls[firstIncarnation].Order
 	require.Greater(t, held.Fence, acknowledged.Fence)
-	f.holdWrites = true
 	f.step(WorkerListed{Worker: onHost(secondIncarnation)})
 	f.advance(tickEvery)
+	require.GreaterOrEqual(t, held.Fence, f.polls[secondIncarnation].Order.Fence, "the late poll is not refused")
 	f.answeredBy(secondIncarnation, 1700000000400, platform.PollReply{})
 	w := f.core.workers[secondIncarnation]
 	f.advance(6 * time.Second)
-	require.GreaterOrEqual(t, held.Fence, f.polls[secondIncarnation].Order.Fence, "the late poll is not refused")
+	require.NotContains(t, f.polls, platform.WorkerID(secondIncarnation), "nothing has told the worker a higher fence")
 	carriedOutAt := f.now
 	f.holdWrites = false
 	f.revision++
--- a/job/late_worker_test.go
+++ b/job/late_worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -111,6 +112,7 @@
 func (f *lateFleet) takeOver(from *lateOwner, records ...*lateWorker) *lateOwner {
 	from.cutOff = true
 	o := f.addOwner(100 * from.core.fence)
+	o.stored, o.ownerKeys = maps.Clone(from.stored), maps.Clone(from.ownerKeys)
 	e := Inherited{Config: testConfig(), Progress: from.stored, Roster: from.roster()}
 	for id, j := range from.core.jobs {
 		if from.stored[id].State.Final() {
--- a/job/listing.go
+++ b/job/listing.go
@@ -183,7 +183,9 @@
 func (c *Core) addWorker(w *worker) {
 	c.raiseFence(w)
 	ended := c.ended[w.ID.Name()]
-	w.restarted = differ(w.ID.Incarnation(), ended.id.Incarnation())
+	if differ(w.ID.Incarnation(), ended.id.Incarnation()) {
+		c.markRestarted(w, c.latestFence)
+	}
 	if w.ID == ended.id {
 		// It was only taken for ended.
 		w.hold.from = ended.heldFrom
--- a/job/orders.go
+++ b/job/orders.go
@@ -150,6 +150,9 @@
 	if e.Err == nil && w.ID == e.Worker {
 		w.noteClock(e.Clock, c.now)
 	}
+	if e.Err == nil && e.Rejection == platform.Accepted && w.ID == e.Worker {
+		c.noteAnsweredFence(w, e.Fence)
+	}
 	k, _ := parseTaskKey(e.Task)
 	r := w.findRun(k, e.Run)
 	var other *platform.OtherIncarnationError
@@ -212,8 +215,7 @@
 	w := r.worker
 	w.unverified = true
 	w.nextPollAt = c.now
-	w.restarted = true
-	w.expiresBy = c.now.Add(inheritedLease)
+	c.markRestarted(w, w.sentFence)
 	c.markRosterDirty(w)
 }
 
--- a/job/poll.go
+++ b/job/poll.go
@@ -138,6 +138,7 @@
 	if !w.contacted {
 		c.noteContact(w, e.SentAt)
 	}
+	c.noteAnsweredFence(w, e.Fence)
 	w.nextPollAt = c.now
 	w.polledAt, w.answeredPollSentAt = c.now, e.SentAt
 	w.noteClock(e.Poll.Clock, c.now)
--- /dev/null
+++ b/job/restarted_test.go
@@ -0,0 +1,43 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/platform"
+)
+
+// requireRunsTaskB submits taskB and requires that it runs on the worker.
+func (f *lateFixture) requireRunsTaskB(w *lateWorker) {
+	f.submitTask(idB)
+	f.passUntil(15*time.Second, func() bool { return w.runs[taskB] != nil })
+	require.NotNil(f.t, w.runs[taskB], "%v", f.trace)
+	f.pass(500 * time.Millisecond)
+}
+
+// A task ran twice at once: an idle worker carried a poll to its earlier incarnation out long after it was found
+// to have restarted, as it knew no fence above that of the poll before its first start.
+func TestLateLeaseOfAnIdleRestartedWorkerIsOutlasted(t *testing.T) {
+	f := newLateFixture(t, longUp)
+	f.submitTask(idC)
+	f.passUntil(time.Second, func() bool { return f.first.runs[taskC] != nil })
+	require.NotNil(t, f.first.runs[taskC])
+	f.holdWrites = true
+	f.first.end(taskC, platform.EndDone)
+	f.pass(200 * time.Millisecond)
+	f.keepFirst(renewsLease)
+	f.untilKept(renewsLease)
+	second := f.start(secondIncarnation, 0)
+	f.pass(2 * time.Second)
+	f.list(second)
+	f.holdWrites = false
+	f.revision++
+	f.step(WriteResult{Number: f.core.writeNumber, Revision: f.revision})
+	f.pass(6 * time.Second)
+	require.Equal(t, platform.StateSucceeded, f.stateOf(idC))
+	f.carryOutLate(renewsLease)
+	f.requireRunsTaskB(second)
+	f.requireMoves(second)
+}
--- a/job/roster.go
+++ b/job/roster.go
@@ -180,7 +180,9 @@
 			c.addWorker(w)
 		}
 		w.inherited = true
-		w.restarted = w.restarted || e.Restarted
+		if e.Restarted {
+			c.markRestarted(w, 0)
+		}
 		w.formerService = e.Former
 		if e.Service != w.Service {
 			w.formerService = e.Service
@@ -224,15 +226,10 @@
 	c.writeSoon()
 }
 
-// noteInRoster notes that the stored roster has the worker, unless it is off the roster. From its
-// first start on, the worker refuses all orders to earlier incarnations. Until now one of them may
-// have extended its lease, by another clock than its own.
+// noteInRoster notes that the stored roster has the worker, unless it is off the roster.
 func (c *Core) noteInRoster(w *worker) {
 	if !w.inRoster {
 		c.raiseFence(w)
-		if w.restarted {
-			w.expiresBy = c.now.Add(inheritedLease)
-		}
 	}
 	w.inRoster = !w.offRoster
 }
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -26,6 +26,9 @@
 	// earlierOrdersUntil is the time until which workers may still carry out orders of an
 	// earlier owner. A worker that has restarted does not know the fence that would refuse them.
 	earlierOrdersUntil time.Time
+	// earlierLeasesUntil is the time until which a worker may carry out a poll of an earlier owner that extends
+	// its lease, if it knows no fence that refuses it.
+	earlierLeasesUntil time.Time
 	// predecessorUntil is the time until which an earlier process of this host, whose claim was
 	// replaced, may act without asking the store.
 	predecessorUntil time.Time
@@ -48,7 +51,7 @@
 const maxPause = ownerTTL - renewEvery
 
 func newTakeover(now time.Time) takeover {
-	return takeover{uncontacted: map[string]time.Time{}, unlisted: map[string]bool{}, earlierOrdersUntil: now.Add(inheritedLease), ownedUntil: now}
+	return takeover{uncontacted: map[string]time.Time{}, unlisted: map[string]bool{}, earlierOrdersUntil: now.Add(inheritedLease), earlierLeasesUntil: now.Add(ownerAuthority + maxOrderDelay), ownedUntil: now}
 }
 
 // Inherited is the state that an owner finds in the store when it takes over.
--- a/job/worker.go
+++ b/job/worker.go
@@ -56,6 +56,10 @@
 	// by one that is not known yet. An order to the earlier one may have given the later one a
 	// longer lease than any order to itself.
 	restarted bool
+	// earlierFence is the highest fence of the orders to earlier incarnations, fenced whether it has answered an
+	// order with a higher one, and so refuses those.
+	earlierFence platform.Fence
+	fenced       bool
 	// unverified reports whether it may have been replaced under its name. It gets no starts
 	// before its next answer.
 	unverified bool
