job: a restart that is noticed after the roster was written is told to the next owner

Callers would see a task run twice at once after a change of owner, on a worker that had restarted under its id and was cut off soon after.

Cause: the roster tells the next owner which workers have restarted, so that it waits for leases that a poll to the earlier incarnation may have given. A worker whose record came first, and which was found to be the later incarnation only by its answer, was in the roster already, and its entry was not written again.

A worker that is found to have restarted is no longer taken to be in the roster, so that its entry is written, and it gets no start, before the store says so. A write in flight that names it without the mark does not count.

--- a/job/orders.go
+++ b/job/orders.go
@@ -216,7 +216,6 @@
 	w.unverified = true
 	w.nextPollAt = c.now
 	c.markRestarted(w, w.sentFence)
-	c.markRosterDirty(w)
 }
 
 // startRefused drops a run that is certain not to have started.
--- a/job/restarted.go
+++ b/job/restarted.go
@@ -14,6 +14,10 @@
 	w.restarted, w.fenced = true, false
 	w.earlierFence = max(w.earlierFence, earlier)
 	w.expiresBy = latest(w.expiresBy, latest(c.now.Add(maxOrderDelay), c.earlierLeasesUntil).Add(inheritedLease))
+	if w.inRoster {
+		w.inRoster = false
+		c.markRosterDirty(w)
+	}
 }
 
 // noteAnsweredFence notes that the worker has carried out an order with the fence.
--- a/job/restarted_test.go
+++ b/job/restarted_test.go
@@ -41,3 +41,28 @@
 	f.requireRunsTaskB(second)
 	f.requireMoves(second)
 }
+
+// A task ran twice at once: the owner learned that a worker had restarted after it had named it in the roster,
+// which was not written again.
+func TestRestartThatIsNoticedLaterIsToldToTheNextOwner(t *testing.T) {
+	f := newLateFixture(t, longUp)
+	f.submitTask(idC)
+	f.passUntil(time.Second, func() bool { return f.first.runs[taskC] != nil })
+	require.NotNil(t, f.first.runs[taskC])
+	f.lateOwner = f.takeOver(f.lateOwner)
+	f.step(MachineList{SentAt: f.now, Machines: []platform.Machine{{Name: f.first.Host, Pool: "blue", State: platform.MachineUp, Worker: f.first.ID.Name()}}})
+	f.pass(time.Second)
+	f.keepFirst(renewsLease)
+	f.untilKept(renewsLease)
+	f.keep = isPoll
+	second := f.start(secondIncarnation, 0)
+	f.list(second)
+	f.pass(time.Second)
+	require.True(t, f.roster().has(secondIncarnation))
+	f.keep = func(Action) bool { return false }
+	f.carryOutLate(renewsLease)
+	f.requireRunsTaskB(second)
+	f.lateOwner = f.takeOver(f.lateOwner, second)
+	f.pass(500 * time.Millisecond)
+	f.requireMoves(second)
+}
--- a/job/roster.go
+++ b/job/roster.go
@@ -226,8 +226,13 @@
 	c.writeSoon()
 }
 
-// noteInRoster notes that the stored roster has the worker, unless it is off the roster.
-func (c *Core) noteInRoster(w *worker) {
+// noteInRoster notes that the stored roster has the worker, unless it is off the roster. A worker that was
+// found to have restarted since is written again.
+func (c *Core) noteInRoster(w *worker, e RosterEntry) {
+	if w.restarted && !e.Restarted {
+		c.markRosterDirty(w)
+		return
+	}
 	if !w.inRoster {
 		c.raiseFence(w)
 	}
@@ -277,8 +282,9 @@
 	var entries [rosterShards][]RosterEntry
 	for id, w := range c.workers {
 		if shard := rosterShard(id); k.changes.shards[shard] && c.belongsInRoster(w) {
-			entries[shard] = append(entries[shard], rosterEntryOf(w))
-			k.workers = append(k.workers, w)
+			e := rosterEntryOf(w)
+			entries[shard] = append(entries[shard], e)
+			k.workers = append(k.workers, namedWorker{worker: w, entry: e})
 		}
 	}
 	for shard, changed := range k.changes.shards {
@@ -291,7 +297,7 @@
 
 // names reports whether the write has the worker in a shard of the roster. There may be no write.
 func (k *storeWrite) names(w *worker) bool {
-	return k != nil && slices.Contains(k.workers, w)
+	return k != nil && slices.ContainsFunc(k.workers, func(n namedWorker) bool { return n.worker == w })
 }
 
 // addJSON adds a value to the write.
--- a/job/write_queue.go
+++ b/job/write_queue.go
@@ -51,12 +51,18 @@
 	// changes records which shards of the roster are in the write; workers and machines are
 	// the workers and ordered machines that these shards name.
 	changes  rosterChanges
-	workers  []*worker
+	workers  []namedWorker
 	machines []string
 	// services are the services of queues in the write.
 	services queueServices
 }
 
+// namedWorker is a worker and its entry in the roster as a write holds it.
+type namedWorker struct {
+	worker *worker
+	entry  RosterEntry
+}
+
 // writtenState is the state of a job as a write holds it.
 type writtenState struct {
 	job          *job
@@ -200,9 +206,9 @@
 	}
 	c.writesFailing = false
 	c.latestFence = max(c.latestFence, platform.Fence(e.Revision))
-	for _, w := range k.workers {
-		c.noteInRoster(w)
-		c.replan(w.Service)
+	for _, n := range k.workers {
+		c.noteInRoster(n.worker, n.entry)
+		c.replan(n.worker.Service)
 	}
 	c.noteServicesStored(k.services)
 	c.sendRecorded(k.machines, e.Revision)
