job: the roster names workers that have left it while a late poll may extend the next life's lease

Callers would see a task run twice at once: a worker that its owner had taken for ended, or whose machine had an order, came back under its id after a change of owner, with the long lease of a poll to its earlier incarnation. The next owner knew of no earlier incarnation, took the lease for one of its own, and started the task elsewhere when the worker was cut off.

Evidence: three tests that force the order of events failed before: after an end, after an end two owners ago with a write of the same shard in between, and after an order to the machine.

A shard of the roster names such workers by their id alone, for as long as a poll that extended their lease and was not answered may be carried out; idle workers that answered everything are not named. The next owner treats what comes up under these ids as restarted. The same holds for an incarnation that was replaced, until the roster names the later one, as the two may be written one after the other. Without start times in the workers' reports nothing is named: an id is not used twice then.

--- a/job/ackhold.go
+++ b/job/ackhold.go
@@ -158,6 +158,10 @@
 			w.hold.from = h.From
 			continue
 		}
-		c.ended[id.Name()] = endedIncarnation{id: id, at: c.now, heldFrom: h.From}
+		e := endedIncarnation{id: id, at: c.now, heldFrom: h.From}
+		if o := c.ended[id.Name()]; o.id == id {
+			e.latePollUntil = o.latePollUntil
+		}
+		c.ended[id.Name()] = e
 	}
 }
--- a/job/core_test.go
+++ b/job/core_test.go
@@ -63,7 +63,7 @@
 
 // has reports whether the roster has the worker.
 func (r Roster) has(id platform.WorkerID) bool {
-	return slices.ContainsFunc(r.Workers, func(e RosterEntry) bool { return e.ID == id })
+	return slices.ContainsFunc(r.Workers, func(e RosterEntry) bool { return e.ID == id && !e.Departed })
 }
 
 func newFixture(t *testing.T) *fixture {
--- /dev/null
+++ b/job/departed.go
@@ -0,0 +1,60 @@
+package job
+
+import (
+	"time"
+
+	"amberway/platform"
+)
+
+// A worker that its owner takes for ended, or that leaves the roster as its machine has an order, may come back
+// under its name. A poll to its earlier incarnation that was not answered may then still be carried out, and extend
+// the lease. The roster therefore names such a worker for as long as that is possible: the next owner would
+// take it for a new one.
+
+// latePollUntil returns the time until which a poll that extends the worker's lease may be carried out, although
+// this owner or an earlier one has got no answer.
+func (c *Core) latePollUntil(w *worker) time.Time {
+	until := w.latePollUntil
+	if w.polling && w.pollExtends {
+		until = latest(until, w.pollSentAt.Add(maxOrderDelay))
+	}
+	if w.inherited {
+		until = latest(until, c.earlierLeasesUntil)
+	}
+	return until
+}
+
+// departedEntries adds the entries of workers that have left the roster to those of the changed shards.
+func (c *Core) departedEntries(changed [rosterShards]bool, entries *[rosterShards][]RosterEntry) {
+	add := func(id platform.WorkerID, until time.Time) {
+		if shard := rosterShard(id); changed[shard] && id.Incarnation() != 0 && c.now.Before(until) {
+			entries[shard] = append(entries[shard], RosterEntry{ID: id, Departed: true})
+		}
+	}
+	for w := range c.workersByAge.All() {
+		if w.offRoster {
+			add(w.ID, c.latePollUntil(w))
+		}
+	}
+	for _, e := range sorted(c.ended) {
+		if c.workers[e.id] == nil {
+			add(e.id, e.latePollUntil)
+		}
+	}
+	for id, r := range sorted(c.replaced) {
+		if by := c.workers[r.by]; by != nil && !by.inRoster {
+			add(id, r.latePollUntil)
+		}
+	}
+}
+
+// inheritDeparted notes that a worker has left an earlier owner's roster. One that has come back is restarted.
+func (c *Core) inheritDeparted(id platform.WorkerID) {
+	if w := c.current[id.Name()]; w != nil {
+		if differ(w.ID.Incarnation(), id.Incarnation()) {
+			c.markRestarted(w, 0)
+		}
+		return
+	}
+	c.ended[id.Name()] = endedIncarnation{id: id, at: c.now, latePollUntil: c.earlierLeasesUntil}
+}
--- /dev/null
+++ b/job/departed_test.go
@@ -0,0 +1,76 @@
+package job
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/platform"
+)
+
+// loseFirst cuts the first incarnation off, whose record goes as well, until its owner takes it for ended.
+func (f *lateFixture) loseFirst() {
+	f.first.silence()
+	f.step(WorkerUnlisted{Name: f.first.ID.Name()})
+	f.passUntil(6*time.Second, func() bool { return f.core.workers[f.first.ID] == nil })
+	require.Nil(f.t, f.core.workers[f.first.ID])
+	f.pass(time.Second)
+}
+
+// requireLateLeaseOutlasted has the second incarnation carry the kept poll out, run taskB and fall silent.
+func (f *lateFixture) requireLateLeaseOutlasted() {
+	second := f.start(secondIncarnation, 0)
+	f.carryOutLate(renewsLease)
+	f.list(second)
+	f.requireRunsTaskB(second)
+	f.requireMoves(second)
+}
+
+// drainingInShardOf returns a new worker that drains, and whose entry is in the same shard of the roster.
+func (f *lateFixture) drainingInShardOf(id platform.WorkerID) *lateWorker {
+	for n := 3; ; n++ {
+		if name := fmt.Sprint("w", n); rosterShard(platform.WorkerID(name)) == rosterShard(id) {
+			w := f.start(name, 0)
+			w.Draining = true
+			return w
+		}
+	}
+}
+
+// A task ran twice at once: the earlier owner had taken the worker for ended, so that no roster named it when
+// it came back under its name with a lease of a poll to its earlier incarnation.
+func TestLateLeaseOfAWorkerThatAnEarlierOwnerTookForEndedIsOutlasted(t *testing.T) {
+	f := newLateFixture(t, longUp, renewsLease)
+	f.untilKept(renewsLease)
+	f.loseFirst()
+	f.lateOwner = f.takeOver(f.lateOwner)
+	f.requireLateLeaseOutlasted()
+}
+
+// The same with one more change of owner, after a write of the worker's shard of the roster.
+func TestLateLeaseOfAWorkerTakenForEndedTwoOwnersAgoIsOutlasted(t *testing.T) {
+	f := newLateFixture(t, longUp, renewsLease)
+	f.untilKept(renewsLease)
+	f.loseFirst()
+	f.lateOwner = f.takeOver(f.lateOwner)
+	other := f.drainingInShardOf(firstIncarnation)
+	f.list(other)
+	f.pass(time.Second)
+	require.True(t, f.roster().has(other.ID))
+	f.lateOwner = f.takeOver(f.lateOwner, other)
+	f.requireLateLeaseOutlasted()
+}
+
+// The same with a worker that left the roster as its machine was to move.
+func TestLateLeaseOfAWorkerThatLeftTheRosterForAnOrderIsOutlasted(t *testing.T) {
+	f := newLateFixture(t, longUp, renewsLease)
+	f.untilKept(renewsLease)
+	f.step(MachineList{SentAt: f.now, Machines: []platform.Machine{{Name: f.first.Host, Pool: "blue", State: platform.MachineUp, Worker: f.first.ID.Name()}}})
+	f.core.cordon(f.core.machinesByName[f.first.Host])
+	f.pass(time.Second)
+	require.False(t, f.roster().has(firstIncarnation))
+	f.lateOwner = f.takeOver(f.lateOwner)
+	f.requireLateLeaseOutlasted()
+}
--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -31,6 +31,8 @@
 type replacement struct {
 	by platform.WorkerID
 	at time.Time
+	// latePollUntil is the time until which a poll to the replaced incarnation may be carried out.
+	latePollUntil time.Time
 }
 
 // endedIncarnation is an incarnation that has ended, and when.
@@ -39,6 +41,9 @@
 	at time.Time
 	// heldFrom is the number of its first held end, or zero.
 	heldFrom int64
+	// latePollUntil is the time until which a poll to it may be carried out by the next incarnation, and extend the
+	// lease of that one.
+	latePollUntil time.Time
 }
 
 // incarnations tracks which incarnation of each worker is running.
@@ -145,7 +150,8 @@
 	c.emit(LogLine{What: "worker restarted", Worker: by.ID, Why: why, Fields: []any{
 		"before", int64(w.ID.Incarnation()), "host", w.Host, "given_up", len(w.runs) - unsettled, "to_settle", unsettled,
 	}})
-	c.replaced[w.ID] = replacement{by: by.ID, at: c.now}
+	by.latePollUntil = latest(by.latePollUntil, c.latePollUntil(w))
+	c.replaced[w.ID] = replacement{by: by.ID, at: c.now, latePollUntil: by.latePollUntil}
 	delete(c.replaced, by.ID)
 	c.markRestarted(by, w.sentFence)
 	by.sentFence = max(by.sentFence, w.sentFence)
--- a/job/listing.go
+++ b/job/listing.go
@@ -185,6 +185,7 @@
 	ended := c.ended[w.ID.Name()]
 	if differ(w.ID.Incarnation(), ended.id.Incarnation()) {
 		c.markRestarted(w, c.latestFence)
+		w.latePollUntil = latest(w.latePollUntil, ended.latePollUntil)
 	}
 	if w.ID == ended.id {
 		// It was only taken for ended.
@@ -291,7 +292,7 @@
 	}
 	c.dropIncarnation(w)
 	if next == nil {
-		c.ended[w.ID.Name()] = endedIncarnation{id: w.ID, at: c.now, heldFrom: w.hold.from}
+		c.ended[w.ID.Name()] = endedIncarnation{id: w.ID, at: c.now, heldFrom: w.hold.from, latePollUntil: c.latePollUntil(w)}
 	}
 	c.stalePools[w.Service] = true
 	c.markRosterDirty(w)
--- a/job/roster.go
+++ b/job/roster.go
@@ -58,14 +58,17 @@
 // RosterEntry is a worker in a Roster.
 type RosterEntry struct {
 	ID      platform.WorkerID `json:"i"`
-	Service string            `json:"s"`
-	Address netip.AddrPort    `json:"a"`
+	Service string            `json:"s,omitempty"`
+	Address netip.AddrPort    `json:"a,omitzero"`
 	Host    string            `json:"h,omitempty"`
 	// Former is the service that it was one of before.
 	Former string `json:"f,omitempty"`
 	// Restarted says that an order to an earlier incarnation may have given it a longer lease than any
 	// order to itself.
 	Restarted bool `json:"r,omitempty"`
+	// Departed says that it has ended, or has no runs and will get none, and that a late poll may extend the lease
+	// of the incarnation that comes next. Of such a worker only the id is stored.
+	Departed bool `json:"d,omitempty"`
 }
 
 func rosterEntryOf(w *worker) RosterEntry {
@@ -173,6 +176,10 @@
 	}
 	named := map[platform.WorkerID]bool{}
 	for _, e := range r.Workers {
+		if e.Departed {
+			c.inheritDeparted(e.ID)
+			continue
+		}
 		e.ID = c.resolveID(e.ID)
 		w := c.workers[e.ID]
 		if w == nil {
@@ -287,6 +294,7 @@
 			k.workers = append(k.workers, namedWorker{worker: w, entry: e})
 		}
 	}
+	c.departedEntries(k.changes.shards, &entries)
 	for shard, changed := range k.changes.shards {
 		if changed {
 			slices.SortFunc(entries[shard], func(a, b RosterEntry) int { return strings.Compare(string(a.ID), string(b.ID)) })
