job: workers that come up under an unreadable roster count as restarted

Callers would see a task run twice at once, as with a worker that no roster names.

Cause: if a shard of the roster cannot be read, the next owner waits for the leases of earlier owners' runs, but takes a worker that comes up meanwhile for one that has never run before. It may have an earlier incarnation that the shard named, and a late poll to that one gives it the longest lease.

Workers that the owner knows then, or that come up while a poll of an earlier owner may still be carried out, count as restarted if they report their start.

--- a/job/departed.go
+++ b/job/departed.go
@@ -48,6 +48,14 @@
 	}
 }
 
+// markUnknownDeparture marks a worker as restarted if the roster may have named an earlier incarnation of it in a part
+// that could not be read.
+func (c *Core) markUnknownDeparture(w *worker) {
+	if w.ID.Incarnation() != 0 && c.now.Before(c.departuresUnknownUntil) {
+		c.markRestarted(w, 0)
+	}
+}
+
 // inheritDeparted notes that a worker has left an earlier owner's roster. One that has come back is restarted.
 func (c *Core) inheritDeparted(id platform.WorkerID) {
 	if w := c.current[id.Name()]; w != nil {
--- a/job/departed_test.go
+++ b/job/departed_test.go
@@ -74,3 +74,14 @@
 	f.lateOwner = f.takeOver(f.lateOwner)
 	f.requireLateLeaseOutlasted()
 }
+
+// The same with a roster whose shards cannot be read.
+func TestLateLeaseIsOutlastedIfTheRosterCannotBeRead(t *testing.T) {
+	f := newLateFixture(t, longUp, renewsLease)
+	f.untilKept(renewsLease)
+	f.first.silence()
+	f.ownerKeys[rosterShardKey(rosterShard(firstIncarnation))] = []byte("{")
+	f.lateOwner = f.takeOver(f.lateOwner)
+	f.pass(9 * time.Second)
+	f.requireLateLeaseOutlasted()
+}
--- a/job/listing.go
+++ b/job/listing.go
@@ -187,6 +187,7 @@
 		c.markRestarted(w, c.latestFence)
 		w.latePollUntil = latest(w.latePollUntil, ended.latePollUntil)
 	}
+	c.markUnknownDeparture(w)
 	if w.ID == ended.id {
 		// It was only taken for ended.
 		w.hold.from = ended.heldFrom
--- a/job/roster.go
+++ b/job/roster.go
@@ -171,6 +171,10 @@
 func (c *Core) inheritRoster(r Roster) {
 	if len(r.unreadableKeys) > 0 {
 		c.rosterUnknownUntil = c.now.Add(inheritedLease)
+		c.departuresUnknownUntil = c.earlierLeasesUntil
+		for w := range c.workersByAge.All() {
+			c.markUnknownDeparture(w)
+		}
 		c.emit(LogLine{What: "roster not read", Why: "jobs of earlier owners wait until all leases must have expired", Fields: []any{"keys", strings.Join(r.unreadableKeys, " ")}})
 		c.markServicesDirty()
 	}
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -23,6 +23,9 @@
 	// rosterUnknownUntil is when all runs of earlier owners must have ended. It is set if
 	// part of the roster could not be read.
 	rosterUnknownUntil time.Time
+	// departuresUnknownUntil is the time until which a worker that comes up may have had an earlier incarnation
+	// that only the unreadable part names.
+	departuresUnknownUntil time.Time
 	// earlierOrdersUntil is the time until which workers may still carry out orders of an
 	// earlier owner. A worker that has restarted does not know the fence that would refuse them.
 	earlierOrdersUntil time.Time
