job: the model has workers come back after they were taken for ended

A worker is cut off until its owner removes it, the owner is replaced, and the worker restarts under its name, gets a long task and is cut off.

--- a/job/world_binding_test.go
+++ b/job/world_binding_test.go
@@ -114,6 +114,16 @@
 	})
 }
 
+// TestPromisesHoldWhenWorkersComeBack has workers restart under their names, also after they were taken for
+// ended and the owner was replaced.
+func TestPromisesHoldWhenWorkersComeBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorldOf(t, true)
+		w.bindsStarts, w.owners[0].bindsStarts = true, true
+		w.playRestarts()
+	})
+}
+
 // TestPromisesHoldWhileVersionsAreMixed has owners that bind their starts follow others that do not, and
 // the reverse.
 func TestPromisesHoldWhileVersionsAreMixed(t *testing.T) {
--- a/job/world_restart_test.go
+++ b/job/world_restart_test.go
@@ -164,6 +164,7 @@
 		},
 		"again":         func(*rapid.T) { w.restart(w.pickWorker()) },
 		"again and cut": func(*rapid.T) { w.restartAndCut() },
+		"gone and back": func(*rapid.T) { w.returnAfterLoss() },
 		"again after a moment": func(t *rapid.T) {
 			v := w.pickWorker()
 			w.after(time.Duration(rapid.IntRange(0, 300).Draw(t, "moment_ms"))*time.Millisecond, func() {
@@ -202,13 +203,43 @@
 	w.advance(w.drawMillis("owned_after", 1500))
 	w.takeOver()
 	w.advance(w.drawMillis("cut_after", 1000))
+	w.cutRunning(task)
+	w.advance(w.drawMillis("cut_for", 9000))
+}
+
+// returnAfterLoss cuts a worker off until its owner takes it for ended, replaces the owner, and has the worker
+// come back under its name. Once it runs a long task, it is cut off again.
+func (w *world) returnAfterLoss() {
+	if !w.bindsStarts || w.mixedVersions {
+		// A start of a version before that was ruled out may reach the next incarnation.
+		return
+	}
+	v := w.pickWorker()
+	v.partitioned = true
+	w.deleteRecord(v)
+	w.advance(4*time.Second + w.drawMillis("gone_for", 3000))
+	w.owner().dead = true
+	w.advance(w.drawMillis("owned_after", 1500))
+	w.takeOver()
+	if !v.alive {
+		return
+	}
+	w.restart(v)
+	w.latestByName[v.ID.Name()].partitioned = false
+	task := taskKey{id: w.submitSteps(platform.Step{Count: 1, Resources: platform.Resources{MilliCores: 500}, Estimate: 15 * time.Second})}.String()
+	w.advance(w.drawMillis("started_after", 3000))
+	w.cutRunning(task)
+	w.advance(w.drawMillis("cut_for", 9000))
+}
+
+// cutRunning cuts the workers off that run a task, for nine seconds.
+func (w *world) cutRunning(task string) {
 	for _, v := range w.workersByStart {
 		if v.alive && v.runs[task] != nil {
 			v.partitioned = true
 			w.after(9*time.Second, func() { v.partitioned = false })
 		}
 	}
-	w.advance(w.drawMillis("cut_for", 9000))
 }
 
 // TestTasksResumeSoonAfterWorkerRestart restarts the worker of a task and requires that the task
