job: copies of a poll count for what a late one may do

Callers would see a task run twice at once, as with a worker that no roster names.

Cause: the client of workers repeats a poll whose connection is silent, and tells the outcome of the last copy only. The owner took a poll that was answered, or that could not be sent again, for one that is not carried out later, and counted from when it had decided on the poll, while a copy may leave 1.7 s after that.

A poll that extends the lease counts from when it is sent, whatever its answer, for as long as the last copy may be carried out.

--- a/job/departed_test.go
+++ b/job/departed_test.go
@@ -85,3 +85,44 @@
 	f.pass(9 * time.Second)
 	f.requireLateLeaseOutlasted()
 }
+
+// A task ran twice at once: the client had repeated the poll, and only the second copy was answered.
+func TestLateFirstCopyOfAnAnsweredPollIsOutlasted(t *testing.T) {
+	f := newLateFixture(t, longUp)
+	f.submitTask(idC)
+	f.passUntil(time.Second, func() bool { return f.first.runs[taskC] != nil })
+	require.NotNil(t, f.first.runs[taskC])
+	f.keep = func(a Action) bool {
+		if renewsLease(a) && len(f.late) == 0 {
+			f.late = append(f.late, a)
+		}
+		return false
+	}
+	f.untilKept(renewsLease)
+	f.first.end(taskC, platform.EndDone)
+	f.pass(2 * time.Second)
+	require.Equal(t, platform.StateSucceeded, f.stateOf(idC))
+	f.loseFirst()
+	t.Log("roster", f.roster().Workers)
+	f.lateOwner = f.takeOver(f.lateOwner)
+	f.requireLateLeaseOutlasted()
+}
+
+// The same with a second copy that could not be sent, as the worker was gone.
+func TestLateFirstCopyOfAPollThatWasNotSentAgainIsOutlasted(t *testing.T) {
+	f := newLateFixture(t, longUp, renewsLease)
+	f.untilKept(renewsLease)
+	require.Len(t, f.late, 1)
+	sent := f.now
+	f.answers = nil // in place of ErrUnknownOutcome
+	f.first.silence()
+	f.pass(pollWait + pollSlack)
+	f.step(PollResult{Worker: firstIncarnation, SentAt: sent, Err: platform.ErrNotSent})
+	f.step(WorkerUnlisted{Name: f.first.ID.Name()})
+	f.passUntil(6*time.Second, func() bool { return f.core.workers[firstIncarnation] == nil })
+	require.Nil(t, f.core.workers[firstIncarnation])
+	f.pass(time.Second)
+	t.Log("roster", f.roster().Workers)
+	f.lateOwner = f.takeOver(f.lateOwner)
+	f.requireLateLeaseOutlasted()
+}
--- a/job/poll.go
+++ b/job/poll.go
@@ -69,11 +69,13 @@
 		// A silent worker's lease is not renewed, so that it expires.
 		o.LeaseUntil = w.extendLease(c.now)
 	}
-	w.pollExtends = o.LeaseUntil > 0
 	if w.contacted && w.missedPolls == 0 && w.lastEndSeen == w.lastEndStored && w.busy() && !w.needsPromptPoll(c.now) {
 		o.Wait = c.pollWaitFor(w)
 	}
 	w.polling, w.pollWaits = true, o.Wait > 0
+	if o.LeaseUntil > 0 {
+		w.latePollUntil = latest(w.latePollUntil, c.now.Add(o.Wait+pollSlack+maxOrderDelay))
+	}
 	w.pollSentAt = c.now
 	if w.contacted {
 		c.flow.spend(pollBytes)
@@ -104,9 +106,6 @@
 		c.removeWorker(w, "another incarnation answers at its address")
 		return
 	case e.Err != nil:
-		if w.pollExtends && !errors.Is(e.Err, platform.ErrNotSent) {
-			w.latePollUntil = w.pollSentAt.Add(maxOrderDelay)
-		}
 		w.missedPolls++
 		w.nextPollAt = c.now.Add(c.pollPause(w))
 		if w.missedPolls == 1 {
--- a/job/restarted.go
+++ b/job/restarted.go
@@ -5,15 +5,18 @@
 // A poll that extends the lease may be carried out late, by a later incarnation of its worker. The end of
 // the lease is a time on the earlier incarnation's clock, which may be far ahead: the worker cuts the lease to
 // the longest that it accepts. The later incarnation refuses such a poll once it has carried out an order with a
-// higher fence, and it comes no later than maxOrderDelay after it was sent. Until the longest lease has
+// higher fence, and it comes no later than maxPollDelay after the owner decided on it. Until the longest lease has
 // passed since the first of the two, the worker's lease does not count as expired.
 
+// maxPollDelay is the longest time until a poll is carried out: the client may repeat it while it waits for an answer.
+const maxPollDelay = pollWait + pollSlack + maxOrderDelay
+
 // markRestarted notes that orders to an earlier incarnation, with fences up to the given one, may yet give the
 // worker a longer lease than any order to itself.
 func (c *Core) markRestarted(w *worker, earlier platform.Fence) {
 	w.restarted, w.fenced = true, false
 	w.earlierFence = max(w.earlierFence, earlier)
-	w.expiresBy = latest(w.expiresBy, latest(c.now.Add(maxOrderDelay), c.earlierLeasesUntil).Add(inheritedLease))
+	w.expiresBy = latest(w.expiresBy, latest(c.now.Add(maxPollDelay), c.earlierLeasesUntil).Add(inheritedLease))
 	if w.inRoster {
 		w.inRoster = false
 		c.markRosterDirty(w)
--- a/job/restarted_test.go
+++ b/job/restarted_test.go
@@ -66,3 +66,69 @@
 	f.pass(500 * time.Millisecond)
 	f.requireMoves(second)
 }
+
+// A task ran twice at once: the client repeated the poll after the restart had been noticed.
+func TestLateLeaseByACopySentAfterTheRestartIsOutlasted(t *testing.T) {
+	f := newLateFixture(t, longUp)
+	f.pass(30 * time.Second)
+	f.submitTask(idC)
+	f.passUntil(time.Second, func() bool { return f.first.runs[taskC] != nil })
+	require.NotNil(t, f.first.runs[taskC])
+	f.holdWrites = true
+	f.first.end(taskC, platform.EndDone)
+	f.pass(200 * time.Millisecond)
+	f.keepFirst(renewsLease)
+	f.untilKept(renewsLease)
+	require.Len(t, f.late, 1)
+	second := f.start(secondIncarnation, 0)
+	f.list(second)
+	noticed := f.now
+	f.pass(100 * time.Millisecond)
+	f.holdWrites = false
+	f.revision++
+	f.step(WriteResult{Number: f.core.writeNumber, Revision: f.revision})
+	f.pass(13400 * time.Millisecond)
+	require.Equal(t, platform.StateSucceeded, f.stateOf(idC))
+	t.Log("late copy after", f.now.Sub(noticed), "second knows", second.fence, "poll has", fenceOf(f.late[0]))
+	f.carryOutLate(renewsLease)
+	f.keep = startsB
+	f.submitTask(idB)
+	f.passUntil(3*time.Second, func() bool { return len(f.late) > 0 })
+	require.Len(t, f.late, 1)
+	f.keep = func(Action) bool { return false }
+	f.carryOutLate(startsB)
+	require.NotNil(t, second.runs[taskB])
+	f.requireMoves(second)
+}
+
+// The same as with an idle worker, under an owner that has owned for long.
+func TestLateLeaseOfARestartedWorkerIsOutlastedUnderAnOldOwner(t *testing.T) {
+	f := newLateFixture(t, longUp)
+	f.pass(30 * time.Second)
+	f.submitTask(idC)
+	f.passUntil(time.Second, func() bool { return f.first.runs[taskC] != nil })
+	require.NotNil(t, f.first.runs[taskC])
+	f.holdWrites = true
+	f.first.end(taskC, platform.EndDone)
+	f.pass(200 * time.Millisecond)
+	f.keepFirst(renewsLease)
+	f.untilKept(renewsLease)
+	require.Len(t, f.late, 1)
+	second := f.start(secondIncarnation, 0)
+	f.pass(2 * time.Second)
+	f.list(second)
+	f.holdWrites = false
+	f.revision++
+	f.step(WriteResult{Number: f.core.writeNumber, Revision: f.revision})
+	f.pass(6 * time.Second)
+	require.Equal(t, platform.StateSucceeded, f.stateOf(idC))
+	f.carryOutLate(renewsLease)
+	f.keep = startsB
+	f.submitTask(idB)
+	f.passUntil(3*time.Second, func() bool { return len(f.late) > 0 })
+	require.Len(t, f.late, 1)
+	f.keep = func(Action) bool { return false }
+	f.carryOutLate(startsB)
+	require.NotNil(t, second.runs[taskB])
+	f.requireMoves(second)
+}
--- a/job/worker.go
+++ b/job/worker.go
@@ -111,9 +111,9 @@
 	abandoned map[rawRunID]bool
 	hold      ackHold
 	// polling reports whether a poll is in flight, pollWaits whether the worker may hold it
-	// until a run ends, pollExtends whether it extends the lease.
-	polling, pollWaits, pollExtends bool
-	// latePollUntil is the time until which a poll that extends the lease and failed may be carried out.
+	// until a run ends.
+	polling, pollWaits bool
+	// latePollUntil is the time until which a poll that extends the lease may be carried out.
 	latePollUntil time.Time
 
 	nextPollAt time.Time
