job: workers that left the roster for an order get no lease

Callers would see a task run twice at once, as with a worker that no roster names.

Cause: a worker leaves the roster once its machine has an order and nothing runs there. The poll that acknowledges its last ends came after that and extended its lease, which the roster, written before, does not tell of.

Nothing runs on such a worker and it gets no starts, so that its lease need not be extended.

--- a/job/departed_test.go
+++ b/job/departed_test.go
@@ -67,7 +67,7 @@
 func TestLateLeaseOfAWorkerThatLeftTheRosterForAnOrderIsOutlasted(t *testing.T) {
 	f := newLateFixture(t, longUp, renewsLease)
 	f.untilKept(renewsLease)
-	f.step(MachineList{SentAt: f.now, Machines: []platform.Machine{{Name: f.first.Host, Pool: "blue", State: platform.MachineUp, Worker: f.first.ID.Name()}}})
+	f.listMachine(f.first)
 	f.core.cordon(f.core.machinesByName[f.first.Host])
 	f.pass(time.Second)
 	require.False(t, f.roster().has(firstIncarnation))
@@ -126,3 +126,27 @@
 	f.lateOwner = f.takeOver(f.lateOwner)
 	f.requireLateLeaseOutlasted()
 }
+
+// listMachine tells the owner of the worker's machine.
+func (f *lateFixture) listMachine(w *lateWorker) {
+	f.step(MachineList{SentAt: f.now, Machines: []platform.Machine{{Name: w.Host, Pool: "blue", State: platform.MachineUp, Worker: w.ID.Name()}}})
+}
+
+// A task ran twice at once: the poll that acknowledged the last end extended the lease of a worker that had left the
+// roster.
+func TestWorkerThatLeftTheRosterForAnOrderGetsNoLease(t *testing.T) {
+	f := newLateFixture(t, longUp)
+	f.submitTask(idC)
+	f.passUntil(time.Second, func() bool { return f.first.runs[taskC] != nil })
+	require.NotNil(t, f.first.runs[taskC])
+	f.listMachine(f.first)
+	f.first.end(taskC, platform.EndDone)
+	f.passUntil(2*time.Second, func() bool { return f.stateOf(idC) == platform.StateSucceeded })
+	require.Equal(t, platform.StateSucceeded, f.stateOf(idC))
+	f.core.cordon(f.core.machinesByName[f.first.Host])
+	require.True(t, f.core.workers[firstIncarnation].offRoster)
+	f.keepFirst(isAck)
+	f.untilKept(isAck)
+	require.Len(t, f.late, 1)
+	require.False(t, renewsLease(f.late[0]))
+}
--- a/job/poll.go
+++ b/job/poll.go
@@ -65,8 +65,8 @@
 		o.LastAcked = w.lastAckable()
 		c.raiseFence(w)
 	}
-	if w.contacted && w.missedPolls == 0 && !w.letsLeaseExpire() {
-		// A silent worker's lease is not renewed, so that it expires.
+	if w.contacted && w.missedPolls == 0 && !w.offRoster && !w.letsLeaseExpire() {
+		// A silent worker's lease is not renewed, so that it expires. One that has left the roster has no runs.
 		o.LeaseUntil = w.extendLease(c.now)
 	}
 	if w.contacted && w.missedPolls == 0 && w.lastEndSeen == w.lastEndStored && w.busy() && !w.needsPromptPoll(c.now) {
--- a/job/restarted_test.go
+++ b/job/restarted_test.go
@@ -50,7 +50,7 @@
 	f.passUntil(time.Second, func() bool { return f.first.runs[taskC] != nil })
 	require.NotNil(t, f.first.runs[taskC])
 	f.lateOwner = f.takeOver(f.lateOwner)
-	f.step(MachineList{SentAt: f.now, Machines: []platform.Machine{{Name: f.first.Host, Pool: "blue", State: platform.MachineUp, Worker: f.first.ID.Name()}}})
+	f.listMachine(f.first)
 	f.pass(time.Second)
 	f.keepFirst(renewsLease)
 	f.untilKept(renewsLease)
