job: the end of an earlier incarnation marks a later one that is known already

Callers would see a task run twice at once after a change of owner.

Cause: a next owner may know an incarnation by the roster and a later one by its record, and learns that one has replaced the other by an answer only. If the earlier one is taken for ended without one, as it is silent, the later one stayed one that has never had another life, and its lease counted from its own polls.

What becomes the current incarnation when another one ends counts as restarted.

--- a/job/listing.go
+++ b/job/listing.go
@@ -295,6 +295,10 @@
 	if next == nil {
 		c.ended[w.ID.Name()] = endedIncarnation{id: w.ID, at: c.now, heldFrom: w.hold.from, latePollUntil: c.latePollUntil(w)}
 	}
+	if o := c.current[w.ID.Name()]; next == nil && o != nil {
+		c.markRestarted(o, w.sentFence)
+		o.latePollUntil = latest(o.latePollUntil, c.latePollUntil(w))
+	}
 	c.stalePools[w.Service] = true
 	c.markRosterDirty(w)
 	c.attributeCrash(suspects)
--- a/job/restarted_test.go
+++ b/job/restarted_test.go
@@ -132,3 +132,52 @@
 	require.NotNil(t, second.runs[taskB])
 	f.requireMoves(second)
 }
+
+// A task ran twice at once: the earlier incarnation was taken for ended when the later one was known by its record.
+func TestLateLeaseOfAWorkerWhoseEarlierIncarnationEndedLaterIsOutlasted(t *testing.T) {
+	f := newLateFixture(t, longUp, renewsLease)
+	f.untilKept(renewsLease)
+	require.Len(t, f.late, 1)
+	sent := f.now
+	second := f.start(secondIncarnation, 0)
+	f.lateOwner = f.takeOver(f.lateOwner, second)
+	kept := f.late
+	f.keep = func(a Action) bool { to, _ := recipientOf(a); return isPoll(a) && to == "w1" }
+	f.passUntil(11*time.Second, func() bool { return f.core.workers[firstIncarnation] == nil })
+	require.Nil(t, f.core.workers[firstIncarnation])
+	require.NotNil(t, f.core.workers[secondIncarnation])
+	f.keep = func(Action) bool { return false }
+	f.late = kept
+	t.Log("late by", f.now.Sub(sent), "restarted", f.core.workers[secondIncarnation].restarted)
+	f.carryOutLate(renewsLease)
+	f.requireRunsTaskB(second)
+	f.requireMoves(second)
+}
+
+// busyFirst has the first incarnation run taskC, and keeps the next poll that extends its lease back.
+func (f *lateFixture) busyFirst() {
+	f.submitTask(idC)
+	f.passUntil(time.Second, func() bool { return f.first.runs[taskC] != nil })
+	require.NotNil(f.t, f.first.runs[taskC])
+	f.pass(200 * time.Millisecond)
+	f.keepFirst(renewsLease)
+	f.untilKept(renewsLease)
+	require.Len(f.t, f.late, 1)
+}
+
+// The same with a run on the earlier incarnation.
+func TestLateLeaseIsOutlastedIfTheEarlierIncarnationEndedLaterWithARun(t *testing.T) {
+	f := newLateFixture(t, longUp)
+	f.busyFirst()
+	second := f.start(secondIncarnation, 0)
+	f.lateOwner = f.takeOver(f.lateOwner, second)
+	kept := f.late
+	f.keep = func(a Action) bool { to, _ := recipientOf(a); return isPoll(a) && to == "w1" }
+	f.passUntil(11*time.Second, func() bool { return f.core.workers[firstIncarnation] == nil })
+	require.Nil(t, f.core.workers[firstIncarnation])
+	f.keep = func(Action) bool { return false }
+	f.late = kept
+	f.carryOutLate(renewsLease)
+	f.requireRunsTaskB(second)
+	f.requireMoves(second)
+}
