job: a name whose worker left the roster stays known, whatever its record says

Callers would see a task run twice at once after two changes of owner, or under one owner that had removed and listed the worker again.

Cause: that a worker had left the roster was forgotten as soon as its name was known again: by the record of the same incarnation, which may go once more, by that of a later one that was in no roster yet, or by a later one that left the roster itself; and of two incarnations of one name that had left, only the one read last was known.

What comes up, or has come up, under such a name counts as restarted until no poll to any earlier incarnation can be carried out, and the roster names the incarnation for as long as no entry of a later one is in it.

--- a/job/departed.go
+++ b/job/departed.go
@@ -29,7 +29,7 @@
 		}
 	}
 	for w := range c.workersByAge.All() {
-		if w.offRoster {
+		if !c.belongsInRoster(w) {
 			add(w.ID, c.latePollUntil(w))
 		}
 	}
@@ -39,7 +39,7 @@
 		}
 	}
 	for id, r := range sorted(c.replaced) {
-		if by := c.workers[r.by]; by != nil && !by.inRoster {
+		if by := c.workers[r.by]; by != nil && (!by.inRoster || by.offRoster) {
 			add(id, r.latePollUntil)
 		}
 	}
@@ -53,13 +53,12 @@
 	}
 }
 
-// inheritDeparted notes that a worker has left an earlier owner's roster. One that has come back is restarted.
+// inheritDeparted notes that a worker has left an earlier owner's roster. Whatever comes up under its name, or has come
+// up, counts as restarted: more incarnations of it may have left.
 func (c *Core) inheritDeparted(id platform.WorkerID) {
 	if w := c.current[id.Name()]; w != nil {
-		if differ(w.ID.Incarnation(), id.Incarnation()) {
-			c.markRestarted(w, 0)
-		}
-		return
+		c.markRestarted(w, 0)
+		w.latePollUntil = latest(w.latePollUntil, c.earlierLeasesUntil)
 	}
 	c.ended[id.Name()] = endedIncarnation{id: id, at: c.now, latePollUntil: c.earlierLeasesUntil}
 }
--- a/job/departed_test.go
+++ b/job/departed_test.go
@@ -150,3 +150,108 @@
 	require.Len(t, f.late, 1)
 	require.False(t, renewsLease(f.late[0]))
 }
+
+// A task ran twice at once: the record of the worker was there again at the takeover, and went again.
+func TestLateLeaseIsOutlastedIfTheRecordWasBackAtTheTakeover(t *testing.T) {
+	f := newLateFixture(t, longUp, renewsLease)
+	f.untilKept(renewsLease)
+	f.loseFirst()
+	t.Log("roster", f.roster().Workers)
+	f.lateOwner = f.takeOver(f.lateOwner, f.first)
+	other := f.drainingInShardOf(firstIncarnation)
+	f.list(other)
+	f.pass(time.Second)
+	f.step(WorkerUnlisted{Name: f.first.ID.Name()})
+	f.pass(500 * time.Millisecond)
+	t.Log("roster", f.roster().Workers)
+	f.lateOwner = f.takeOver(f.lateOwner, other)
+	f.requireLateLeaseOutlasted()
+}
+
+// The same with a record that was there again under the same owner.
+func TestLateLeaseIsOutlastedIfTheRecordWasBackInBetween(t *testing.T) {
+	f := newLateFixture(t, longUp, renewsLease)
+	f.untilKept(renewsLease)
+	f.loseFirst()
+	f.step(WorkerListed{Worker: f.first.Worker})
+	other := f.drainingInShardOf(firstIncarnation)
+	f.list(other)
+	f.pass(time.Second)
+	f.step(WorkerUnlisted{Name: f.first.ID.Name()})
+	f.pass(500 * time.Millisecond)
+	t.Log("roster", f.roster().Workers)
+	f.lateOwner = f.takeOver(f.lateOwner, other)
+	f.requireLateLeaseOutlasted()
+}
+
+// The same with a next incarnation that one owner knew by its record only.
+func TestLateLeaseIsOutlastedIfTheNextIncarnationWasKnownByItsRecordOnly(t *testing.T) {
+	f := newLateFixture(t, longUp, renewsLease)
+	f.untilKept(renewsLease)
+	f.loseFirst()
+	second := f.start(secondIncarnation, 0)
+	f.keep = func(a Action) bool { to, _ := recipientOf(a); return isPoll(a) && to == "w1" }
+	f.lateOwner = f.takeOver(f.lateOwner, second)
+	other := f.drainingInShardOf(firstIncarnation)
+	f.list(other)
+	f.pass(time.Second)
+	other.Draining = true
+	t.Log("roster", f.roster().Workers)
+	f.keep = func(Action) bool { return false }
+	kept := f.late[:1]
+	f.late = kept
+	f.lateOwner = f.takeOver(f.lateOwner, second, other)
+	f.carryOutLate(renewsLease)
+	f.requireRunsTaskB(second)
+	f.requireMoves(second)
+}
+
+// The same with a next incarnation that had left the roster for an order.
+func TestLateLeaseIsOutlastedIfTheNextIncarnationLeftTheRoster(t *testing.T) {
+	f := newLateFixture(t, longUp)
+	f.submitTask(idC)
+	f.passUntil(time.Second, func() bool { return f.first.runs[taskC] != nil })
+	require.NotNil(t, f.first.runs[taskC])
+	f.holdWrites = true
+	f.first.end(taskC, platform.EndDone)
+	f.pass(200 * time.Millisecond)
+	f.keepFirst(renewsLease)
+	f.untilKept(renewsLease)
+	second := f.start(secondIncarnation, 0)
+	f.pass(2 * time.Second)
+	f.list(second)
+	f.pass(200 * time.Millisecond)
+	f.holdWrites = false
+	f.revision++
+	f.step(WriteResult{Number: f.core.writeNumber, Revision: f.revision})
+	f.pass(time.Second)
+	require.Equal(t, platform.StateSucceeded, f.stateOf(idC))
+	f.stored[idC] = f.core.progress(f.core.jobs[idC])
+	f.listMachine(second)
+	t.Log("roster in", f.roster().Workers)
+	f.core.cordon(f.core.machinesByName[second.Host])
+	f.pass(time.Second)
+	other := f.drainingInShardOf(firstIncarnation)
+	f.list(other)
+	f.pass(time.Second)
+	t.Log("roster", f.roster().Workers)
+	f.lateOwner = f.takeOver(f.lateOwner, second, other)
+	f.carryOutLate(renewsLease)
+	f.requireRunsTaskB(second)
+	f.requireMoves(second)
+}
+
+func TestEachOfTwoIncarnationsThatLeftTheRosterIsKnown(t *testing.T) {
+	a, b := platform.WorkerID(firstIncarnation), platform.WorkerID(secondIncarnation)
+	for _, l := range [][]platform.WorkerID{{b, a}, {a, b}} {
+		f := newLateFleet(t)
+		o := f.addOwner(100)
+		var r Roster
+		for _, id := range l {
+			r.Workers = append(r.Workers, RosterEntry{ID: id, Departed: true})
+		}
+		o.step(Inherited{Config: testConfig(), Roster: r})
+		f.list(f.start(secondIncarnation, 0))
+		require.True(t, o.core.workers[b].restarted, "%v", l)
+	}
+}
