job: jobs wait no longer for a silent restarted worker than runs of earlier owners may last there

Cause: the wait counted a late poll that would be carried out while the worker had not answered. Only runs of earlier owners can be there then, and their starts have told the worker a fence that refuses late polls.

Evidence: TestWaitForASilentRestartedWorkerIsBounded failed before.

--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -172,6 +172,9 @@
 		c.markRosterDirty(w)
 	}
 	c.removeOthersOnHost(w, sentAt)
+	if w.restarted {
+		w.expiresBy = latest(w.expiresBy, c.lateLeaseEnd(w))
+	}
 	// Jobs may have waited for its report on the runs of earlier owners.
 	c.reorder(w.Service)
 }
--- a/job/restarted.go
+++ b/job/restarted.go
@@ -1,6 +1,10 @@
 package job
 
-import "amberway/platform"
+import (
+	"time"
+
+	"amberway/platform"
+)
 
 // A poll that extends the lease may be carried out late, by a later incarnation of its worker. The end of
 // the lease is a time on the earlier incarnation's clock, which may be far ahead: the worker cuts the lease to
@@ -16,13 +20,22 @@
 func (c *Core) markRestarted(w *worker, earlier platform.Fence) {
 	w.restarted, w.fenced = true, false
 	w.earlierFence = max(w.earlierFence, earlier)
-	w.expiresBy = latest(w.expiresBy, latest(c.now.Add(maxPollDelay), c.earlierLeasesUntil).Add(inheritedLease))
+	w.expiresBy = latest(w.expiresBy, c.lateLeaseEnd(w))
 	if w.inRoster {
 		w.inRoster = false
 		c.markRosterDirty(w)
 	}
 }
 
+// lateLeaseEnd returns when all runs on a restarted worker must have ended that knows no higher fence yet. On one that has
+// not answered there can only be runs that earlier owners started, and it refuses late polls since.
+func (c *Core) lateLeaseEnd(w *worker) time.Time {
+	if !w.contacted {
+		return c.earlierStartsUntil.Add(inheritedLease)
+	}
+	return latest(c.now.Add(maxPollDelay), c.earlierLeasesUntil).Add(inheritedLease)
+}
+
 // noteAnsweredFence notes that the worker has carried out an order with the fence.
 func (c *Core) noteAnsweredFence(w *worker, f platform.Fence) {
 	if w.restarted && !w.fenced && f > w.earlierFence {
--- a/job/restarted_test.go
+++ b/job/restarted_test.go
@@ -181,3 +181,18 @@
 	f.requireRunsTaskB(second)
 	f.requireMoves(second)
 }
+
+// Jobs of earlier owners wait no longer for a restarted worker that is silent than its runs may last.
+func TestWaitForASilentRestartedWorkerIsBounded(t *testing.T) {
+	f := newLateFixture(t, longUp)
+	second := f.start(secondIncarnation, 0)
+	f.list(second)
+	f.pass(2 * time.Second)
+	second.silence()
+	f.submitTask(idB)
+	f.lateOwner = f.takeOver(f.lateOwner, second)
+	other := f.start("w2", 0)
+	f.list(other)
+	f.passUntil(ownerAuthority+leaseFor+inheritedLease+time.Second, func() bool { return other.runs[taskB] != nil })
+	require.NotNil(t, other.runs[taskB])
+}
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -32,6 +32,8 @@
 	// earlierLeasesUntil is the time until which a worker may carry out a poll of an earlier owner that extends
 	// its lease, if it knows no fence that refuses it.
 	earlierLeasesUntil time.Time
+	// earlierStartsUntil is the time until which a worker may carry out a start of an earlier owner.
+	earlierStartsUntil time.Time
 	// predecessorUntil is the time until which an earlier process of this host, whose claim was
 	// replaced, may act without asking the store.
 	predecessorUntil time.Time
@@ -54,7 +56,7 @@
 const maxPause = ownerTTL - renewEvery
 
 func newTakeover(now time.Time) takeover {
-	return takeover{uncontacted: map[string]time.Time{}, unlisted: map[string]bool{}, earlierOrdersUntil: now.Add(inheritedLease), earlierLeasesUntil: now.Add(ownerAuthority + maxOrderDelay), ownedUntil: now}
+	return takeover{uncontacted: map[string]time.Time{}, unlisted: map[string]bool{}, earlierOrdersUntil: now.Add(inheritedLease), earlierLeasesUntil: now.Add(ownerAuthority + maxPollDelay), earlierStartsUntil: now.Add(ownerAuthority + leaseFor), ownedUntil: now}
 }
 
 // Inherited is the state that an owner finds in the store when it takes over.
