job: workers that left the roster are left out once no poll to them can be carried out

A next owner would wait longer than needed if a worker comes up under such a name and falls silent.

Cause: the shard was written again only if another of its workers came or went.

The shard goes along with the owner's next write, whatever that is for; it causes none of its own.

--- a/job/departed.go
+++ b/job/departed.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// forgetDeparted has the next write leave out the workers to which no poll can be carried out any more.
+func (c *Core) forgetDeparted() {
+	for n, e := range c.ended {
+		if !e.latePollUntil.IsZero() && c.now.After(e.latePollUntil) {
+			e.latePollUntil = time.Time{}
+			c.ended[n] = e
+			c.roster.shards[rosterShard(e.id)] = true
+		}
+	}
+}
+
 // markUnknownDeparture marks a worker as restarted if the roster may have named an earlier incarnation of it in a part
 // that could not be read.
 func (c *Core) markUnknownDeparture(w *worker) {
--- a/job/departed_test.go
+++ b/job/departed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -255,3 +256,16 @@
 		require.True(t, o.core.workers[b].restarted, "%v", l)
 	}
 }
+
+// A name that stayed in the roster made the next owners wait for a worker that came up under it.
+func TestWorkerThatLeftTheRosterIsNamedForAWhileOnly(t *testing.T) {
+	f := newLateFixture(t, longUp, renewsLease)
+	f.untilKept(renewsLease)
+	f.loseFirst()
+	departed := func(e RosterEntry) bool { return e.Departed }
+	require.True(t, slices.ContainsFunc(f.roster().Workers, departed))
+	f.pass(maxPollDelay)
+	f.list(f.start("w2", 0))
+	f.pass(time.Second)
+	require.False(t, slices.ContainsFunc(f.roster().Workers, departed))
+}
--- a/job/incarnation.go
+++ b/job/incarnation.go
@@ -236,6 +236,7 @@
 		age := c.now.Sub(e.at)
 		return age > heldEndsFor || age > replacedFor && e.heldFrom == 0
 	})
+	c.forgetDeparted()
 	for id, r := range c.replaced {
 		if c.now.Sub(r.at) > replacedFor {
 			delete(c.replaced, id)
