job: the orders of a predecessor count from the takeover, not from the claim

Callers could see a task run twice at once: an owner that replaced the claim of the earlier process of its host counted how long orders of that one may be carried out from its claim. The earlier process renews its lease, and gives orders, until the lease is revoked, which is tried again until it succeeds.

--- a/job/predecessor_core_test.go
+++ b/job/predecessor_core_test.go
@@ -113,3 +113,12 @@
 	require.Len(t, f.maintenanceOrders(), 1)
 	require.Equal(t, []string{"host-of-w1", "host-of-" + sameShard}, f.roster().Ordered)
 }
+
+// The lease of the earlier process may be revoked long after the claim, and it may give orders until then.
+func TestOrdersOfAPredecessorCountFromTheTakeover(t *testing.T) {
+	f := newOwnerFixture(t, 200)
+	f.advance(5 * time.Second)
+	f.step(Inherited{Config: testConfig(), Replaced: true})
+	require.Equal(t, f.now.Add(inheritedLease), f.core.earlierOrdersUntil)
+	require.Equal(t, f.now.Add(ownerAuthority+maxPollDelay), f.core.earlierLeasesUntil)
+}
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -56,7 +56,16 @@
 const maxPause = ownerTTL - renewEvery
 
 func newTakeover(now time.Time) takeover {
-	return takeover{uncontacted: map[string]time.Time{}, unlisted: map[string]bool{}, earlierOrdersUntil: now.Add(inheritedLease), earlierLeasesUntil: now.Add(ownerAuthority + maxPollDelay), earlierStartsUntil: now.Add(ownerAuthority + leaseFor), ownedUntil: now}
+	t := takeover{uncontacted: map[string]time.Time{}, unlisted: map[string]bool{}, ownedUntil: now}
+	t.limitEarlierOwners(now)
+	return t
+}
+
+// limitEarlierOwners computes until when orders of earlier owners may be carried out that have lost the ownership by now.
+func (t *takeover) limitEarlierOwners(now time.Time) {
+	t.earlierOrdersUntil = now.Add(inheritedLease)
+	t.earlierLeasesUntil = now.Add(ownerAuthority + maxPollDelay)
+	t.earlierStartsUntil = now.Add(ownerAuthority + leaseFor)
 }
 
 // Inherited is the state that an owner finds in the store when it takes over.
@@ -85,6 +94,8 @@
 
 // apply takes over the state.
 func (e Inherited) apply(c *Core) {
+	// The lease of an earlier process of this host was revoked after the claim.
+	c.limitEarlierOwners(c.now)
 	if e.Config != nil {
 		ConfigChanged{Config: e.Config}.apply(c)
 	}
