--- a/job/departed.go
+++ b/job/departed.go
@@ -21,7 +21,7 @@
 	return until
 }
 
-// departedEntries adds the entries of workers that have left the roster to those of the changed shards.
+// departedEntries adds the entries of workers that have left the roster to those of the changed shards, in any order.
 func (c *Core) departedEntries(changed [rosterShards]bool, entries *[rosterShards][]RosterEntry) {
 	add := func(id platform.WorkerID, until time.Time) {
 		if shard := rosterShard(id); changed[shard] && id.Incarnation() != 0 && c.now.Before(until) {
@@ -33,12 +33,12 @@
 			add(w.ID, c.latePollUntil(w))
 		}
 	}
-	for _, e := range sorted(c.ended) {
+	for _, e := range c.ended {
 		if c.workers[e.id] == nil {
 			add(e.id, e.latePollUntil)
 		}
 	}
-	for id, r := range sorted(c.replaced) {
+	for id, r := range c.replaced {
 		if by := c.workers[r.by]; by != nil && (!by.inRoster || by.offRoster) {
 			add(id, r.latePollUntil)
 		}
