local: entry hosts of tests with limits on memory and descriptors

MemoryMB writes memory-mb into the settings, MaxDescriptors lowers the limit of the child by ulimit before it is executed, and MaxBodyBytes raises the configuration's limit on bodies from 64 kB. Usage has the peak of the resident memory and the number of open descriptors, and UnreadBytes what has arrived at an address and is not yet read, as it takes the memory of the machine as well. CallOnNewConnection shares no connection with earlier calls, so that it depends on whether the host accepts a further one. Needed by the tests of crowds.

--- a/internal/local/deployment.go
+++ b/internal/local/deployment.go
@@ -36,6 +36,10 @@
 	Slots int
 	// RackSize is the number of targets of a pool in each rack, 4 by default.
 	RackSize int
+	// MemoryMB, if not zero, is what each entry host may take of its machine's memory, in megabytes.
+	MemoryMB int
+	// MaxDescriptors, if not zero, is the most descriptors that each entry host may have open.
+	MaxDescriptors int
 	// RebootTime is how long a reboot takes, one second by default.
 	RebootTime time.Duration
 }
@@ -201,6 +205,9 @@
 		"--peers", e.Peers.String(), "--platform", "http://" + d.platforms[dc].String(),
 		"--peer-token", peerToken, "--admin-token", AdminToken, "--stop-delay", "300ms",
 	}
+	if d.MemoryMB > 0 {
+		e.args = append(e.args, "--memory-mb", fmt.Sprint(d.MemoryMB))
+	}
 	d.Entries = append(d.Entries, e)
 	return nil
 }
@@ -213,7 +220,7 @@
 			args = append(args, "--seed", o.Peers.String())
 		}
 	}
-	p, err := d.spawn(e.Name, "amberwayd", args)
+	p, err := spawn(d.dir, filepath.Join(d.bin, "amberwayd"), e.Name, args, d.MaxDescriptors)
 	e.Process = p
 	return err
 }
@@ -235,7 +242,7 @@
 }
 
 func (d *Deployment) spawn(name, program string, args []string) (*Process, error) {
-	return spawn(d.dir, filepath.Join(d.bin, program), name, args)
+	return spawn(d.dir, filepath.Join(d.bin, program), name, args, 0)
 }
 
 // Stop kills all processes.
--- a/internal/local/entry.go
+++ b/internal/local/entry.go
@@ -19,13 +19,13 @@
 	Name         string
 	Callers      netip.AddrPort
 	Peers        netip.AddrPort
-	readyAddr    netip.AddrPort
+	Readiness    netip.AddrPort
 	settingsFile string
 }
 
 // Ready reports whether the entry host's readiness probe succeeds.
 func (e *JobsEntry) Ready() bool {
-	res, err := http.Get("http://" + e.readyAddr.String() + "/ready")
+	res, err := http.Get("http://" + e.Readiness.String() + "/ready")
 	if err != nil {
 		return false
 	}
@@ -46,22 +46,47 @@
 
 // CallWithKey is Call with another team key.
 func (e *JobsEntry) CallWithKey(key, method, queue, id string, body any) (int, string, error) {
-	b, err := json.Marshal(body)
+	req, err := e.newRequest(key, method, queue, id, body)
 	if err != nil {
 		return 0, "", err
 	}
-	req, err := http.NewRequest(method, "http://"+e.Callers.String()+fleet.QueuePrefix+queue+"/"+id, bytes.NewReader(b))
+	c := http.Client{Timeout: 4 * time.Second}
+	res, err := c.Do(req)
 	if err != nil {
 		return 0, "", err
 	}
+	defer res.Body.Close()
+	out, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(out), err
+}
+
+func (e *JobsEntry) newRequest(key, method, queue, id string, body any) (*http.Request, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequest(method, "http://"+e.Callers.String()+fleet.QueuePrefix+queue+"/"+id, bytes.NewReader(b))
+	if err != nil {
+		return nil, err
+	}
 	req.Host = fleet.JobsHost
 	req.Header.Set("Authorization", "Bearer "+key)
-	c := http.Client{Timeout: 4 * time.Second}
+	return req, nil
+}
+
+// CallOnNewConnection is Call on a connection that is used for this request only. It also returns
+// the headers of the answer.
+func (e *JobsEntry) CallOnNewConnection(method, queue, id string, body any) (int, http.Header, string, error) {
+	req, err := e.newRequest(permanentKey, method, queue, id, body)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	c := http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	res, err := c.Do(req)
 	if err != nil {
-		return 0, "", err
+		return 0, nil, "", err
 	}
 	defer res.Body.Close()
 	out, err := io.ReadAll(res.Body)
-	return res.StatusCode, string(out), err
+	return res.StatusCode, res.Header, string(out), err
 }
--- a/internal/local/jobs.go
+++ b/internal/local/jobs.go
@@ -16,29 +16,6 @@
 	"amberway/internal/standin/fleet"
 )
 
-// JobsOptions configure a deployment that serves jobs.
-type JobsOptions struct {
-	Entries int
-	// Workers is the number of machines in each pool.
-	Workers map[string]int
-	// SpareMachines is the number of machines in the spare pool, which are switched off.
-	SpareMachines int
-	// NoSparePool leaves the spare pool out.
-	NoSparePool bool
-	// Profile has entry hosts serve profiles on the listener of their metrics.
-	Profile bool
-	// KeysWithin, if not zero, requires callers to have a team key, and is how long a
-	// revoked key may still be accepted.
-	KeysWithin time.Duration
-	// EvacuationWithin, if not zero, is how long an evacuation may take to be in force.
-	EvacuationWithin time.Duration
-	// Downtime is how long a move or maintenance takes, 300 milliseconds by default.
-	Downtime time.Duration
-	// ProxyAddress returns the address at which an entry host reaches an address of the
-	// platform. By default it is the same address.
-	ProxyAddress func(entry, address string) (string, error)
-}
-
 // JobsDeployment is a running deployment that serves jobs: the platform and the workers as
 // stand-ins in this process, and entry hosts as processes of their own.
 type JobsDeployment struct {
@@ -119,7 +96,7 @@
 	for _, q := range extra {
 		queues = append(queues, fleet.Queue{Name: q, Pool: pools[0]})
 	}
-	c := fleet.Config{Version: j.version, Pools: pools, Queues: queues}
+	c := fleet.Config{Version: j.version, Pools: pools, Queues: queues, MaxBodyBytes: j.MaxBodyBytes}
 	if j.KeysWithin > 0 {
 		c.Teams = []fleet.Team{{Name: "team", Keys: []string{permanentKey, KeyForQueues(extra...)}, Weight: 100, Cap: fleet.Capacity{CPU: j.teamCap()}}}
 	}
@@ -150,7 +127,7 @@
 
 func (j *JobsDeployment) newEntry(name string) (*JobsEntry, error) {
 	e := &JobsEntry{Name: name, Process: &Process{Name: name}, settingsFile: filepath.Join(j.dir, name+".yaml")}
-	for _, a := range []*netip.AddrPort{&e.Callers, &e.readyAddr, &e.Peers} {
+	for _, a := range []*netip.AddrPort{&e.Callers, &e.Readiness, &e.Peers} {
 		p, err := freePort()
 		if err != nil {
 			return nil, err
@@ -166,13 +143,16 @@
 		return nil, err
 	}
 	text := fmt.Sprintf("name: %s\ndata-centre: dc-0\ncallers: %s\nready: %s\npeers: %s\nstore: %s\nmachines: %s\nlog-format: json\nstop-delay: 300ms\nstop-within: 4s\n",
-		name, e.Callers, e.readyAddr, e.Peers, store, machines)
+		name, e.Callers, e.Readiness, e.Peers, store, machines)
 	if j.KeysWithin > 0 {
 		text += fmt.Sprintf("keys-within: %s\n", j.KeysWithin)
 	}
 	if j.EvacuationWithin > 0 {
 		text += fmt.Sprintf("evacuation-within: %s\n", j.EvacuationWithin)
 	}
+	if j.MemoryMB > 0 {
+		text += fmt.Sprintf("memory-mb: %d\n", j.MemoryMB)
+	}
 	if j.Profile {
 		text += "profile: true\n"
 	}
@@ -234,7 +214,7 @@
 
 // Launch starts an entry host that is not running.
 func (j *JobsDeployment) Launch(e *JobsEntry) error {
-	p, err := spawn(j.dir, filepath.Join(j.bin, "amberwayd"), e.Name, []string{"--settings", e.settingsFile})
+	p, err := spawn(j.dir, filepath.Join(j.bin, "amberwayd"), e.Name, []string{"--settings", e.settingsFile}, j.MaxDescriptors)
 	e.Process = p
 	return err
 }
--- a/internal/local/process.go
+++ b/internal/local/process.go
@@ -63,13 +63,18 @@
 	}
 }
 
-// spawn starts a program whose output goes to the file NAME.log in dir.
-func spawn(dir, program, name string, args []string) (*Process, error) {
+// spawn starts a program whose output goes to the file NAME.log in dir. If maxDescriptors is not
+// zero, it is the most descriptors that the program may have open.
+func spawn(dir, program, name string, args []string, maxDescriptors int) (*Process, error) {
 	f, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
 		return nil, err
 	}
 	c := exec.Command(program, args...)
+	if maxDescriptors > 0 {
+		set := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, maxDescriptors)
+		c = exec.Command("sh", append([]string{"-c", set, program}, args...)...)
+	}
 	c.Stdout = f
 	c.Stderr = f
 	if err := c.Start(); err != nil {
@@ -98,6 +103,16 @@
 	_ = p.log.Close()
 }
 
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Wait waits for the end of the process, for d at most, and returns its exit code.
 func (p *Process) Wait(d time.Duration) (int, error) {
 	select {
--- a/internal/local/usage.go
+++ b/internal/local/usage.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +15,10 @@
 	// CPU is the CPU time, user and system.
 	CPU           time.Duration
 	ResidentBytes int64
+	// PeakResidentBytes is the most resident memory so far.
+	PeakResidentBytes int64
+	// Descriptors is the number of open descriptors.
+	Descriptors int
 	// IOBytes is how many bytes were read and written. For a daemon that uses no files they
 	// are those of its connections.
 	IOBytes int64
@@ -33,6 +39,12 @@
 	system, _ := strconv.ParseInt(f[12], 10, 64)
 	u := Usage{CPU: time.Duration(user+system) * time.Second / clockTicks}
 	u.ResidentBytes = 1024 * procField(dir+"status", "VmRSS:")
+	u.PeakResidentBytes = 1024 * procField(dir+"status", "VmHWM:")
+	fds, err := os.ReadDir(dir + "fd")
+	if err != nil {
+		return Usage{}, err
+	}
+	u.Descriptors = len(fds)
 	u.IOBytes = procField(dir+"io", "rchar:") + procField(dir+"io", "wchar:")
 	return u, nil
 }
@@ -52,3 +64,31 @@
 	}
 	return 0
 }
+
+// tcpListening is the state of a listening socket in /proc/net/tcp.
+const tcpListening = "0A"
+
+// UnreadBytes returns how many bytes have arrived at the given addresses, which are of IPv4, and
+// are not yet read. They are kept in the memory of the machine, not of the process.
+func UnreadBytes(at ...netip.AddrPort) (int64, error) {
+	b, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0, err
+	}
+	var l []string
+	for _, a := range at {
+		ip := a.Addr().As4()
+		l = append(l, fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port()))
+	}
+	var sum int64
+	for line := range strings.Lines(string(b)) {
+		f := strings.Fields(line)
+		if len(f) < 5 || f[3] == tcpListening || !slices.Contains(l, f[1]) {
+			continue
+		}
+		_, unread, _ := strings.Cut(f[4], ":")
+		n, _ := strconv.ParseInt(unread, 16, 64)
+		sum += n
+	}
+	return sum, nil
+}
--- a/internal/standin/fleet/operator.go
+++ b/internal/standin/fleet/operator.go
@@ -33,6 +33,8 @@
 	Queues  []Queue
 	// Teams is left out of the document if nil; callers then need no keys.
 	Teams []Team
+	// MaxBodyBytes is the limit on the bodies of callers, 65,536 if zero.
+	MaxBodyBytes int
 }
 
 // Document returns the configuration as the operator writes it, with the spare pool if there is one.
@@ -52,9 +54,13 @@
 			"timeout_ms": 3000, "goal_ms": 1000, "stretch": 2, "retries": 3,
 		})
 	}
+	maxBody := c.MaxBodyBytes
+	if maxBody == 0 {
+		maxBody = 65536
+	}
 	doc := object{
 		"version": c.Version, "routes": routes, "services": services,
-		"limits": object{"max_header_bytes": 16384, "max_body_bytes": 65536},
+		"limits": object{"max_header_bytes": 16384, "max_body_bytes": maxBody},
 	}
 	if c.Teams == nil {
 		return doc
