Bound the memory that clients can make a server hold

Clients that sent many large bodies, or headers, and did not end them made a process run out of memory: nothing bounded what all requests together hold. A single legal job could also take hundreds of times its size, as all of its steps were decoded before they were counted.

Each server now counts what its requests hold: headers as they are read, bodies as handlers read them, decoded jobs until they are answered. Beyond a share of `memory-mb`, the largest request that has not been read completely is refused with 503 and Retry-After, and its connection closed. One that has been read completely is always answered; if those leave no room, new ones are refused. Large jobs are decoded four at a time, and their steps are counted before. Headers are read up to 32 kB instead of 1 MB, the kernel keeps 32 kB of unread bytes a connection, and the runtime's soft memory limit follows from `memory-mb` below 284. The readiness address has the same server as the others.

Bytes of a body count as the handler reads them rather than as they arrive on the connection, so that the framing of chunks and bodies that are thrown away count for nothing.

--- a/admin/server.go
+++ b/admin/server.go
@@ -17,8 +17,8 @@
 	"amberway/peers"
 )
 
-// maxDocumentBytes is the largest size of a document, in bytes.
-const maxDocumentBytes = 4 << 20
+// MaxDocumentBytes is the largest size of a document, in bytes.
+const MaxDocumentBytes = 4 << 20
 
 // ServerOptions are the dependencies and settings of a Server.
 type ServerOptions struct {
@@ -82,7 +82,7 @@
 			writeJSON(w, http.StatusUnauthorized, Failure{Error: "admin: a bearer token is needed"})
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxDocumentBytes)
+		r.Body = http.MaxBytesReader(w, r.Body, MaxDocumentBytes)
 		v, err := h(r)
 		if err != nil {
 			s.writeError(w, r, err)
--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -71,6 +71,7 @@
 	if s.Store != "" {
 		return runJobs(s, c, args, out)
 	}
+	s.limitMemory()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	d, err := newRequestsDaemon(s, c, newLogger(s, c, errs))
@@ -113,6 +114,10 @@
 	if err != nil {
 		return err
 	}
+	servers := map[string]gracefulServer{"callers": l.callers, "operators": l.operators}
+	if err := observeLimits(d.deps.Meter, servers); err != nil {
+		return err
+	}
 	g := peers.NewServer(d.settings.PeerToken)
 	d.registerPeerServices(g)
 	failed := make(chan error, 3)
@@ -120,6 +125,7 @@
 	go func() { failed <- l.operators.serve() }()
 	go func() { failed <- g.Serve(l.peers) }()
 	d.startBackground(background)
+	go d.reportLimits(background, servers)
 	d.log.Infof("%s serves callers on %s", d.settings.Name, d.parsed.callers)
 	select {
 	case err := <-failed:
@@ -139,10 +145,10 @@
 	var l listeners
 	var err error
 	var c net.ListenConfig
-	if l.callers, err = newGracefulServer(ctx, d.parsed.callers, d.server, d.settings.keepAliveTimeout(), request.IdleGrace); err != nil {
+	if l.callers, err = newGracefulServer(ctx, d.parsed.callers, d.server, d.settings.keepAliveTimeout(), request.IdleGrace, d.settings.callerLimits(request.MaxBody)); err != nil {
 		return l, merry.Prepend(err, "daemon: callers' listener")
 	}
-	if l.operators, err = newGracefulServer(ctx, d.parsed.admin, d.admin, d.settings.keepAliveTimeout(), 0); err != nil {
+	if l.operators, err = newGracefulServer(ctx, d.parsed.admin, d.admin, d.settings.keepAliveTimeout(), 0, d.settings.peerLimits(admin.MaxDocumentBytes)); err != nil {
 		return l, merry.Prepend(err, "daemon: operators' listener")
 	}
 	if l.peers, err = c.Listen(ctx, "tcp", d.parsed.peers.String()); err != nil {
--- a/commands/graceful_server.go
+++ b/commands/graceful_server.go
@@ -18,13 +18,13 @@
 // newGracefulServer listens at the address for the handler. Answers announce to callers
 // that they may use an idle connection for keepAlive. During a stop, an idle connection
 // stays open until both the grace period of the stop and keepAlive since its last answer
-// have passed.
-func newGracefulServer(ctx context.Context, at netip.AddrPort, h http.Handler, keepAlive, grace time.Duration) (gracefulServer, error) {
+// have passed. Requests and connections are kept within the limits.
+func newGracefulServer(ctx context.Context, at netip.AddrPort, h http.Handler, keepAlive, grace time.Duration, limits request.Limits) (gracefulServer, error) {
 	l, err := request.ListenForCallers(ctx, at)
 	if err != nil {
 		return gracefulServer{}, err
 	}
-	return gracefulServer{request.NewCallerServer(h, keepAlive, grace), l}, nil
+	return gracefulServer{request.NewCallerServer(h, keepAlive, grace, limits), l}, nil
 }
 
 // serve serves until the listener is closed.
--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -29,13 +29,6 @@
 	// jobsGCPercent saves CPU time at the cost of memory, of which a host has 284 megabytes
 	// while the daemon uses some ten.
 	jobsGCPercent = 400
-	// jobsMemoryLimit is the soft memory limit of the Go runtime, in bytes.
-	jobsMemoryLimit = 120 << 20
-	// headerTimeout bounds the reading of a request's headers.
-	headerTimeout = 5 * time.Second
-	// idleTimeout is how long an idle connection stays open. The load balancer polls
-	// readiness every few seconds, and keeps its connection between two polls.
-	idleTimeout = 60 * time.Second
 	// logFlushTimeout bounds the wait at exit for the last log lines to be written. They
 	// show how the stop went, and without the wait the process could exit first.
 	logFlushTimeout = 200 * time.Millisecond
@@ -51,6 +44,7 @@
 	args          []string
 	logger        *logrus.Logger
 	log           *job.Logger
+	deps          common.Deps
 	node          *job.Node
 	platformCalls platform.Calls
 	lastModTime   time.Time
@@ -59,7 +53,7 @@
 // runJobs serves jobs until the process gets a signal to stop, and returns the exit code.
 func runJobs(s Settings, c parsedSettings, args []string, out io.Writer) int {
 	debug.SetGCPercent(jobsGCPercent)
-	debug.SetMemoryLimit(jobsMemoryLimit)
+	s.limitMemory()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	done := make(chan struct{})
@@ -72,13 +66,13 @@
 		fmt.Fprintf(out, "amberwayd: %v\n", err)
 		return ExitFailed
 	}
-	deps := common.NewDeps(d.logger, meter)
+	d.deps = common.NewDeps(d.logger, meter)
 	d.node, err = job.NewNode(job.Settings{Name: s.Name, DataCentre: s.DataCentre, Peer: c.peers, Size: s.size(), ConfigWithin: s.ConfigWithin, KeysWithin: s.KeysWithin, EvacuationWithin: s.EvacuationWithin}, job.Clients{
 		KV:       platform.NewKV(c.store, &d.platformCalls),
 		Workers:  platform.NewWorkers(),
 		Machines: platform.NewMachines(c.machines, &d.platformCalls),
 		Advice:   platform.NewAdvice(c.advice),
-	}, d.log, deps, metricsHandler)
+	}, d.log, d.deps, metricsHandler)
 	if err != nil {
 		fmt.Fprintf(out, "amberwayd: %v\n", err)
 		return ExitFailed
@@ -99,21 +93,26 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 3)
-	callers, err := d.startGracefulServer(background, d.parsed.callers, d.node.Callers(), request.IdleGrace, failed)
+	callers, err := d.startGracefulServer(background, d.parsed.callers, d.node.Callers(), request.IdleGrace, d.settings.callerLimits(0), failed)
 	if err != nil {
 		return err
 	}
-	ready, err := startServer(background, d.parsed.ready, http.HandlerFunc(d.serveReady), failed)
+	ready, err := d.startGracefulServer(background, d.parsed.ready, http.HandlerFunc(d.serveReady), 0, d.settings.readyLimits(), failed)
 	if err != nil {
 		return err
 	}
-	peers, err := d.startGracefulServer(background, d.parsed.peers, d.peersHandler(), 0, failed)
+	peers, err := d.startGracefulServer(background, d.parsed.peers, d.peersHandler(), 0, d.settings.peerLimits(0), failed)
 	if err != nil {
 		return err
 	}
+	servers := map[string]gracefulServer{"callers": callers, "peers": peers, "ready": ready}
+	if err := observeLimits(d.deps.Meter, servers); err != nil {
+		return err
+	}
 	d.log.Write(job.LogLine{What: "started", Fields: []any{"name", d.settings.Name, "callers", d.parsed.callers.String(), "version", Version}})
 	go d.node.Run(background)
 	go d.watchSettings(background)
+	go d.reportLimits(background, servers)
 	select {
 	case err := <-failed:
 		return err
@@ -124,8 +123,8 @@
 
 // startGracefulServer listens at the address and serves the handler in a goroutine, which
 // sends an error to failed.
-func (d *jobsDaemon) startGracefulServer(ctx context.Context, at netip.AddrPort, h http.Handler, grace time.Duration, failed chan<- error) (gracefulServer, error) {
-	s, err := newGracefulServer(ctx, at, h, d.settings.keepAliveTimeout(), grace)
+func (d *jobsDaemon) startGracefulServer(ctx context.Context, at netip.AddrPort, h http.Handler, grace time.Duration, l request.Limits, failed chan<- error) (gracefulServer, error) {
+	s, err := newGracefulServer(ctx, at, h, d.settings.keepAliveTimeout(), grace, l)
 	if err != nil {
 		return s, err
 	}
@@ -150,23 +149,6 @@
 	return m
 }
 
-// startServer listens at the address and serves the handler in a goroutine, which sends an
-// error to failed.
-func startServer(ctx context.Context, at netip.AddrPort, h http.Handler, failed chan<- error) (*http.Server, error) {
-	var c net.ListenConfig
-	l, err := c.Listen(ctx, "tcp", at.String())
-	if err != nil {
-		return nil, err
-	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			failed <- err
-		}
-	}()
-	return s, nil
-}
-
 func (d *jobsDaemon) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/ready" {
 		w.WriteHeader(http.StatusNotFound)
@@ -179,7 +161,7 @@
 
 // stop gives up ownership, lets the load balancer send callers to other entry hosts, and
 // returns once nothing is in flight.
-func (d *jobsDaemon) stop(callers, peers gracefulServer, ready *http.Server) error {
+func (d *jobsDaemon) stop(callers, peers, ready gracefulServer) error {
 	d.log.Write(job.LogLine{What: "stopping"})
 	d.node.Leave()
 	callers.DisableKeepAlives()
--- /dev/null
+++ b/commands/limits_report.go
@@ -0,0 +1,77 @@
+package commands
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"amberway/job"
+	"amberway/request"
+)
+
+// limitsReportEvery is how often it is logged which limits clients have met.
+const limitsReportEvery = time.Second
+
+// reportLimits logs, once a second, what the limits of the servers have cut off.
+func (d *jobsDaemon) reportLimits(ctx context.Context, servers map[string]gracefulServer) {
+	watchLimits(ctx, servers, func(server string, was, is request.Counts) {
+		if n := is.EvictedRequests - was.EvictedRequests; n > 0 {
+			d.log.Write(job.LogLine{What: "requests given up", Why: "no memory is left for requests", Fields: []any{"listener", server, "count", n, "held_bytes", is.HeldBytes}})
+		}
+	})
+}
+
+// reportLimits logs, once a second, what the limits of the servers have cut off.
+func (d *requestsDaemon) reportLimits(ctx context.Context, servers map[string]gracefulServer) {
+	watchLimits(ctx, servers, func(server string, was, is request.Counts) {
+		if n := is.EvictedRequests - was.EvictedRequests; n > 0 {
+			d.log.Warnf("%d requests of %s given up, as no memory is left for requests: %d bytes are held", n, server, is.HeldBytes)
+		}
+	})
+}
+
+// watchLimits calls report once a second for each server whose figures have changed.
+func watchLimits(ctx context.Context, servers map[string]gracefulServer, report func(server string, was, is request.Counts)) {
+	t := time.NewTicker(limitsReportEvery)
+	defer t.Stop()
+	last := map[string]request.Counts{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for name, s := range servers {
+			if n := s.Counts(); n != last[name] {
+				report(name, last[name], n)
+				last[name] = n
+			}
+		}
+	}
+}
+
+// observeLimits registers the metrics of the servers' limits.
+func observeLimits(m metric.Meter, servers map[string]gracefulServer) error {
+	_, err := m.Int64ObservableCounter("amberway.requests.given_up", metric.WithUnit("{request}"),
+		metric.WithDescription("requests given up before they were read completely, by listener"),
+		observe(servers, func(c request.Counts) int64 { return c.EvictedRequests }))
+	if err != nil {
+		return err
+	}
+	_, err = m.Int64ObservableGauge("amberway.requests.held", metric.WithUnit("By"),
+		metric.WithDescription("bytes that requests hold, by listener"),
+		observe(servers, func(c request.Counts) int64 { return c.HeldBytes }))
+	return err
+}
+
+// observe returns a callback that observes one figure of each server.
+func observe(servers map[string]gracefulServer, figure func(request.Counts) int64) metric.Int64ObservableOption {
+	return metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+		for name, s := range servers {
+			o.Observe(figure(s.Counts()), metric.WithAttributes(attribute.String("listener", name)))
+		}
+		return nil
+	})
+}
--- a/commands/settings.go
+++ b/commands/settings.go
@@ -36,7 +36,7 @@
 	Advice     string   `arg:"--advice,env:AMBERWAY_ADVICE" yaml:"advice" help:"service that knows which workers may run a step; with --store" placeholder:"IP:PORT"`
 	Ready      string   `arg:"--ready,env:AMBERWAY_READY" yaml:"ready" help:"listener that the balancer asks for readiness; with --store" placeholder:"IP:PORT"`
 	LinkMbps   float64  `arg:"--link-mbps,env:AMBERWAY_LINK_MBPS" yaml:"link-mbps" help:"what the link of this host carries, in megabits a second: an owner sends no more, and hosts with less leave ownership to wider ones; with --store" placeholder:"NUMBER"`
-	MemoryMB   float64  `arg:"--memory-mb,env:AMBERWAY_MEMORY_MB" yaml:"memory-mb" help:"what the daemon may take of this host's memory, in megabytes; with --store" placeholder:"NUMBER"`
+	MemoryMB   float64  `arg:"--memory-mb,env:AMBERWAY_MEMORY_MB" yaml:"memory-mb" help:"what the daemon may take of this host's memory, in megabytes: requests hold a part of it" placeholder:"NUMBER"`
 	OrderRate  float64  `arg:"--orders-per-second,env:AMBERWAY_ORDERS_PER_SECOND" yaml:"orders-per-second" help:"how many orders to machines the platform takes a second, from all entry hosts together; with --store" placeholder:"NUMBER"`
 	Cores      float64  `arg:"--cores,env:AMBERWAY_CORES" yaml:"cores" help:"cores of this host that the daemon may use: hosts with few leave ownership to others; with --store" placeholder:"NUMBER"`
 	Orders     string   `arg:"--orders,env:AMBERWAY_ORDERS" yaml:"orders" help:"how workers take orders: call; with --store" placeholder:"WAY"`
@@ -130,6 +130,9 @@
 	if c.level, err = logrus.ParseLevel(s.LogLevel); err != nil {
 		report("--log-level: %q is no level", s.LogLevel)
 	}
+	if s.MemoryMB < 0 {
+		report("--memory-mb: %g is below zero", s.MemoryMB)
+	}
 	if s.StopDelay < 0 || s.StopWithin <= 0 {
 		report("--stop-delay may not be below zero, and --stop-within has to be above")
 	}
@@ -195,9 +198,6 @@
 	if s.OrderRate < 0 {
 		report("--orders-per-second: %g is below zero", s.OrderRate)
 	}
-	if s.MemoryMB < 0 {
-		report("--memory-mb: %g is below zero", s.MemoryMB)
-	}
 	if s.Orders != "call" {
 		report("--orders: %q is not known; workers take orders by call only", s.Orders)
 	}
--- a/job/caller_handler.go
+++ b/job/caller_handler.go
@@ -161,11 +161,19 @@
 		writeProblem(w, http.StatusRequestEntityTooLarge, "body is larger than the limit in force", common.NotRun)
 		return
 	}
+	if errors.Is(err, common.ErrOverload) {
+		h.refuse(w, "the job was not taken: too many requests are held")
+		return
+	}
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, "body was cut off", common.NotRun)
 		return
 	}
-	s, err := platform.DecodeSubmission(b)
+	s, err := h.decode(ctx, b)
+	if errors.Is(err, common.ErrOverload) {
+		h.refuse(w, "the job was not taken: too many jobs are decoded")
+		return
+	}
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, err.Error(), common.NotRun)
 		return
@@ -181,6 +189,10 @@
 		writeProblem(w, http.StatusTooManyRequests, err.Error(), common.NotRun)
 		return
 	}
+	if l, ok := r.Body.(common.Holder); ok && l.Hold(rec.memoryBytes()) != nil {
+		h.refuse(w, "the job was not taken: too many requests are held")
+		return
+	}
 	if at, full := h.node.refusedUntil(ctx, id, c, rec); full {
 		h.refuseUntil(w, "the queue is full: more work waits than can be begun in time", at)
 		return
--- a/job/node.go
+++ b/job/node.go
@@ -64,6 +64,8 @@
 	// configuration has failed.
 	configMissed chan struct{}
 	refusals     *refusals
+	// decoding has an element for each large body that is being decoded.
+	decoding chan struct{}
 	// evacuations are those that this host has read from the store.
 	evacuations atomic.Pointer[Evacuations]
 	mu          sync.Mutex
@@ -78,7 +80,7 @@
 	if s.ConfigWithin == 0 {
 		s.ConfigWithin = DefaultConfigWithin
 	}
-	n := &Node{Clients: p, settings: s, log: log, now: now, peers: newPeers(), configMissed: make(chan struct{}, 1), refusals: newRefusals()}
+	n := &Node{Clients: p, settings: s, log: log, now: now, peers: newPeers(), configMissed: make(chan struct{}, 1), refusals: newRefusals(), decoding: make(chan struct{}, maxDecoding)}
 	n.evacuations.Store(&Evacuations{})
 	n.authorizer = authorizer{required: s.KeysWithin > 0, keysWithin: s.KeysWithin, newKeysWithin: s.ConfigWithin}
 	n.election = newElection(p.KV, Owner{Name: s.Name, Peer: s.Peer, Process: uuid.NewString()}, s.Size, log, now, d.SuspendedFor)
--- /dev/null
+++ b/job/overload_test.go
@@ -0,0 +1,46 @@
+package job
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/common"
+)
+
+// fullServerBody is the body of a request at a server without memory for decoded jobs.
+type fullServerBody struct {
+	io.Reader
+}
+
+func (fullServerBody) Close() error   { return nil }
+func (fullServerBody) Hold(int) error { return common.ErrOverload }
+
+// brokenOffBody is the rest of the body of a request that was given up.
+type brokenOffBody struct{}
+
+func (brokenOffBody) Read([]byte) (int, error) { return 0, common.ErrOverload }
+
+// TestJobWithoutMemoryForItIsRefused guards against an answer that calls a request of a legal
+// size wrong when the host has no memory for it.
+func TestJobWithoutMemoryForItIsRefused(t *testing.T) {
+	n := newTestNode(t, newStoreFixture(t))
+	n.routes.Store(newRoutes(testConfig()))
+	n.configCurrentAt.Set(n.now())
+	for name, body := range map[string]io.Reader{
+		"body is given up":      io.MultiReader(strings.NewReader(`{"spec":"`), brokenOffBody{}),
+		"no memory for the job": strings.NewReader(`{"spec":"s","steps":[{"count":1}]}`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			n.Callers().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://h/q/"+idA, fullServerBody{body}))
+			require.Equal(t, http.StatusServiceUnavailable, w.Code, w.Body)
+			require.NotEmpty(t, w.Header().Get("Retry-After"))
+			require.Equal(t, "not-run", w.Header().Get(common.HeaderVerdict))
+		})
+	}
+}
--- a/job/peer.go
+++ b/job/peer.go
@@ -148,6 +148,10 @@
 	id, ok := ParseID(r.PathValue("id"))
 	var rec Record
 	err := json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(&rec)
+	if errors.Is(err, common.ErrOverload) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if !ok || err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
--- a/job/record.go
+++ b/job/record.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unsafe"
 
 	"amberway/platform"
 )
@@ -85,7 +86,7 @@
 
 // Limits of a job. The largest jobs of users have some hundred tasks.
 const (
-	maxSteps = 256
+	maxSteps = platform.MaxSteps
 	maxTasks = 20000
 	maxTimes = 10000
 )
@@ -115,6 +116,15 @@
 	return r.checkCycle()
 }
 
+// memoryBytes estimates the memory of the record and of its encoding for the store.
+func (r *Record) memoryBytes() int {
+	n := len(r.Spec) + len(r.Steps)*int(unsafe.Sizeof(platform.Step{}))
+	for _, s := range r.Steps {
+		n += len(s.After)*int(unsafe.Sizeof(0)) + len(s.Requires) + len(s.NearRack) + len(s.Image)
+	}
+	return 2 * n
+}
+
 func checkStep(i int, s platform.Step, steps int) error {
 	if s.Count <= 0 || s.Count > maxTasks {
 		return fmt.Errorf("step %d: %d tasks, not 1 to %d", i, s.Count, maxTasks)
--- a/request/accept.go
+++ b/request/accept.go
@@ -200,6 +200,9 @@
 	if errors.As(err, &large) {
 		return nil, q.problem(http.StatusRequestEntityTooLarge, "the body is too large", fmt.Sprintf("at most %d bytes", MaxBody), time.Time{})
 	}
+	if errors.Is(err, common.ErrOverload) {
+		return nil, q.overloadProblem(s.deps.Now())
+	}
 	if err != nil {
 		return nil, q.problem(http.StatusBadRequest, "the body broke off", "", time.Time{})
 	}
--- a/request/callerconn.go
+++ b/request/callerconn.go
@@ -5,9 +5,10 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
+
+	"amberway/common"
 )
 
 // callerConn is a caller's connection. While it is idle, only the goroutine that reads it
@@ -16,14 +17,16 @@
 	*net.TCPConn
 	conns *callerConns
 	mu    sync.Mutex
-	// idle says that nothing of the next request has been read, since idleSince.
-	idle      bool
+	holding
 	idleSince time.Time
 	// keepUntil is the end of the Keep-Alive timeout that was announced to the caller:
 	// until then it may use the idle connection.
 	keepUntil time.Time
 	// closing asks the reader to close the connection unless a request has arrived.
 	closing bool
+	// evicted says that the request was given up before it was read completely. Nothing
+	// more is read.
+	evicted bool
 }
 
 // Read reads from the connection. If an idle connection's read deadline passes, it checks
@@ -34,8 +37,12 @@
 	if late {
 		n, err = k.readOrShutdown(b)
 	}
-	if n > 0 {
-		k.markBusy(late)
+	if n > 0 && k.markReceived(b[:n], late) {
+		k.conns.enforceBudget()
+	}
+	if k.isEvicted() {
+		k.refuseHeaders()
+		return 0, common.ErrOverload
 	}
 	return n, err
 }
@@ -68,39 +75,54 @@
 func (k *callerConn) SetReadDeadline(t time.Time) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.closing {
+	if k.closing || k.evicted {
 		return nil
 	}
+	if t.IsZero() && k.phase == phaseBody {
+		// http.Server clears the deadline at the end of the body, before it reads ahead.
+		k.phase = phaseComplete
+	}
 	return k.TCPConn.SetReadDeadline(t)
 }
 
 // Close closes the connection.
 func (k *callerConn) Close() error {
 	k.conns.remove(k)
+	k.release()
 	return k.TCPConn.Close()
 }
 
 func (k *callerConn) isIdle() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.idle
+	return k.phase == phaseIdle
+}
+
+func (k *callerConn) isEvicted() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.evicted
 }
 
 // markIdle records that the connection waits for its next request, which the caller may
 // send within the announced timeout.
 func (k *callerConn) markIdle(keepAlive time.Duration) {
+	k.release()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.idle, k.idleSince = true, time.Now()
+	k.phase, k.idleSince = phaseIdle, time.Now()
 	k.keepUntil = k.idleSince.Add(keepAlive)
 }
 
-// markBusy records that a request has begun. One that arrived after the deadline, or on a
-// closing connection, gets as much time for its headers as any other.
-func (k *callerConn) markBusy(late bool) {
+// markReceived records that part of a request has been read, and reports whether its headers
+// exceed the budget. A request that arrived after the deadline, or on a closing connection,
+// gets as much time for its headers as any other.
+func (k *callerConn) markReceived(b []byte, late bool) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.idle = false
+	if k.phase == phaseIdle {
+		k.phase, k.since = phaseHeaders, time.Now()
+	}
 	if k.closing {
 		k.conns.servedLate.Add(1)
 	}
@@ -109,6 +131,36 @@
 		// It fails only on a closed connection, which the next read reports.
 		_ = k.TCPConn.SetReadDeadline(time.Now().Add(headerTimeout))
 	}
+	return k.phase == phaseHeaders && k.charge(headerMemory(b))
+}
+
+// beginRequest records that the headers of a request have been read. It returns false if
+// there is no room for the request.
+func (k *callerConn) beginRequest(hasBody bool) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if (hasBody || k.bytes > freeBytes) && !k.evicted && k.conns.budget.isExceeded() {
+		k.giveUp()
+		k.conns.budget.evicted.Add(1)
+	}
+	if k.evicted {
+		return false
+	}
+	k.phase = phaseComplete
+	if hasBody {
+		k.phase = phaseBody
+	}
+	return true
+}
+
+// markComplete records that the request has been read completely, unless it was given up
+// before.
+func (k *callerConn) markComplete() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.evicted {
+		k.phase = phaseComplete
+	}
 }
 
 // closeIfIdle asks the reader to close the connection if it is idle and the timeout
@@ -117,7 +169,7 @@
 func (k *callerConn) closeIfIdle(now time.Time) (since time.Time, idle bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.idle || k.closing || now.Before(k.keepUntil) {
+	if k.phase != phaseIdle || k.closing || now.Before(k.keepUntil) {
 		return time.Time{}, false
 	}
 	k.closing = true
@@ -125,101 +177,3 @@
 	_ = k.TCPConn.SetReadDeadline(time.Unix(1, 0))
 	return k.idleSince, true
 }
-
-// callerConns are the open connections of callers.
-type callerConns struct {
-	mu   sync.Mutex
-	open map[*callerConn]struct{}
-	// servedLate counts requests that arrived while their connections were closing, and
-	// were served.
-	servedLate atomic.Int64
-}
-
-func newCallerConns() *callerConns {
-	return &callerConns{open: map[*callerConn]struct{}{}}
-}
-
-func (o *callerConns) add(c *net.TCPConn) *callerConn {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	k := &callerConn{TCPConn: c, conns: o, idle: true, idleSince: time.Now()}
-	o.open[k] = struct{}{}
-	return k
-}
-
-func (o *callerConns) remove(k *callerConn) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.open, k)
-}
-
-func (o *callerConns) count() int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return len(o.open)
-}
-
-// anyBusy reports whether a request is in flight on any connection.
-func (o *callerConns) anyBusy() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for k := range o.open {
-		if !k.isIdle() {
-			return true
-		}
-	}
-	return false
-}
-
-// closeIdle asks the idle connections to close, and adds them to the report.
-func (o *callerConns) closeIdle(to *IdleReport, now time.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for k := range o.open {
-		if since, idle := k.closeIfIdle(now); idle {
-			to.record(since, now)
-		}
-	}
-}
-
-// IdleReport describes the idle connections that a stop closed. A caller may lose a
-// request that was on its way on one of them.
-type IdleReport struct {
-	Closed int
-	// LastClosedAt is when the last of them was closed. OldestIdleSince and
-	// NewestIdleSince are when the first and the last of them became idle.
-	LastClosedAt, OldestIdleSince, NewestIdleSince time.Time
-	// ServedLate is how many more connections were closing when a request arrived on
-	// them; it was served.
-	ServedLate int
-}
-
-func (r *IdleReport) record(since, now time.Time) {
-	if r.Closed == 0 || since.Before(r.OldestIdleSince) {
-		r.OldestIdleSince = since
-	}
-	if since.After(r.NewestIdleSince) {
-		r.NewestIdleSince = since
-	}
-	r.LastClosedAt = now
-	r.Closed++
-}
-
-// trackingListener wraps each accepted connection in a callerConn.
-type trackingListener struct {
-	*CallerListener
-	conns *callerConns
-}
-
-// Accept returns the next connection.
-func (l trackingListener) Accept() (net.Conn, error) {
-	c, err := l.CallerListener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	t, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
-	}
-	return l.conns.add(t), nil
-}
--- /dev/null
+++ b/request/callerconns.go
@@ -0,0 +1,108 @@
+package request
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// callerConns are the open connections of callers.
+type callerConns struct {
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
+	// budget counts what the requests hold.
+	budget budget
+	// servedLate counts requests that arrived while their connections were closing, and
+	// were served.
+	servedLate atomic.Int64
+}
+
+func newCallerConns(l Limits) *callerConns {
+	return &callerConns{open: map[*callerConn]struct{}{}, budget: budget{limit: l.Bytes}}
+}
+
+func (o *callerConns) add(c *net.TCPConn) *callerConn {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	k := &callerConn{TCPConn: c, conns: o, idleSince: time.Now()}
+	o.open[k] = struct{}{}
+	return k
+}
+
+func (o *callerConns) remove(k *callerConn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.open, k)
+}
+
+func (o *callerConns) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.open)
+}
+
+// anyBusy reports whether a request is in flight on any connection.
+func (o *callerConns) anyBusy() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for k := range o.open {
+		if !k.isIdle() {
+			return true
+		}
+	}
+	return false
+}
+
+// closeIdle asks the idle connections to close, and adds them to the report.
+func (o *callerConns) closeIdle(to *IdleReport, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for k := range o.open {
+		if since, idle := k.closeIfIdle(now); idle {
+			to.record(since, now)
+		}
+	}
+}
+
+// IdleReport describes the idle connections that a stop closed. A caller may lose a
+// request that was on its way on one of them.
+type IdleReport struct {
+	Closed int
+	// LastClosedAt is when the last of them was closed. OldestIdleSince and
+	// NewestIdleSince are when the first and the last of them became idle.
+	LastClosedAt, OldestIdleSince, NewestIdleSince time.Time
+	// ServedLate is how many more connections were closing when a request arrived on
+	// them; it was served.
+	ServedLate int
+}
+
+func (r *IdleReport) record(since, now time.Time) {
+	if r.Closed == 0 || since.Before(r.OldestIdleSince) {
+		r.OldestIdleSince = since
+	}
+	if since.After(r.NewestIdleSince) {
+		r.NewestIdleSince = since
+	}
+	r.LastClosedAt = now
+	r.Closed++
+}
+
+// trackingListener wraps each accepted connection in a callerConn.
+type trackingListener struct {
+	*CallerListener
+	conns *callerConns
+}
+
+// Accept returns the next connection.
+func (l trackingListener) Accept() (net.Conn, error) {
+	c, err := l.CallerListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	return l.conns.add(t), nil
+}
--- a/request/callerlistener.go
+++ b/request/callerlistener.go
@@ -34,7 +34,7 @@
 // Go's default: a Multipath TCP listener accepts no socket filter, and callers reach a
 // host by one path only.
 func ListenForCallers(ctx context.Context, a netip.AddrPort) (*CallerListener, error) {
-	var c net.ListenConfig
+	c := net.ListenConfig{Control: boundReceiveBuffer}
 	c.SetMultipathTCP(false)
 	l, err := c.Listen(ctx, "tcp", a.String())
 	if err != nil {
@@ -51,6 +51,19 @@
 	return &CallerListener{TCPListener: t, dupFD: dup}, nil
 }
 
+// receiveBuffer is what the kernel keeps of a connection's unread bytes. It doubles the
+// value for its own records.
+const receiveBuffer = 32 << 10
+
+// boundReceiveBuffer bounds the receive buffers of the connections of a listener.
+func boundReceiveBuffer(_, _ string, c syscall.RawConn) error {
+	var optErr error
+	err := c.Control(func(fd uintptr) {
+		optErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+	})
+	return errors.Join(err, optErr)
+}
+
 // duplicate returns a second descriptor of the listener's socket.
 func duplicate(l *net.TCPListener) (int, error) {
 	r, err := l.SyscallConn()
--- a/request/callerserver.go
+++ b/request/callerserver.go
@@ -65,12 +65,15 @@
 // may use an idle connection for keepAlive, in whole seconds; KeepAliveTimeout returns
 // what a stop can honour. During a stop, an idle connection stays open for the grace
 // period, and longer if the announced timeout has not passed by then.
-func NewCallerServer(h http.Handler, keepAlive, grace time.Duration) *CallerServer {
-	c := &CallerServer{handler: h, conns: newCallerConns(), keepAliveTimeout: keepAlive.Truncate(time.Second), idleGrace: grace, serveDone: make(chan struct{})}
+func NewCallerServer(h http.Handler, keepAlive, grace time.Duration, l Limits) *CallerServer {
+	c := &CallerServer{handler: h, conns: newCallerConns(l), keepAliveTimeout: keepAlive.Truncate(time.Second), idleGrace: grace, serveDone: make(chan struct{})}
 	if c.keepAliveTimeout > 0 {
 		c.keepAliveHeader = fmt.Sprintf("timeout=%d", c.keepAliveTimeout/time.Second)
 	}
-	c.server = &http.Server{Handler: c, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ConnState: c.trackState}
+	c.server = &http.Server{
+		Handler: c, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: MaxHeaderBytes,
+		ConnState: c.trackState, ConnContext: withCallerConn,
+	}
 	return c
 }
 
@@ -85,8 +88,21 @@
 	c.keepAlivesDisabled.Store(true)
 }
 
+// callerConnKey is the key of a request's connection in its context.
+type callerConnKey struct{}
+
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, c)
+}
+
 // ServeHTTP answers one request.
 func (c *CallerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if k, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok {
+		if r, ok = k.guard(r); !ok {
+			refuse(w, r)
+			return
+		}
+	}
 	switch {
 	case c.keepAlivesDisabled.Load():
 		w.Header().Set("Connection", "close")
@@ -103,12 +119,7 @@
 	if s == http.StateNew || s == http.StateActive {
 		c.activity.Add(1)
 	}
-	k, ok := conn.(*callerConn)
-	switch {
-	case !ok:
-	case s == http.StateActive:
-		k.markBusy(false)
-	case s == http.StateIdle:
+	if k, ok := conn.(*callerConn); ok && s == http.StateIdle {
 		k.markIdle(c.keepAliveTimeout)
 	}
 }
@@ -120,6 +131,25 @@
 	return c.server.Serve(trackingListener{l, c.conns})
 }
 
+// Close closes the listener and all connections, without regard for requests in flight.
+func (c *CallerServer) Close() error {
+	return c.server.Close()
+}
+
+// Counts are figures of a server's limits.
+type Counts struct {
+	// EvictedRequests counts the requests that were given up for lack of memory before they
+	// were read completely.
+	EvictedRequests int64
+	// HeldBytes is what the requests hold now.
+	HeldBytes int64
+}
+
+// Counts returns the present figures.
+func (c *CallerServer) Counts() Counts {
+	return Counts{EvictedRequests: c.conns.budget.evicted.Load(), HeldBytes: c.conns.budget.used.Load()}
+}
+
 // StopReport describes a stop, so that the cause of a lost request can be found from its
 // log line.
 type StopReport struct {
--- a/request/callerstop_test.go
+++ b/request/callerstop_test.go
@@ -27,12 +27,21 @@
 // pause.
 const stopWithin = 12 * time.Second
 
+// testLimits are more than the requests of these tests hold.
+var testLimits = Limits{Bytes: 64 << 20}
+
 // startCallerServer returns a running server for the handler, with its listener.
 func startCallerServer(t *testing.T, h http.HandlerFunc) (*CallerServer, *CallerListener) {
+	t.Helper()
+	return startLimitedServer(t, h, testLimits)
+}
+
+// startLimitedServer is startCallerServer with limits.
+func startLimitedServer(t *testing.T, h http.HandlerFunc, limits Limits) (*CallerServer, *CallerListener) {
 	t.Helper()
 	l, err := ListenForCallers(t.Context(), netip.AddrPortFrom(loopback.RandomAddr(), 0))
 	require.NoError(t, err)
-	c := NewCallerServer(h, KeepAliveTimeout(0, stopWithin), IdleGrace)
+	c := NewCallerServer(h, KeepAliveTimeout(0, stopWithin), IdleGrace, limits)
 	go func() { _ = c.Serve(l) }()
 	return c, l
 }
@@ -195,7 +204,7 @@
 	t.Cleanup(func() { _ = caller.Close() })
 	c, err := l.AcceptTCP()
 	require.NoError(t, err)
-	host = newCallerConns().add(c)
+	host = newCallerConns(testLimits).add(c)
 	t.Cleanup(func() { _ = host.Close() })
 	return host, caller
 }
