Bound the connections of each listener

Clients that opened more connections than the process has descriptors, and left them idle, with an unfinished request or with answers that they did not read, kept every other client out for as long as they stayed, and took the descriptors of the store and the workers.

Each listener now takes a share of the descriptors without those kept for files, bounded by memory as well. The kernel keeps at most 512 connections that wait to be accepted, as their unread bytes count too.

The limit did not exist before.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -148,7 +148,7 @@
 	if l.callers, err = newGracefulServer(ctx, d.parsed.callers, d.server, d.settings.keepAliveTimeout(), request.IdleGrace, d.settings.callerLimits(request.MaxBody)); err != nil {
 		return l, merry.Prepend(err, "daemon: callers' listener")
 	}
-	if l.operators, err = newGracefulServer(ctx, d.parsed.admin, d.admin, d.settings.keepAliveTimeout(), 0, d.settings.peerLimits(admin.MaxDocumentBytes)); err != nil {
+	if l.operators, err = newGracefulServer(ctx, d.parsed.admin, d.admin, d.settings.keepAliveTimeout(), 0, d.settings.operatorLimits()); err != nil {
 		return l, merry.Prepend(err, "daemon: operators' listener")
 	}
 	if l.peers, err = c.Listen(ctx, "tcp", d.parsed.peers.String()); err != nil {
--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := d.startGracefulServer(background, d.parsed.peers, d.peersHandler(), 0, d.settings.peerLimits(0), failed)
+	peers, err := d.startGracefulServer(background, d.parsed.peers, d.peersHandler(), 0, d.settings.peerLimits(), failed)
 	if err != nil {
 		return err
 	}
--- a/commands/limits_report.go
+++ b/commands/limits_report.go
@@ -20,6 +20,9 @@
 		if n := is.EvictedRequests - was.EvictedRequests; n > 0 {
 			d.log.Write(job.LogLine{What: "requests given up", Why: "no memory is left for requests", Fields: []any{"listener", server, "count", n, "held_bytes", is.HeldBytes}})
 		}
+		if n := is.ClosedConns - was.ClosedConns; n > 0 {
+			d.log.Write(job.LogLine{What: "connections closed", Why: "as many are open as may be", Fields: []any{"listener", server, "count", n, "open", is.OpenConns}})
+		}
 	})
 }
 
@@ -29,6 +32,9 @@
 		if n := is.EvictedRequests - was.EvictedRequests; n > 0 {
 			d.log.Warnf("%d requests of %s given up, as no memory is left for requests: %d bytes are held", n, server, is.HeldBytes)
 		}
+		if n := is.ClosedConns - was.ClosedConns; n > 0 {
+			d.log.Warnf("%d connections of %s closed, as many are open as may be: %d", n, server, is.OpenConns)
+		}
 	})
 }
 
@@ -54,15 +60,25 @@
 
 // observeLimits registers the metrics of the servers' limits.
 func observeLimits(m metric.Meter, servers map[string]gracefulServer) error {
-	_, err := m.Int64ObservableCounter("amberway.requests.given_up", metric.WithUnit("{request}"),
-		metric.WithDescription("requests given up before they were read completely, by listener"),
-		observe(servers, func(c request.Counts) int64 { return c.EvictedRequests }))
+	for _, i := range []struct {
+		name, unit, help string
+		figure           func(request.Counts) int64
+	}{
+		{"amberway.requests.given_up", "{request}", "requests given up before they were read completely", func(c request.Counts) int64 { return c.EvictedRequests }},
+		{"amberway.connections.closed", "{connection}", "connections closed to make room for others", func(c request.Counts) int64 { return c.ClosedConns }},
+	} {
+		_, err := m.Int64ObservableCounter(i.name, metric.WithUnit(i.unit), metric.WithDescription(i.help+", by listener"), observe(servers, i.figure))
+		if err != nil {
+			return err
+		}
+	}
+	_, err := m.Int64ObservableGauge("amberway.requests.held", metric.WithUnit("By"), metric.WithDescription("bytes that requests hold, by listener"),
+		observe(servers, func(c request.Counts) int64 { return c.HeldBytes }))
 	if err != nil {
 		return err
 	}
-	_, err = m.Int64ObservableGauge("amberway.requests.held", metric.WithUnit("By"),
-		metric.WithDescription("bytes that requests hold, by listener"),
-		observe(servers, func(c request.Counts) int64 { return c.HeldBytes }))
+	_, err = m.Int64ObservableGauge("amberway.connections.open", metric.WithUnit("{connection}"), metric.WithDescription("open connections, by listener"),
+		observe(servers, func(c request.Counts) int64 { return int64(c.OpenConns) }))
 	return err
 }
 
--- /dev/null
+++ b/commands/limits_test.go
@@ -0,0 +1,34 @@
+package commands
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/request"
+)
+
+// TestLimitsLeaveRoomOnSmallHosts guards against limits whose sum is more than a host has.
+func TestLimitsLeaveRoomOnSmallHosts(t *testing.T) {
+	for _, memoryMB := range []float64{64, 96, 184, 284, 1048} {
+		s := Settings{MemoryMB: memoryMB}
+		listeners := []request.Limits{s.callerLimits(0), s.peerLimits(), s.readyLimits()}
+		var held, conns int
+		for _, l := range listeners {
+			held += int(l.Bytes)
+			conns += l.Conns
+		}
+		require.Less(t, float64(held+conns*connBytes), 0.5*s.memoryBytes(), "%g MB", memoryMB)
+		require.Less(t, conns, descriptors()*2/3, "%g MB", memoryMB)
+	}
+}
+
+// TestLimitsDoNotMeetOrdinaryClients guards against limits below what callers are promised: the
+// pages' bodies of 262,144 bytes from dozens of callers at once.
+func TestLimitsDoNotMeetOrdinaryClients(t *testing.T) {
+	s := Settings{MemoryMB: 184}
+	require.Greater(t, s.callerLimits(0).Bytes, int64(50*262144))
+	require.Greater(t, request.MaxHeaderBytes, 16384)
+	require.Greater(t, Settings{MemoryMB: 64}.callerLimits(request.MaxBody).Bytes, int64(request.MaxBody))
+	require.Equal(t, Settings{MemoryMB: defaultMemoryMB}.callerLimits(0), Settings{}.callerLimits(0))
+}
--- a/request/budget.go
+++ b/request/budget.go
@@ -13,6 +13,8 @@
 type Limits struct {
 	// Bytes bounds the bytes of all requests that are being read or answered.
 	Bytes int64
+	// Conns bounds the open connections; 0 is no bound.
+	Conns int
 }
 
 const (
--- a/request/callerconn.go
+++ b/request/callerconn.go
@@ -27,6 +27,8 @@
 	// evicted says that the request was given up before it was read completely. Nothing
 	// more is read.
 	evicted bool
+	// writingSince is when the write in progress began.
+	writingSince time.Time
 }
 
 // Read reads from the connection. If an idle connection's read deadline passes, it checks
@@ -71,20 +73,34 @@
 	return n, nil
 }
 
-// SetReadDeadline sets the deadline of reads, unless the connection is closing.
+// SetReadDeadline sets the deadline of reads, unless the connection is closing. http.Server
+// clears the deadline after the headers of a request, and at the end of its body before it
+// reads ahead.
 func (k *callerConn) SetReadDeadline(t time.Time) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.closing || k.evicted {
-		return nil
+	if t.IsZero() && k.phase == phaseIdle {
+		// The headers were in the buffer of http.Server already.
+		k.markBusy(time.Now())
 	}
 	if t.IsZero() && k.phase == phaseBody {
-		// http.Server clears the deadline at the end of the body, before it reads ahead.
 		k.phase = phaseComplete
 	}
+	if k.closing || k.evicted {
+		return nil
+	}
 	return k.TCPConn.SetReadDeadline(t)
 }
 
+// markBusy records that a request has begun. The caller must hold k.mu.
+func (k *callerConn) markBusy(now time.Time) {
+	k.phase, k.since = phaseHeaders, now
+	if k.closing {
+		k.closing = false
+		k.conns.servedLate.Add(1)
+	}
+}
+
 // Close closes the connection.
 func (k *callerConn) Close() error {
 	k.conns.remove(k)
@@ -112,6 +128,7 @@
 	defer k.mu.Unlock()
 	k.phase, k.idleSince = phaseIdle, time.Now()
 	k.keepUntil = k.idleSince.Add(keepAlive)
+	k.conns.notify()
 }
 
 // markReceived records that part of a request has been read, and reports whether its headers
@@ -120,17 +137,13 @@
 func (k *callerConn) markReceived(b []byte, late bool) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.phase == phaseIdle {
-		k.phase, k.since = phaseHeaders, time.Now()
-	}
-	if k.closing {
-		k.conns.servedLate.Add(1)
-	}
 	if late || k.closing {
-		k.closing = false
 		// It fails only on a closed connection, which the next read reports.
 		_ = k.TCPConn.SetReadDeadline(time.Now().Add(headerTimeout))
 	}
+	if k.phase == phaseIdle {
+		k.markBusy(time.Now())
+	}
 	return k.phase == phaseHeaders && k.charge(headerMemory(b))
 }
 
@@ -172,8 +185,14 @@
 	if k.phase != phaseIdle || k.closing || now.Before(k.keepUntil) {
 		return time.Time{}, false
 	}
+	k.askToClose()
+	return k.idleSince, true
+}
+
+// askToClose asks the reader to close the connection unless a request has arrived. The
+// caller must hold k.mu.
+func (k *callerConn) askToClose() {
 	k.closing = true
 	// It fails only on a closed connection, whose reader ends on its own.
 	_ = k.TCPConn.SetReadDeadline(time.Unix(1, 0))
-	return k.idleSince, true
 }
--- a/request/callerconns.go
+++ b/request/callerconns.go
@@ -13,13 +13,20 @@
 	open map[*callerConn]struct{}
 	// budget counts what the requests hold.
 	budget budget
+	// maxOpen bounds the open connections; 0 is no bound.
+	maxOpen int
+	// full says that a new connection waits for room, and changed that there may be some.
+	full    atomic.Bool
+	changed chan struct{}
+	// closedForOthers counts the connections that were closed to make room.
+	closedForOthers atomic.Int64
 	// servedLate counts requests that arrived while their connections were closing, and
 	// were served.
 	servedLate atomic.Int64
 }
 
 func newCallerConns(l Limits) *callerConns {
-	return &callerConns{open: map[*callerConn]struct{}{}, budget: budget{limit: l.Bytes}}
+	return &callerConns{open: map[*callerConn]struct{}{}, budget: budget{limit: l.Bytes}, maxOpen: l.Conns, changed: make(chan struct{}, 1)}
 }
 
 func (o *callerConns) add(c *net.TCPConn) *callerConn {
@@ -34,6 +41,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.open, k)
+	o.notify()
 }
 
 func (o *callerConns) count() int {
@@ -87,22 +95,3 @@
 	r.LastClosedAt = now
 	r.Closed++
 }
-
-// trackingListener wraps each accepted connection in a callerConn.
-type trackingListener struct {
-	*CallerListener
-	conns *callerConns
-}
-
-// Accept returns the next connection.
-func (l trackingListener) Accept() (net.Conn, error) {
-	c, err := l.CallerListener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	t, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
-	}
-	return l.conns.add(t), nil
-}
--- a/request/callerlistener.go
+++ b/request/callerlistener.go
@@ -64,6 +64,20 @@
 	return errors.Join(err, optErr)
 }
 
+// maxBacklog bounds the connections that wait to be accepted, whose unread bytes count as
+// well: a host accepts fewer in a second.
+const maxBacklog = 512
+
+// boundBacklog bounds the connections that wait to be accepted.
+func (l *CallerListener) boundBacklog() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	return os.NewSyscallError("listen", syscall.Listen(l.dupFD, maxBacklog))
+}
+
 // duplicate returns a second descriptor of the listener's socket.
 func duplicate(l *net.TCPListener) (int, error) {
 	r, err := l.SyscallConn()
--- a/request/callerserver.go
+++ b/request/callerserver.go
@@ -128,6 +128,9 @@
 // once.
 func (c *CallerServer) Serve(l *CallerListener) error {
 	defer close(c.serveDone)
+	if err := l.boundBacklog(); err != nil {
+		return err
+	}
 	return c.server.Serve(trackingListener{l, c.conns})
 }
 
@@ -143,11 +146,15 @@
 	EvictedRequests int64
 	// HeldBytes is what the requests hold now.
 	HeldBytes int64
+	// ClosedConns counts the connections that were closed to make room for others.
+	ClosedConns int64
+	// OpenConns is how many connections are open now.
+	OpenConns int
 }
 
 // Counts returns the present figures.
 func (c *CallerServer) Counts() Counts {
-	return Counts{EvictedRequests: c.conns.budget.evicted.Load(), HeldBytes: c.conns.budget.used.Load()}
+	return Counts{EvictedRequests: c.conns.budget.evicted.Load(), HeldBytes: c.conns.budget.used.Load(), ClosedConns: c.conns.closedForOthers.Load(), OpenConns: c.conns.count()}
 }
 
 // StopReport describes a stop, so that the cause of a lost request can be found from its
@@ -202,6 +209,7 @@
 	case <-ctx.Done():
 		return r, ctx.Err()
 	}
+	c.conns.servedLate.Store(0)
 	end := time.Now().Add(boundedWait(ctx, c.idleGrace, idleTimeDivisor))
 	for c.conns.count() > 0 && ctx.Err() == nil {
 		if !time.Now().Before(end) {
