Bound the time of bodies and of unread answers

A client that stopped, or dribbled, within a body held its connection and a goroutine for as long as it liked, since only headers had a timeout: callers' own deadlines ended no read of a body, and http.Server waits for the rest of a body that a handler did not read. So did a client that did not read its answer.

Handlers of callers' requests give up at the caller's deadline and refuse with 503 and Retry-After. The deadline ends with the body, so that it does not cancel a request whose handler goes on.

--- a/commands/limits_report.go
+++ b/commands/limits_report.go
@@ -23,6 +23,9 @@
 		if n := is.ClosedConns - was.ClosedConns; n > 0 {
 			d.log.Write(job.LogLine{What: "connections closed", Why: "as many are open as may be", Fields: []any{"listener", server, "count", n, "open", is.OpenConns}})
 		}
+		if bodies, answers := is.SlowBodies-was.SlowBodies, is.UnreadAnswers-was.UnreadAnswers; bodies+answers > 0 {
+			d.log.Write(job.LogLine{What: "clients too slow", Fields: []any{"listener", server, "bodies", bodies, "answers", answers}})
+		}
 	})
 }
 
@@ -35,6 +38,9 @@
 		if n := is.ClosedConns - was.ClosedConns; n > 0 {
 			d.log.Warnf("%d connections of %s closed, as many are open as may be: %d", n, server, is.OpenConns)
 		}
+		if bodies, answers := is.SlowBodies-was.SlowBodies, is.UnreadAnswers-was.UnreadAnswers; bodies+answers > 0 {
+			d.log.Warnf("%d bodies of %s did not arrive in time, and %d answers were not read in time", bodies, server, answers)
+		}
 	})
 }
 
@@ -66,6 +72,8 @@
 	}{
 		{"amberway.requests.given_up", "{request}", "requests given up before they were read completely", func(c request.Counts) int64 { return c.EvictedRequests }},
 		{"amberway.connections.closed", "{connection}", "connections closed to make room for others", func(c request.Counts) int64 { return c.ClosedConns }},
+		{"amberway.bodies.late", "{request}", "bodies that did not arrive in time", func(c request.Counts) int64 { return c.SlowBodies }},
+		{"amberway.answers.unread", "{request}", "answers that were not read in time", func(c request.Counts) int64 { return c.UnreadAnswers }},
 	} {
 		_, err := m.Int64ObservableCounter(i.name, metric.WithUnit(i.unit), metric.WithDescription(i.help+", by listener"), observe(servers, i.figure))
 		if err != nil {
--- a/common/overload.go
+++ b/common/overload.go
@@ -1,5 +1,7 @@
 package common
 
+import "time"
+
 // ErrOverload reports that a request was given up before it was read completely, because
 // requests hold all the memory that the server has for them. It is a net.Error.
 var ErrOverload error = overloadError{}
@@ -23,3 +25,9 @@
 	// there is no room for them.
 	Hold(n int) error
 }
+
+// DeadlineReader is implemented by the bodies of requests whose reads can be bounded in time.
+type DeadlineReader interface {
+	// ReadBy has reads fail with os.ErrDeadlineExceeded from the given time on.
+	ReadBy(t time.Time)
+}
--- a/job/caller_handler.go
+++ b/job/caller_handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"path"
 	"time"
 
@@ -155,6 +156,10 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	if l, ok := r.Body.(common.DeadlineReader); ok {
+		deadline, _ := ctx.Deadline()
+		l.ReadBy(deadline)
+	}
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
@@ -165,6 +170,10 @@
 		h.refuse(w, "the job was not taken: too many requests are held")
 		return
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		h.refuse(w, "the job was not taken: its body did not arrive in time")
+		return
+	}
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, "body was cut off", common.NotRun)
 		return
--- a/job/overload_test.go
+++ b/job/overload_test.go
@@ -4,12 +4,15 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"amberway/common"
+	"amberway/platform"
 )
 
 // fullServerBody is the body of a request at a server without memory for decoded jobs.
@@ -44,3 +47,34 @@
 		})
 	}
 }
+
+// lateBody is the rest of a body that does not arrive before the deadline for it.
+type lateBody struct {
+	by time.Time
+}
+
+func (b *lateBody) Read([]byte) (int, error) {
+	if b.by.IsZero() {
+		return 0, io.ErrUnexpectedEOF
+	}
+	return 0, os.ErrDeadlineExceeded
+}
+
+func (b *lateBody) Close() error       { return nil }
+func (b *lateBody) ReadBy(t time.Time) { b.by = t }
+
+// TestLateBodyIsRefusedAtTheDeadlineOfItsCaller guards against a caller that hears nothing in time
+// because its body has not arrived.
+func TestLateBodyIsRefusedAtTheDeadlineOfItsCaller(t *testing.T) {
+	n := newTestNode(t, newStoreFixture(t))
+	n.routes.Store(newRoutes(testConfig()))
+	n.configCurrentAt.Set(n.now())
+	b := &lateBody{}
+	r := httptest.NewRequest(http.MethodPost, "http://h/q/"+idA, b)
+	r.Header.Set(platform.HeaderDeadline, "1000")
+	w := httptest.NewRecorder()
+	n.Callers().ServeHTTP(w, r)
+	require.Equal(t, http.StatusServiceUnavailable, w.Code, w.Body)
+	require.NotEmpty(t, w.Header().Get("Retry-After"))
+	require.WithinDuration(t, n.now(), b.by, time.Second)
+}
--- a/request/accept.go
+++ b/request/accept.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -195,6 +196,9 @@
 }
 
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, q *acceptedRequest) ([]byte, *common.ProblemError) {
+	if l, ok := r.Body.(common.DeadlineReader); ok {
+		l.ReadBy(q.deadline)
+	}
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
@@ -203,6 +207,9 @@
 	if errors.Is(err, common.ErrOverload) {
 		return nil, q.overloadProblem(s.deps.Now())
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, q.problem(http.StatusServiceUnavailable, "the body did not arrive in time", "", s.deps.Now().Add(defaultRetryDelay))
+	}
 	if err != nil {
 		return nil, q.problem(http.StatusBadRequest, "the body broke off", "", time.Time{})
 	}
--- a/request/callerconn.go
+++ b/request/callerconn.go
@@ -27,6 +27,7 @@
 	// evicted says that the request was given up before it was read completely. Nothing
 	// more is read.
 	evicted bool
+	pace    bodyPace
 	// writingSince is when the write in progress began.
 	writingSince time.Time
 }
@@ -34,6 +35,7 @@
 // Read reads from the connection. If an idle connection's read deadline passes, it checks
 // once more for a request.
 func (k *callerConn) Read(b []byte) (int, error) {
+	k.applyPace()
 	n, err := k.TCPConn.Read(b)
 	late := n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && k.isIdle()
 	if late {
@@ -46,6 +48,9 @@
 		k.refuseHeaders()
 		return 0, common.ErrOverload
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		k.countTimeout()
+	}
 	return n, err
 }
 
@@ -144,6 +149,9 @@
 	if k.phase == phaseIdle {
 		k.markBusy(time.Now())
 	}
+	if k.phase == phaseBody {
+		k.pace.received += int64(len(b))
+	}
 	return k.phase == phaseHeaders && k.charge(headerMemory(b))
 }
 
@@ -162,6 +170,7 @@
 	k.phase = phaseComplete
 	if hasBody {
 		k.phase = phaseBody
+		k.pace = bodyPace{began: time.Now()}
 	}
 	return true
 }
--- a/request/callerconns.go
+++ b/request/callerconns.go
@@ -20,6 +20,9 @@
 	changed chan struct{}
 	// closedForOthers counts the connections that were closed to make room.
 	closedForOthers atomic.Int64
+	// slowBodies and unreadAnswers count the bodies that did not arrive in time, and the
+	// answers that were not read in time.
+	slowBodies, unreadAnswers atomic.Int64
 	// servedLate counts requests that arrived while their connections were closing, and
 	// were served.
 	servedLate atomic.Int64
--- a/request/callerserver.go
+++ b/request/callerserver.go
@@ -148,13 +148,24 @@
 	HeldBytes int64
 	// ClosedConns counts the connections that were closed to make room for others.
 	ClosedConns int64
+	// SlowBodies counts the bodies that did not arrive in time, and UnreadAnswers the answers
+	// that were not read in time.
+	SlowBodies, UnreadAnswers int64
 	// OpenConns is how many connections are open now.
 	OpenConns int
 }
 
 // Counts returns the present figures.
 func (c *CallerServer) Counts() Counts {
-	return Counts{EvictedRequests: c.conns.budget.evicted.Load(), HeldBytes: c.conns.budget.used.Load(), ClosedConns: c.conns.closedForOthers.Load(), OpenConns: c.conns.count()}
+	o := c.conns
+	return Counts{
+		EvictedRequests: o.budget.evicted.Load(),
+		HeldBytes:       o.budget.used.Load(),
+		ClosedConns:     o.closedForOthers.Load(),
+		SlowBodies:      o.slowBodies.Load(),
+		UnreadAnswers:   o.unreadAnswers.Load(),
+		OpenConns:       o.count(),
+	}
 }
 
 // StopReport describes a stop, so that the cause of a lost request can be found from its
--- a/request/crowd.go
+++ b/request/crowd.go
@@ -1,7 +1,6 @@
 package request
 
 import (
-	"io"
 	"iter"
 	"net"
 	"time"
@@ -164,26 +163,6 @@
 	return true
 }
 
-// Write writes to the connection.
-func (k *callerConn) Write(b []byte) (int, error) {
-	k.markWriting(time.Now())
-	n, err := k.TCPConn.Write(b)
-	k.markWriting(time.Time{})
-	return n, err
-}
-
-// markWriting records since when the connection writes, or that it does not.
-func (k *callerConn) markWriting(since time.Time) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.writingSince = since
-}
-
-// ReadFrom copies from the reader with Write.
-func (k *callerConn) ReadFrom(r io.Reader) (int64, error) {
-	return io.Copy(struct{ io.Writer }{k}, r)
-}
-
 // trackingListener wraps each accepted connection in a callerConn, and makes room for it.
 type trackingListener struct {
 	*CallerListener
--- a/request/guardedbody.go
+++ b/request/guardedbody.go
@@ -34,6 +34,11 @@
 	return b.conn.hold(int64(n))
 }
 
+// ReadBy has reads fail from the given time on.
+func (b *guardedBody) ReadBy(t time.Time) {
+	b.conn.readBy(t)
+}
+
 // guard returns the request with a body that is guarded, or false if there is no room for
 // the request.
 func (k *callerConn) guard(r *http.Request) (*http.Request, bool) {
