Count the bodies of requests by what has arrived of them

16 connections that began a chunked body and sent one byte of it made each ordinary request be refused (503, "too many bodies are held") for as long as they stayed: a body of unknown length counted as the largest one, 8 MB of the 128 MB for all.

The bodies of requests now count in the same budget as those of jobs, by the bytes that have been read, and the largest unfinished one is given up first.

--- a/request/guardedbody.go
+++ b/request/guardedbody.go
@@ -86,5 +86,5 @@
 
 // overloadProblem returns the answer to a request for which there is no room.
 func (q *acceptedRequest) overloadProblem(now time.Time) *common.ProblemError {
-	return q.problem(http.StatusServiceUnavailable, "too many requests are held", "", now.Add(defaultRetryDelay))
+	return q.problem(http.StatusServiceUnavailable, "too many bodies are held", "", now.Add(defaultRetryDelay))
 }
--- a/request/server.go
+++ b/request/server.go
@@ -13,20 +13,16 @@
 	"time"
 
 	"github.com/google/uuid"
-	"golang.org/x/sync/semaphore"
 
 	"amberway/common"
 	"amberway/config"
 )
 
-// Limits of one request and of all requests together.
+// Limits of one request.
 const (
 	// maxAttempts is the most attempts for one request. One whose target was removed
 	// before it was sent does not count.
 	maxAttempts = 3
-	// maxBufferedBodies is the most bytes of request bodies held at once. A body of
-	// unknown length counts as the largest allowed.
-	maxBufferedBodies = 128 << 20
 	// defaultRetryDelay is the delay after which a caller is told to retry if no queue
 	// gives an estimate.
 	defaultRetryDelay = time.Second
@@ -69,11 +65,10 @@
 // Server is the HTTP handler for callers.
 type Server struct {
 	ServerOptions
-	deps           common.Deps
-	log            common.Log
-	mux            *http.ServeMux
-	budget         *RetryBudget
-	bufferedBodies *semaphore.Weighted
+	deps   common.Deps
+	log    common.Log
+	mux    *http.ServeMux
+	budget *RetryBudget
 	// detachedRuns are the runs that go on although their callers have been answered.
 	detachedRuns sync.WaitGroup
 }
@@ -81,12 +76,11 @@
 // NewServer returns the handler for callers.
 func NewServer(d common.Deps, p ServerOptions) *Server {
 	s := &Server{
-		ServerOptions:  p,
-		deps:           d,
-		log:            d.Log("request"),
-		mux:            http.NewServeMux(),
-		budget:         NewRetryBudget(),
-		bufferedBodies: semaphore.NewWeighted(maxBufferedBodies),
+		ServerOptions: p,
+		deps:          d,
+		log:           d.Log("request"),
+		mux:           http.NewServeMux(),
+		budget:        NewRetryBudget(),
 	}
 	s.mux.HandleFunc("POST /ids", s.issueIDs)
 	s.mux.HandleFunc("/", s.serveRequest)
@@ -133,16 +127,6 @@
 // serveRequest accepts one request and answers it with a verdict.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	start := s.deps.Now()
-	n := int64(MaxBody)
-	if r.ContentLength >= 0 {
-		n = min(r.ContentLength, MaxBody)
-	}
-	if !s.bufferedBodies.TryAcquire(n) {
-		q := &acceptedRequest{hasKey: r.Header.Get(common.HeaderIdempotencyKey) != ""}
-		s.writeProblem(w, q, q.problem(http.StatusServiceUnavailable, "too many bodies are held", "", start.Add(defaultRetryDelay)))
-		return
-	}
-	defer s.bufferedBodies.Release(n)
 	q, p := s.accept(w, r)
 	if p != nil {
 		s.writeProblem(w, q, p)
