Bound the connections of peers and refuse calls without a token early

The peers' listener of a daemon that serves requests took any number of connections, and read the whole message of a call before it checked its token.

The token is checked with the headers of a call; the headers, the calls at once on a connection and the time of a handshake are bounded.

TestCallWithoutTokenIsRefusedBeforeItsMessage failed before: the call waited for its message.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -154,6 +154,7 @@
 	if l.peers, err = c.Listen(ctx, "tcp", d.parsed.peers.String()); err != nil {
 		return l, merry.Prepend(err, "daemon: peers' listener")
 	}
+	l.peers = peers.BoundConnections(l.peers, d.settings.peerLimits().Conns)
 	return l, nil
 }
 
--- a/peers/dialer.go
+++ b/peers/dialer.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 )
 
 // tokenKey is the metadata key of the token that entry hosts share.
@@ -29,6 +30,11 @@
 	// bufferBytes is the size of each buffer of a connection. Messages are
 	// small, and each process holds a connection to every other.
 	bufferBytes = 2 << 10
+	// handshakeTimeout bounds the time until a new connection speaks HTTP/2.
+	handshakeTimeout = 5 * time.Second
+	// maxStreams bounds the calls at once on a connection, and maxHeaderBytes the headers
+	// of each.
+	maxStreams, maxHeaderBytes = 1000, 16 << 10
 )
 
 // Dialer holds one Conn per peer.
@@ -96,18 +102,21 @@
 	return invoke(ctx, method, req, reply, c, opts...)
 }
 
-// NewServer returns a server that refuses callers without the token.
+// NewServer returns a server that refuses callers without the token, before it reads their
+// messages.
 func NewServer(token string) *grpc.Server {
-	check := func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
-		m, _ := metadata.FromIncomingContext(ctx)
-		v := m.Get(tokenKey)
+	check := func(ctx context.Context, i *tap.Info) (context.Context, error) {
+		v := i.Header.Get(tokenKey)
 		if len(v) != 1 || subtle.ConstantTimeCompare([]byte(v[0]), []byte(token)) != 1 {
 			return nil, status.Error(codes.Unauthenticated, "peers: wrong token")
 		}
-		return h(ctx, req)
+		return ctx, nil
 	}
 	return grpc.NewServer(
-		grpc.UnaryInterceptor(check),
+		grpc.InTapHandle(check),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.WriteBufferSize(bufferBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2}),
