Say when to come back to a relay that is refused for lack of memory

The peers' address answered 503 without Retry-After to a job that was given up before it was read completely. It answers like the callers' address now.

TestRelayedJobWithoutMemoryForItIsRefusedWithARetryTime failed before.

--- a/job/overload_test.go
+++ b/job/overload_test.go
@@ -78,3 +78,13 @@
 	require.NotEmpty(t, w.Header().Get("Retry-After"))
 	require.WithinDuration(t, n.now(), b.by, time.Second)
 }
+
+// TestRelayedJobWithoutMemoryForItIsRefusedWithARetryTime guards against a refusal that does not
+// say when to come back.
+func TestRelayedJobWithoutMemoryForItIsRefusedWithARetryTime(t *testing.T) {
+	n := newTestNode(t, newStoreFixture(t))
+	w := httptest.NewRecorder()
+	n.Peers().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://h/jobs/"+idA, fullServerBody{brokenOffBody{}}))
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.NotEmpty(t, w.Header().Get("Retry-After"))
+}
--- a/job/peer.go
+++ b/job/peer.go
@@ -149,7 +149,7 @@
 	var rec Record
 	err := json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(&rec)
 	if errors.Is(err, common.ErrOverload) {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		callerHandler{node: n}.refuse(w, "the job was not taken: too many requests are held")
 		return
 	}
 	if !ok || err != nil {
