Do not copy bodies that break off

io.ReadAll copies what it has read also when the read fails, so that each large request that was given up allocated its part of the body once more.

common.ReadAll returns nothing with an error.

--- a/job/caller_handler.go
+++ b/job/caller_handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"path"
@@ -160,7 +159,7 @@
 		deadline, _ := ctx.Deadline()
 		l.ReadBy(deadline)
 	}
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	b, err := common.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		writeProblem(w, http.StatusRequestEntityTooLarge, "body is larger than the limit in force", common.NotRun)
--- a/request/accept.go
+++ b/request/accept.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -199,7 +198,7 @@
 	if l, ok := r.Body.(common.DeadlineReader); ok {
 		l.ReadBy(q.deadline)
 	}
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	b, err := common.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, q.problem(http.StatusRequestEntityTooLarge, "the body is too large", fmt.Sprintf("at most %d bytes", MaxBody), time.Time{})
