Bound what the kernel keeps of unread answers

A client that sends many requests and reads no answer has the kernel keep up to some megabytes of them for each connection, which count as the process's memory on some platforms. The listeners only bounded the other direction.

The send buffers of connections are bounded like the receive buffers, and the number of connections follows from the memory of a connection with both. TestKernelKeepsLittleOfAConnection failed before for the send buffer, and TestFullBuffersOfTheKernelLeaveRoomForTheProgram for 184 MB.

--- a/commands/limits.go
+++ b/commands/limits.go
@@ -25,12 +25,14 @@
 	minRequestMemory = 2 << 20
 	// readyMemory is what the balancer's questions may hold.
 	readyMemory = 1 << 20
-	// connBytes is the memory of a connection without its request.
-	connBytes = 30 << 10
+	// connBytes is the memory of a connection without its request, and kernelBytes that of the
+	// kernel's two buffers, which are seldom both full.
+	connBytes   = 30 << 10
+	kernelBytes = 2 * request.KernelBuffer
 	// callersConnShare and peersConnShare are the shares of the memory that connections may
 	// take.
-	callersConnShare = 1. / 6
-	peersConnShare   = 1. / 12
+	callersConnShare = 0.25
+	peersConnShare   = 0.08
 	// reservedDescriptors are kept for files.
 	reservedDescriptors = 200
 	// callersDescriptorDivisor and peersDescriptorDivisor divide the other descriptors. The
@@ -53,7 +55,7 @@
 
 // connLimit returns how many connections a listener takes.
 func (s Settings) connLimit(memoryShare float64, descriptorDivisor int) int {
-	return max(minConns, min(descriptors()/descriptorDivisor, int(memoryShare*s.memoryBytes()/connBytes)))
+	return max(minConns, min(descriptors()/descriptorDivisor, int(memoryShare*s.memoryBytes()/(connBytes+kernelBytes))))
 }
 
 // memoryBytes returns what the daemon may take of the host's memory.
--- a/commands/limits_test.go
+++ b/commands/limits_test.go
@@ -23,6 +23,18 @@
 	}
 }
 
+// TestFullBuffersOfTheKernelLeaveRoomForTheProgram guards against limits whose connections take more
+// of the kernel than a host has, if clients fill both buffers of each.
+func TestFullBuffersOfTheKernelLeaveRoomForTheProgram(t *testing.T) {
+	const programBytes = 15 << 20
+	for _, memoryMB := range []float64{184, 284, 1048} {
+		s := Settings{MemoryMB: memoryMB}
+		conns := s.callerLimits(0).Conns + s.peerLimits().Conns + s.readyLimits().Conns
+		soft := min(maxSoftMemoryLimit, softMemoryShare*s.memoryBytes())
+		require.Less(t, soft+float64(conns*2*kernelBytes)+programBytes, s.memoryBytes(), "%g MB", memoryMB)
+	}
+}
+
 // TestLimitsDoNotMeetOrdinaryClients guards against limits below what callers are promised: the
 // pages' bodies of 262,144 bytes from dozens of callers at once.
 func TestLimitsDoNotMeetOrdinaryClients(t *testing.T) {
--- a/request/callerlistener.go
+++ b/request/callerlistener.go
@@ -34,7 +34,7 @@
 // Go's default: a Multipath TCP listener accepts no socket filter, and callers reach a
 // host by one path only.
 func ListenForCallers(ctx context.Context, a netip.AddrPort) (*CallerListener, error) {
-	c := net.ListenConfig{Control: boundReceiveBuffer}
+	c := net.ListenConfig{Control: boundBuffers}
 	c.SetMultipathTCP(false)
 	l, err := c.Listen(ctx, "tcp", a.String())
 	if err != nil {
@@ -51,15 +51,18 @@
 	return &CallerListener{TCPListener: t, dupFD: dup}, nil
 }
 
-// receiveBuffer is what the kernel keeps of a connection's unread bytes. It doubles the
-// value for its own records.
-const receiveBuffer = 32 << 10
+// KernelBuffer is what the kernel keeps of the unread bytes of a connection, and of an answer
+// that its client does not take, each. It doubles the value for its own records.
+const KernelBuffer = 32 << 10
 
-// boundReceiveBuffer bounds the receive buffers of the connections of a listener.
-func boundReceiveBuffer(_, _ string, c syscall.RawConn) error {
+// boundBuffers bounds the kernel's buffers of the connections of a listener.
+func boundBuffers(_, _ string, c syscall.RawConn) error {
 	var optErr error
 	err := c.Control(func(fd uintptr) {
-		optErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		optErr = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, KernelBuffer),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, KernelBuffer),
+		)
 	})
 	return errors.Join(err, optErr)
 }
--- a/request/crowd_test.go
+++ b/request/crowd_test.go
@@ -5,11 +5,15 @@
 	"io"
 	"maps"
 	"net/http"
+	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"amberway/internal/loopback"
 )
 
 func TestConnectionThatWaitsLongestIsClosedFirst(t *testing.T) {
@@ -116,3 +120,23 @@
 	require.NoError(t, dialRaw(t, l).ask("ordinary"))
 	require.NoError(t, k.ask("after"))
 }
+
+// TestKernelKeepsLittleOfAConnection guards against bytes that clients leave to the kernel.
+func TestKernelKeepsLittleOfAConnection(t *testing.T) {
+	l, err := ListenForCallers(t.Context(), netip.AddrPortFrom(loopback.RandomAddr(), 0))
+	require.NoError(t, err)
+	defer l.Close()
+	dialRaw(t, l)
+	c, err := l.AcceptTCP()
+	require.NoError(t, err)
+	defer c.Close()
+	r, err := c.SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, r.Control(func(fd uintptr) {
+		for _, option := range []int{syscall.SO_RCVBUF, syscall.SO_SNDBUF} {
+			n, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, option)
+			require.NoError(t, err)
+			require.LessOrEqual(t, n, 2*KernelBuffer)
+		}
+	}))
+}
