End the unread body of a caller's request at the caller's deadline

The answer to a DELETE with a body that does not end was sent only when the time of the body was over, as http.Server reads the rest of it first.

The deadline of the caller holds for the bodies of all methods. TestUnreadBodyOfACancelEndsAtTheDeadlineOfItsCaller failed before.

--- a/job/caller_handler.go
+++ b/job/caller_handler.go
@@ -66,6 +66,9 @@
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), deadline.Add(-margin))
 	defer cancel()
+	if l, ok := r.Body.(common.DeadlineReader); ok {
+		l.ReadBy(deadline.Add(-margin))
+	}
 	if rest == "" {
 		h.serveQueue(ctx, w, r, q)
 		return
@@ -155,10 +158,6 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	if l, ok := r.Body.(common.DeadlineReader); ok {
-		deadline, _ := ctx.Deadline()
-		l.ReadBy(deadline)
-	}
 	b, err := common.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
--- a/job/overload_test.go
+++ b/job/overload_test.go
@@ -79,6 +79,19 @@
 	require.WithinDuration(t, n.now(), b.by, time.Second)
 }
 
+// TestUnreadBodyOfACancelEndsAtTheDeadlineOfItsCaller guards against an answer that waits for a body
+// that nobody reads.
+func TestUnreadBodyOfACancelEndsAtTheDeadlineOfItsCaller(t *testing.T) {
+	n := newTestNode(t, newStoreFixture(t))
+	n.routes.Store(newRoutes(testConfig()))
+	n.configCurrentAt.Set(n.now())
+	b := &lateBody{}
+	r := httptest.NewRequest(http.MethodDelete, "http://h/q/"+idA, b)
+	r.Header.Set(platform.HeaderDeadline, "1000")
+	n.Callers().ServeHTTP(httptest.NewRecorder(), r)
+	require.WithinDuration(t, n.now(), b.by, time.Second)
+}
+
 // TestRelayedJobWithoutMemoryForItIsRefusedWithARetryTime guards against a refusal that does not
 // say when to come back.
 func TestRelayedJobWithoutMemoryForItIsRefusedWithARetryTime(t *testing.T) {
