--- a/job/caller_handler.go
+++ b/job/caller_handler.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"path"
 	"time"
 
@@ -66,6 +66,9 @@
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), deadline.Add(-margin))
 	defer cancel()
+	if l, ok := r.Body.(common.DeadlineReader); ok {
+		l.ReadBy(deadline.Add(-margin))
+	}
 	if rest == "" {
 		h.serveQueue(ctx, w, r, q)
 		return
@@ -155,17 +158,29 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	b, err := common.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		writeProblem(w, http.StatusRequestEntityTooLarge, "body is larger than the limit in force", common.NotRun)
 		return
 	}
+	if errors.Is(err, common.ErrOverload) {
+		h.refuse(w, "the job was not taken: too many requests are held")
+		return
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		h.refuse(w, "the job was not taken: its body did not arrive in time")
+		return
+	}
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, "body was cut off", common.NotRun)
 		return
 	}
-	s, err := platform.DecodeSubmission(b)
+	s, err := h.decode(ctx, b)
+	if errors.Is(err, common.ErrOverload) {
+		h.refuse(w, "the job was not taken: too many jobs are decoded")
+		return
+	}
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, err.Error(), common.NotRun)
 		return
@@ -181,6 +196,10 @@
 		writeProblem(w, http.StatusTooManyRequests, err.Error(), common.NotRun)
 		return
 	}
+	if l, ok := r.Body.(common.Holder); ok && l.Hold(rec.memoryBytes()) != nil {
+		h.refuse(w, "the job was not taken: too many requests are held")
+		return
+	}
 	if at, full := h.node.refusedUntil(ctx, id, c, rec); full {
 		h.refuseUntil(w, "the queue is full: more work waits than can be begun in time", at)
 		return
--- a/request/accept.go
+++ b/request/accept.go
@@ -3,8 +3,8 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -195,11 +195,20 @@
 }
 
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, q *acceptedRequest) ([]byte, *common.ProblemError) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	if l, ok := r.Body.(common.DeadlineReader); ok {
+		l.ReadBy(q.deadline)
+	}
+	b, err := common.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, q.problem(http.StatusRequestEntityTooLarge, "the body is too large", fmt.Sprintf("at most %d bytes", MaxBody), time.Time{})
 	}
+	if errors.Is(err, common.ErrOverload) {
+		return nil, q.overloadProblem(s.deps.Now())
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, q.problem(http.StatusServiceUnavailable, "the body did not arrive in time", "", s.deps.Now().Add(defaultRetryDelay))
+	}
 	if err != nil {
 		return nil, q.problem(http.StatusBadRequest, "the body broke off", "", time.Time{})
 	}
--- a/request/callerlistener.go
+++ b/request/callerlistener.go
@@ -34,7 +34,7 @@
 // Go's default: a Multipath TCP listener accepts no socket filter, and callers reach a
 // host by one path only.
 func ListenForCallers(ctx context.Context, a netip.AddrPort) (*CallerListener, error) {
-	var c net.ListenConfig
+	c := net.ListenConfig{Control: boundBuffers}
 	c.SetMultipathTCP(false)
 	l, err := c.Listen(ctx, "tcp", a.String())
 	if err != nil {
@@ -51,6 +51,36 @@
 	return &CallerListener{TCPListener: t, dupFD: dup}, nil
 }
 
+// KernelBuffer is what the kernel keeps of the unread bytes of a connection, and of an answer
+// that its client does not take, each. It doubles the value for its own records.
+const KernelBuffer = 32 << 10
+
+// boundBuffers bounds the kernel's buffers of the connections of a listener.
+func boundBuffers(_, _ string, c syscall.RawConn) error {
+	var optErr error
+	err := c.Control(func(fd uintptr) {
+		optErr = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, KernelBuffer),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, KernelBuffer),
+		)
+	})
+	return errors.Join(err, optErr)
+}
+
+// maxBacklog bounds the connections that wait to be accepted, whose unread bytes count as
+// well: a host accepts fewer in a second.
+const maxBacklog = 512
+
+// boundBacklog bounds the connections that wait to be accepted.
+func (l *CallerListener) boundBacklog() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	return os.NewSyscallError("listen", syscall.Listen(l.dupFD, maxBacklog))
+}
+
 // duplicate returns a second descriptor of the listener's socket.
 func duplicate(l *net.TCPListener) (int, error) {
 	r, err := l.SyscallConn()
