--- a/job/departed_test.go
+++ b/job/departed_test.go
@@ -29,10 +29,10 @@
 	f.requireMoves(second)
 }
 
-// drainingInShardOf returns a new worker that drains, and whose entry is in the same shard of the roster.
-func (f *lateFixture) drainingInShardOf(id platform.WorkerID) *lateWorker {
+// drainingInSameShard returns a new worker that drains, and whose entry is in the shard of the first incarnation.
+func (f *lateFixture) drainingInSameShard() *lateWorker {
 	for n := 3; ; n++ {
-		if name := fmt.Sprint("w", n); rosterShard(platform.WorkerID(name)) == rosterShard(id) {
+		if name := fmt.Sprint("w", n); rosterShard(platform.WorkerID(name)) == rosterShard(firstIncarnation) {
 			w := f.start(name, 0)
 			w.Draining = true
 			return w
@@ -56,7 +56,7 @@
 	f.untilKept(renewsLease)
 	f.loseFirst()
 	f.lateOwner = f.takeOver(f.lateOwner)
-	other := f.drainingInShardOf(firstIncarnation)
+	other := f.drainingInSameShard()
 	f.list(other)
 	f.pass(time.Second)
 	require.True(t, f.roster().has(other.ID))
@@ -159,7 +159,7 @@
 	f.loseFirst()
 	t.Log("roster", f.roster().Workers)
 	f.lateOwner = f.takeOver(f.lateOwner, f.first)
-	other := f.drainingInShardOf(firstIncarnation)
+	other := f.drainingInSameShard()
 	f.list(other)
 	f.pass(time.Second)
 	f.step(WorkerUnlisted{Name: f.first.ID.Name()})
@@ -175,7 +175,7 @@
 	f.untilKept(renewsLease)
 	f.loseFirst()
 	f.step(WorkerListed{Worker: f.first.Worker})
-	other := f.drainingInShardOf(firstIncarnation)
+	other := f.drainingInSameShard()
 	f.list(other)
 	f.pass(time.Second)
 	f.step(WorkerUnlisted{Name: f.first.ID.Name()})
@@ -193,7 +193,7 @@
 	second := f.start(secondIncarnation, 0)
 	f.keep = func(a Action) bool { to, _ := recipientOf(a); return isPoll(a) && to == "w1" }
 	f.lateOwner = f.takeOver(f.lateOwner, second)
-	other := f.drainingInShardOf(firstIncarnation)
+	other := f.drainingInSameShard()
 	f.list(other)
 	f.pass(time.Second)
 	other.Draining = true
@@ -232,7 +232,7 @@
 	t.Log("roster in", f.roster().Workers)
 	f.core.cordon(f.core.machinesByName[second.Host])
 	f.pass(time.Second)
-	other := f.drainingInShardOf(firstIncarnation)
+	other := f.drainingInSameShard()
 	f.list(other)
 	f.pass(time.Second)
 	t.Log("roster", f.roster().Workers)
