request: unfinished requests are given up before an ordinary one is refused

Cause: whether there is room for a request was read off the bytes held at that instant. Another connection may have charged bytes and not yet given an unfinished request up for them.

A request is refused only if the budget is still exceeded after all that may be given up has been.

--- a/request/budget.go
+++ b/request/budget.go
@@ -101,19 +101,20 @@
 }
 
 // enforceBudget gives up unfinished requests until the others are within the budget, or
-// none is left that may be given up.
-func (o *callerConns) enforceBudget() {
+// none is left that may be given up. It reports whether there is room.
+func (o *callerConns) enforceBudget() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for o.budget.isExceeded() {
 		k, ok := chooseEvicted(o.holdings())
 		if !ok {
-			return
+			return false
 		}
 		if k.evict() {
 			o.budget.evicted.Add(1)
 		}
 	}
+	return true
 }
 
 // holdings returns the open connections with what they hold. The caller must hold o.mu.
@@ -161,11 +162,15 @@
 // hold counts n more bytes for a request, or returns common.ErrOverload if requests that
 // were read completely leave no room for them.
 func (k *callerConn) hold(n int64) error {
-	if k.markBodyRead(int(n)) && !k.conns.budget.isExceeded() {
-		return nil
-	}
+	k.mu.Lock()
+	exceeded := k.charge(n)
+	k.mu.Unlock()
+	fits := !exceeded || k.conns.enforceBudget()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if fits && !k.evicted {
+		return nil
+	}
 	if !k.evicted {
 		k.charge(-n)
 	}
--- a/request/callerconn.go
+++ b/request/callerconn.go
@@ -158,9 +158,10 @@
 // beginRequest records that the headers of a request have been read. It returns false if
 // there is no room for the request.
 func (k *callerConn) beginRequest(hasBody bool) bool {
+	full := k.conns.budget.isExceeded() && !k.conns.enforceBudget()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if (hasBody || k.bytes > freeBytes) && !k.evicted && k.conns.budget.isExceeded() {
+	if full && (hasBody || k.bytes > freeBytes) && !k.evicted {
 		k.giveUp()
 		k.conns.budget.evicted.Add(1)
 	}
