request: a refused caller gets its answer before its connection is closed

Cause: the connection of a request that is given up was closed with bytes that had not been read, which resets it, and the answer is lost with it.

Evidence: TestRefusedCallerReadsItsAnswer failed before (connection reset by peer).

Such a connection ends its sending side with the answer, and is closed half a second later.

--- a/request/callerconn.go
+++ b/request/callerconn.go
@@ -27,7 +27,9 @@
 	// evicted says that the request was given up before it was read completely. Nothing
 	// more is read.
 	evicted bool
-	pace    bodyPace
+	// lingering says that the connection is closed soon.
+	lingering bool
+	pace      bodyPace
 	// writingSince is when the write in progress began.
 	writingSince time.Time
 }
@@ -106,8 +108,17 @@
 	}
 }
 
-// Close closes the connection.
+// Close closes the connection. One whose request was given up is closed a little later: closing
+// it with unread bytes would reset it, and its client would lose the answer.
 func (k *callerConn) Close() error {
+	k.mu.Lock()
+	later := k.evicted && !k.lingering
+	k.lingering = true
+	k.mu.Unlock()
+	if later && k.CloseWrite() == nil {
+		time.AfterFunc(lingerTime, func() { _ = k.Close() })
+		return nil
+	}
 	k.conns.remove(k)
 	k.release()
 	return k.TCPConn.Close()
--- a/request/guardedbody.go
+++ b/request/guardedbody.go
@@ -58,6 +58,9 @@
 // overloadAnswer answers a request whose headers were not read completely.
 var overloadAnswer = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nRetry-After: %d\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", defaultRetryDelay/time.Second)
 
+// lingerTime is how long a connection stays open after its request was given up.
+const lingerTime = 500 * time.Millisecond
+
 // refuseTimeout bounds the sending of overloadAnswer.
 const refuseTimeout = time.Second
 
--- a/request/overloadcrowd_test.go
+++ b/request/overloadcrowd_test.go
@@ -57,3 +57,30 @@
 	require.Zero(t, lost)
 	require.Zero(t, refused)
 }
+
+// Without its answer, a refused caller would come back at once.
+func TestRefusedCallerReadsItsAnswer(t *testing.T) {
+	answer := make(chan struct{})
+	c, l := startLimitedServer(t, func(w http.ResponseWriter, r *http.Request) {
+		b, err := io.ReadAll(r.Body)
+		if err != nil {
+			refuse(w, r)
+			return
+		}
+		<-answer
+		fmt.Fprint(w, len(b))
+	}, Limits{Bytes: overloadBody})
+	defer close(answer)
+	k := dialRaw(t, l)
+	require.NoError(t, k.send(strings.Repeat("x", overloadBody)))
+	requireHeld(t, c, overloadBody+1)
+	for range 50 {
+		tr := &http.Transport{DisableKeepAlives: true}
+		res, err := (&http.Client{Transport: tr}).Post("http://"+l.Addr().String()+"/", "", strings.NewReader(strings.Repeat("x", overloadBody)))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
+		require.NotEmpty(t, res.Header.Get("Retry-After"))
+		_, _ = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+	}
+}
