request: a request whose body has arrived is not cut off because its handler leaves it unread

Cause: a request counted as one that waits for its client until the end of its body had been read, which a handler need not do.

A connection waits for its client only while a read is in progress.

--- a/request/callerconn.go
+++ b/request/callerconn.go
@@ -27,6 +27,8 @@
 	// evicted says that the request was given up before it was read completely. Nothing
 	// more is read.
 	evicted bool
+	// reading says that a read waits for the client.
+	reading bool
 	// lingering says that the connection is closed soon.
 	lingering bool
 	pace      bodyPace
@@ -46,7 +48,7 @@
 	if n > 0 && k.markReceived(b[:n], late) {
 		k.conns.enforceBudget()
 	}
-	if k.isEvicted() {
+	if k.endRead() {
 		k.refuseHeaders()
 		return 0, common.ErrOverload
 	}
@@ -130,6 +132,14 @@
 	return k.phase == phaseIdle
 }
 
+// endRead records that a read has ended, and reports whether the request was given up.
+func (k *callerConn) endRead() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.reading = false
+	return k.evicted
+}
+
 func (k *callerConn) isEvicted() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/request/crowd.go
+++ b/request/crowd.go
@@ -72,7 +72,7 @@
 		return clientWait{closeAnnounced, k.idleSince}
 	case k.phase == phaseIdle:
 		return clientWait{closeOverdue, k.idleSince}
-	case k.phase.sending():
+	case k.phase.sending() && k.reading:
 		return clientWait{closeOverdue, k.since}
 	case !k.writingSince.IsZero() && now.Sub(k.writingSince) > answerGrace:
 		return clientWait{closeOverdue, k.writingSince}
--- a/request/overloadcrowd_test.go
+++ b/request/overloadcrowd_test.go
@@ -84,3 +84,31 @@
 		_ = res.Body.Close()
 	}
 }
+
+// The handler may leave a body unread that has arrived.
+func TestRequestWithUnneededBodyIsAnsweredAtTheBound(t *testing.T) {
+	answer := make(chan struct{})
+	c, l := startLimitedServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			<-answer
+		}
+		fmt.Fprint(w, "done")
+	}, crowdedLimits)
+	var callers []*rawConn
+	for range crowdedLimits.Conns {
+		k := dialRaw(t, l)
+		_, err := io.WriteString(k, "DELETE / HTTP/1.1\r\nHost: entry\r\nContent-Length: 2\r\n\r\n{}")
+		require.NoError(t, err)
+		callers = append(callers, k)
+	}
+	require.Eventually(t, func() bool { return c.Counts().OpenConns == crowdedLimits.Conns }, time.Second, time.Millisecond)
+	time.AfterFunc(time.Second, func() { close(answer) })
+	go func() { _, _ = io.WriteString(dialRaw(t, l), "GET / HTTP/1.1\r\nHost: entry\r\n\r\n") }()
+	lost := 0
+	for _, k := range callers {
+		if _, err := k.answer("done"); err != nil {
+			lost++
+		}
+	}
+	require.Zero(t, lost)
+}
--- a/request/pace.go
+++ b/request/pace.go
@@ -38,10 +38,11 @@
 	return t
 }
 
-// applyPace sets the deadline of the next read while a body arrives.
+// applyPace records that a read begins, and sets its deadline while a body arrives.
 func (k *callerConn) applyPace() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.reading = true
 	if k.phase != phaseBody || k.evicted {
 		return
 	}
