request: arriving requests are not cut off when a listener has all its connections

Cause: to make room for a new connection, the one that has waited longest for its client is closed. A connection waits for its client from its first moment, and while its request arrives, so that requests on their way were cut off.

Evidence: TestWholeRequestsOfManyClientsAreAnsweredAtTheBound failed before (38 of 900 lost).

A new connection, and a request that has begun to arrive, is not closed for 250 ms; a new one waits meanwhile.

--- a/request/crowd.go
+++ b/request/crowd.go
@@ -10,6 +10,10 @@
 // closed to make room for another one.
 const answerGrace = time.Second
 
+// arrivalGrace is how long a new connection or a request that has begun to arrive is not closed
+// to make room for another one.
+const arrivalGrace = 250 * time.Millisecond
+
 // closeRank says how soon a connection is closed to make room for another one.
 type closeRank int
 
@@ -19,6 +23,9 @@
 	// closeAnnounced is the rank of idle connections that their callers may still use, as
 	// the announced timeout has not passed.
 	closeAnnounced
+	// closeFresh is the rank of connections whose request may be arriving: there is room once
+	// arrivalGrace has passed or the request has been answered.
+	closeFresh
 	// closeOverdue is the rank of other idle connections, and of those whose client has not
 	// sent the rest of a request, or not read its answer.
 	closeOverdue
@@ -70,8 +77,12 @@
 		return clientWait{closeAtOnce, k.since}
 	case k.phase == phaseIdle && now.Before(k.keepUntil):
 		return clientWait{closeAnnounced, k.idleSince}
+	case k.phase == phaseIdle && k.keepUntil.IsZero() && now.Sub(k.idleSince) < arrivalGrace:
+		return clientWait{closeFresh, k.idleSince}
 	case k.phase == phaseIdle:
 		return clientWait{closeOverdue, k.idleSince}
+	case k.phase.sending() && now.Sub(k.since) < arrivalGrace:
+		return clientWait{closeFresh, k.since}
 	case k.phase.sending() && k.reading:
 		return clientWait{closeOverdue, k.since}
 	case !k.writingSince.IsZero() && now.Sub(k.writingSince) > answerGrace:
@@ -147,8 +158,9 @@
 func (k *callerConn) closeForOther(now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	rank := k.clientWaitLocked(now).rank
 	switch {
-	case k.clientWaitLocked(now).rank == closeNever:
+	case rank == closeNever || rank == closeFresh:
 		return false
 	case k.phase == phaseIdle:
 		k.askToClose()
--- a/request/overloadcrowd_test.go
+++ b/request/overloadcrowd_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -112,3 +113,42 @@
 	}
 	require.Zero(t, lost)
 }
+
+// Each client sends each request on a new connection, and there are more clients than connections.
+func TestWholeRequestsOfManyClientsAreAnsweredAtTheBound(t *testing.T) {
+	for _, size := range []int{0, 100, 20000} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			_, l := startLimitedServer(t, func(w http.ResponseWriter, r *http.Request) {
+				b, _ := io.ReadAll(r.Body)
+				time.Sleep(2 * time.Millisecond)
+				fmt.Fprint(w, len(b))
+			}, crowdedLimits)
+			var lost, refused atomic.Int64
+			var g sync.WaitGroup
+			for range 30 {
+				g.Go(func() {
+					for range 30 {
+						k, err := net.Dial("tcp", l.Addr().String())
+						if err != nil {
+							lost.Add(1)
+							continue
+						}
+						_, _ = fmt.Fprintf(k, "POST / HTTP/1.1\r\nHost: entry\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+						_ = k.SetReadDeadline(time.Now().Add(10 * time.Second))
+						res, err := http.ReadResponse(bufio.NewReader(k), nil)
+						switch {
+						case err != nil:
+							lost.Add(1)
+						case res.StatusCode != http.StatusOK:
+							refused.Add(1)
+						}
+						_ = k.Close()
+					}
+				})
+			}
+			g.Wait()
+			require.Zero(t, lost.Load())
+			require.Zero(t, refused.Load())
+		})
+	}
+}
