--- a/request/overloadcrowd_test.go
+++ b/request/overloadcrowd_test.go
@@ -114,6 +114,22 @@
 	require.Zero(t, lost)
 }
 
+// askOnce sends a whole request on a new connection, and returns the status of its answer.
+func askOnce(l *CallerListener, body string) (int, error) {
+	k, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		return 0, err
+	}
+	defer k.Close()
+	_, _ = fmt.Fprintf(k, "POST / HTTP/1.1\r\nHost: entry\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	_ = k.SetReadDeadline(time.Now().Add(10 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(k), nil)
+	if err != nil {
+		return 0, err
+	}
+	return res.StatusCode, nil
+}
+
 // Each client sends each request on a new connection, and there are more clients than connections.
 func TestWholeRequestsOfManyClientsAreAnsweredAtTheBound(t *testing.T) {
 	for _, size := range []int{0, 100, 20000} {
@@ -123,26 +139,21 @@
 				time.Sleep(2 * time.Millisecond)
 				fmt.Fprint(w, len(b))
 			}, crowdedLimits)
+			body := strings.Repeat("x", size)
 			var lost, refused atomic.Int64
 			var g sync.WaitGroup
+			ask := func() {
+				switch status, err := askOnce(l, body); {
+				case err != nil:
+					lost.Add(1)
+				case status != http.StatusOK:
+					refused.Add(1)
+				}
+			}
 			for range 30 {
 				g.Go(func() {
 					for range 30 {
-						k, err := net.Dial("tcp", l.Addr().String())
-						if err != nil {
-							lost.Add(1)
-							continue
-						}
-						_, _ = fmt.Fprintf(k, "POST / HTTP/1.1\r\nHost: entry\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
-						_ = k.SetReadDeadline(time.Now().Add(10 * time.Second))
-						res, err := http.ReadResponse(bufio.NewReader(k), nil)
-						switch {
-						case err != nil:
-							lost.Add(1)
-						case res.StatusCode != http.StatusOK:
-							refused.Add(1)
-						}
-						_ = k.Close()
+						ask()
 					}
 				})
 			}
