--- a/request/overloadcrowd_test.go
+++ b/request/overloadcrowd_test.go
@@ -114,8 +114,8 @@
 	require.Zero(t, lost)
 }
 
-// askOnce sends a whole request on a new connection, and returns the status of its answer.
-func askOnce(l *CallerListener, body string) (int, error) {
+// postOnce sends a whole request on a new connection, and returns the status of its answer.
+func postOnce(l *CallerListener, body string) (int, error) {
 	k, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		return 0, err
@@ -143,7 +143,7 @@
 			var lost, refused atomic.Int64
 			var g sync.WaitGroup
 			ask := func() {
-				switch status, err := askOnce(l, body); {
+				switch status, err := postOnce(l, body); {
 				case err != nil:
 					lost.Add(1)
 				case status != http.StatusOK:
