job: workers that report no start do not count as restarted when they come back

Cause: since a name whose worker left the roster stays known, a worker that was taken for ended and is listed again under its id counts as restarted. Without start times an id is used once only, and the worker is the same.

Evidence: TestWorkerWithoutAStartTimeThatComesBackIsNotRestarted failed before.

--- a/job/departed.go
+++ b/job/departed.go
@@ -8,8 +8,8 @@
 
 // A worker that its owner takes for ended, or that leaves the roster as its machine has an order, may come back
 // under its name. A poll to its earlier incarnation may then still be carried out, and extend the lease: also if it was
-// answered, as the client repeats a poll whose connection is silent. The roster therefore names such a worker for as long as that is possible: the next owner would
-// take it for a new one.
+// answered, as the client repeats a poll whose connection is silent. The roster therefore names such a worker for as
+// long as that is possible: the next owner would take it for a new one.
 
 // latePollUntil returns the time until which a poll of this owner or an earlier one that extends the worker's lease
 // may be carried out.
--- a/job/departed_test.go
+++ b/job/departed_test.go
@@ -269,3 +269,21 @@
 	f.pass(time.Second)
 	require.False(t, slices.ContainsFunc(f.roster().Workers, departed))
 }
+
+// Workers that report no start use an id once only.
+func TestWorkerWithoutAStartTimeThatComesBackIsNotRestarted(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	s := f.startOf(idA)
+	f.acceptStart(s)
+	f.answer("w1", platform.PollReply{Running: []platform.RunningRow{runningRow(s, 5)}})
+	f.step(WorkerUnlisted{Name: "w1"})
+	for f.core.workers["w1"] != nil {
+		if _, ok := f.polls["w1"]; ok {
+			f.fail("w1", platform.ErrUnknownOutcome)
+		}
+		f.advance(tickEvery)
+	}
+	f.step(WorkerListed{Worker: testWorker("w1")})
+	require.False(t, f.core.workers["w1"].restarted)
+}
--- a/job/listing.go
+++ b/job/listing.go
@@ -183,7 +183,7 @@
 func (c *Core) addWorker(w *worker) {
 	c.raiseFence(w)
 	ended := c.ended[w.ID.Name()]
-	if differ(w.ID.Incarnation(), ended.id.Incarnation()) || c.now.Before(ended.latePollUntil) {
+	if differ(w.ID.Incarnation(), ended.id.Incarnation()) || w.ID.Incarnation() != 0 && c.now.Before(ended.latePollUntil) {
 		c.markRestarted(w, c.latestFence)
 		w.latePollUntil = latest(w.latePollUntil, ended.latePollUntil)
 	}
