job: jobs that other entry hosts relay are bounded like those of callers

A client at the peers' listener could make a process hold hundreds of times the size of its body, which counted with its text only: 786 kB of empty steps became 262,144 decoded ones, and were accepted.

Cause: the number of steps, the number of bodies decoded at once and the memory of the decoded job were bounded on the callers' path only. The record was not checked, and a body that did not arrive in time was called a fault of the sender.

Both paths read, count, decode and hold in the same way, and refuse with 503 and Retry-After what the server could not read. A relayed record is checked as when it was submitted.

--- a/job/caller_handler.go
+++ b/job/caller_handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"os"
 	"path"
 	"time"
 
@@ -164,21 +163,17 @@
 		writeProblem(w, http.StatusRequestEntityTooLarge, "body is larger than the limit in force", common.NotRun)
 		return
 	}
-	if errors.Is(err, common.ErrOverload) {
-		h.refuse(w, "the job was not taken: too many requests are held")
-		return
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		h.refuse(w, "the job was not taken: its body did not arrive in time")
+	if why := unreadWhy(err); why != "" {
+		h.refuse(w, why)
 		return
 	}
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, "body was cut off", common.NotRun)
 		return
 	}
-	s, err := h.decode(ctx, b)
-	if errors.Is(err, common.ErrOverload) {
-		h.refuse(w, "the job was not taken: too many jobs are decoded")
+	s, err := decodeJob(ctx, h.node, b, platform.DecodeSubmission)
+	if why := unreadWhy(err); why != "" {
+		h.refuse(w, why)
 		return
 	}
 	if err != nil {
@@ -196,8 +191,8 @@
 		writeProblem(w, http.StatusTooManyRequests, err.Error(), common.NotRun)
 		return
 	}
-	if l, ok := r.Body.(common.Holder); ok && l.Hold(rec.memoryBytes()) != nil {
-		h.refuse(w, "the job was not taken: too many requests are held")
+	if why := unreadWhy(holdRecord(r.Body, &rec)); why != "" {
+		h.refuse(w, why)
 		return
 	}
 	if at, full := h.node.refusedUntil(ctx, id, c, rec); full {
--- a/job/peer.go
+++ b/job/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -145,18 +144,21 @@
 }
 
 func (n *Node) serveAccept(w http.ResponseWriter, r *http.Request) {
+	deadline := n.now().Add(relayTimeout - answerMargin)
+	if l, ok := r.Body.(common.DeadlineReader); ok {
+		l.ReadBy(deadline)
+	}
 	id, ok := ParseID(r.PathValue("id"))
-	var rec Record
-	err := json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(&rec)
-	if errors.Is(err, common.ErrOverload) {
-		callerHandler{node: n}.refuse(w, "the job was not taken: too many requests are held")
+	rec, err := n.relayedRecord(w, r)
+	if why := unreadWhy(err); why != "" {
+		callerHandler{node: n}.refuse(w, why)
 		return
 	}
 	if !ok || err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	v, err := n.intake.accept(r.Context(), id, rec, n.now().Add(relayTimeout-answerMargin))
+	v, err := n.intake.accept(r.Context(), id, rec, deadline)
 	if err != nil {
 		n.log.Write(LogLine{What: "relayed job not accepted", Job: id, Why: err.Error()})
 	}
