admin: operators are told to come back when their request could not be read

Operators whose body was given up for lack of memory, or did not arrive in time, got 502 or 400 without Retry-After, as if the platform or the request were at fault.

Cause: the limits of clients came to all listeners, and their refusals to the handlers of callers and peers only.

All handlers of operators read bodies in one way, and refuse with 503 and Retry-After what could not be read.

--- a/admin/documents.go
+++ b/admin/documents.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -18,7 +17,7 @@
 }
 
 func (s *Server) parseDocument(r *http.Request) (*config.Document, error) {
-	b, err := io.ReadAll(r.Body)
+	b, err := readBody(r)
 	if err != nil {
 		return nil, err
 	}
--- a/admin/fleet.go
+++ b/admin/fleet.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -42,7 +43,11 @@
 
 func decodeChange(r *http.Request) (Change, error) {
 	var c Change
-	d := json.NewDecoder(r.Body)
+	b, err := readBody(r)
+	if err != nil {
+		return c, err
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&c); err != nil {
 		return c, fmt.Errorf("%w: %w", errBadRequest, err)
--- a/admin/server.go
+++ b/admin/server.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -114,6 +115,21 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// errUnread marks an error of a body that could not be read in time or for lack of memory.
+var errUnread = errors.New("the request was not read: come back later")
+
+// unreadRetryAfter is the value of Retry-After of such a request, in seconds.
+const unreadRetryAfter = "1"
+
+// readBody reads the body of a request.
+func readBody(r *http.Request) ([]byte, error) {
+	b, err := common.ReadAll(r.Body)
+	if errors.Is(err, common.ErrOverload) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, fmt.Errorf("%w: %w", errUnread, err)
+	}
+	return b, err
+}
+
 // errBadRequest marks an error of the operator's request.
 var errBadRequest = errors.New("bad request")
 
@@ -135,6 +151,9 @@
 		status = http.StatusNotFound
 	case errors.As(err, &large):
 		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, errUnread):
+		status = http.StatusServiceUnavailable
+		w.Header().Set("Retry-After", unreadRetryAfter)
 	case errors.Is(err, errBadRequest):
 		status = http.StatusBadRequest
 	}
