peers: connections without the token are closed before those of entry hosts

Calls between entry hosts that serve requests ended (EOF) beside clients that opened silent connections to their listener.

Cause: at the bound, the connection that has sent nothing for longest was closed, and a new one counts from when it was opened: a peer whose last message was older went first.

A call that has the token marks its connection. Those without such a call are closed first.

--- a/peers/dialer.go
+++ b/peers/dialer.go
@@ -110,6 +110,7 @@
 		if len(v) != 1 || subtle.ConstantTimeCompare([]byte(v[0]), []byte(token)) != 1 {
 			return nil, status.Error(codes.Unauthenticated, "peers: wrong token")
 		}
+		markAuthorized(ctx)
 		return ctx, nil
 	}
 	return grpc.NewServer(
