job: a wave that cannot drain a machine says which task is in the way

Operators saw a wave stand still without any line about it: the log and the overview did not tell a task whose disruption budget is used up from one that has no room elsewhere.

The line names one machine every two seconds, its task, whether there is room for that elsewhere and how many of its step are unavailable; the overview counts the machines.

--- a/commands/tool_jobs.go
+++ b/commands/tool_jobs.go
@@ -68,9 +68,9 @@
 		return err
 	}
 	fmt.Fprintln(t.out)
-	return t.table(o, "WAVE\tLEFT\tDOWN\tENDS\tDONE", func(w io.Writer) {
+	return t.table(o, "WAVE\tLEFT\tDOWN\tBLOCKED\tENDS\tDONE", func(w io.Writer) {
 		for _, v := range o.Waves {
-			fmt.Fprintf(w, "%d\t%d\t%d\t%s\t%t\n", v.Number, v.Left, v.Down, v.EndsAt.Format(time.TimeOnly), v.Done)
+			fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%s\t%t\n", v.Number, v.Left, v.Down, v.Blocked, v.EndsAt.Format(time.TimeOnly), v.Done)
 		}
 	})
 }
--- a/job/explain.go
+++ b/job/explain.go
@@ -70,11 +70,13 @@
 
 // WaveOverview summarises one maintenance wave.
 type WaveOverview struct {
-	Number int64     `json:"number"`
-	Left   int       `json:"left"`
-	Down   int       `json:"down"`
-	EndsAt time.Time `json:"ends_at"`
-	Done   bool      `json:"done"`
+	Number int64 `json:"number"`
+	Left   int   `json:"left"`
+	Down   int   `json:"down"`
+	// Blocked counts the machines that cannot be drained, as lasting tasks cannot leave them.
+	Blocked int       `json:"blocked"`
+	EndsAt  time.Time `json:"ends_at"`
+	Done    bool      `json:"done"`
 }
 
 // Explanation describes the state of one job, and what it waits for.
@@ -130,7 +132,7 @@
 	o.Evacuations = c.evacuationOverviews()
 	o.Pools = c.poolOverviews()
 	for _, w := range c.waves {
-		o.Waves = append(o.Waves, WaveOverview{Number: w.Number, Left: len(w.pending), Down: len(w.down), EndsAt: w.endsAt, Done: w.reported})
+		o.Waves = append(o.Waves, WaveOverview{Number: w.Number, Left: len(w.pending), Down: len(w.down), Blocked: w.blocked, EndsAt: w.endsAt, Done: w.reported})
 	}
 	return o
 }
--- a/job/waves.go
+++ b/job/waves.go
@@ -19,6 +19,9 @@
 // waveDrainAhead is how many machines are drained beyond the number that may be down.
 const waveDrainAhead = 2
 
+// waveLogInterval is the time between two log lines about the blocked machines of a wave.
+const waveLogInterval = 2 * time.Second
+
 // wavePrefix is the prefix of the store keys that hold the machines of a wave whose
 // maintenance has begun.
 const wavePrefix = ownerOnlyPrefix + "wave/"
@@ -38,6 +41,10 @@
 	// machine lists that were requested and read since.
 	knownSince time.Time
 	listsRead  int
+	// blocked counts the machines that could not be drained for the wave in the last pass.
+	blocked int
+	// blockedLogAt is when they may be logged again.
+	blockedLogAt time.Time
 }
 
 // WaveRequested says that the operator has requested a wave.
@@ -152,17 +159,43 @@
 		return
 	}
 	free := max(1, v.MaxDown) - c.machinesDown(v)
+	v.blocked = 0
 	for i, m := range c.waveCandidates(v) {
 		if i >= free+waveDrainAhead {
-			return
+			break
+		}
+		ready := c.drainMachine(m, waveDrainTimeout)
+		if !ready && c.now.Sub(m.drainingSince) > waveDrainTimeout {
+			c.noteBlocked(v, m)
 		}
-		if c.drainMachine(m, waveDrainTimeout) && c.machinesDown(v) < max(1, v.MaxDown) && c.mayOrder() {
+		if ready && c.machinesDown(v) < max(1, v.MaxDown) && c.mayOrder() {
 			v.down[m.Name] = true
 			c.recordOrder(m, &machineOrder{wave: v})
 		}
 	}
 }
 
+// noteBlocked counts a machine that cannot be drained for the wave, and logs the first one every
+// waveLogInterval, with the lasting task that it cannot be rid of.
+func (c *Core) noteBlocked(v *wave, m *machine) {
+	v.blocked++
+	w := c.workerOf(m)
+	if w == nil || c.now.Before(v.blockedLogAt) {
+		return
+	}
+	i := slices.IndexFunc(w.runs, func(r *run) bool { return r.task.step.Lasting })
+	if i < 0 {
+		return
+	}
+	v.blockedLogAt = c.now.Add(waveLogInterval)
+	r := w.runs[i]
+	f := []any{"wave", v.Number, "left", len(v.pending), "down", len(v.down), "machine", m.Name, "room_elsewhere", c.roomElsewhere(w, r.task)}
+	if !m.drainingSince.IsZero() {
+		f = append(f, "draining_ms", c.now.Sub(m.drainingSince).Milliseconds())
+	}
+	c.logRun(r, "wave blocked", "a lasting task cannot leave the machine", append(f, c.stopInputs(r)...))
+}
+
 // dropRemovedMachines drops removed machines from the wave, as they need no maintenance and
 // will not come up again.
 func (c *Core) dropRemovedMachines(v *wave) {
