job: a drain that waits keeps starts off its worker only for a while

Callers had jobs accepted that did not begin, and others refused for lack of room, although nearly all of the capacity was free: a wave over all machines of a service kept starts from each of their workers for as long as it could not empty one.

Cause: a wave cordoned as many machines as may be down and two more before it was known that they can be emptied, and nothing took that back: not the time, not waiting tasks, not the end of the reason. Machines that were pushed out of the first places of their wave, or that had left it, stayed cordoned as well.

A pass over the waves now decides anew which machines are drained. No drain that waits holds a worker that is the last one to suit a waiting task, and all others are ended.

--- /dev/null
+++ b/job/drain_test.go
@@ -0,0 +1,97 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"amberway/platform"
+)
+
+// requestWave requests a wave over the machines of the workers.
+func (f *fixture) requestWave(maxDown int, workers ...string) {
+	v := platform.Wave{Number: 4, TimeLimit: 20 * time.Second, MaxDown: maxDown}
+	for _, w := range workers {
+		v.Machines = append(v.Machines, "host-of-"+w)
+	}
+	f.step(WaveRequested{Wave: v})
+}
+
+// TestDrainAheadEndsForATaskThatNeedsItsWorker guards against tasks that wait for a slot of a wave, as
+// the only worker with their label is drained ahead of it.
+func TestDrainAheadEndsForATaskThatNeedsItsWorker(t *testing.T) {
+	f := newFixture(t)
+	f.withoutSparePool()
+	f.join("w1", "w3")
+	w := testWorker("w2")
+	w.Labels = append(w.Labels, "gold")
+	f.step(WorkerListed{Worker: w})
+	f.answer("w2", platform.PollReply{})
+	f.listMachines(machineOf("w1", "blue"), machineOf("w2", "blue"), machineOf("w3", "blue"))
+	f.requestWave(1, "w1", "w2")
+	f.advance(time.Second)
+	require.Len(t, f.maintenanceOrders(), 1)
+	require.True(t, f.core.workers["w2"].cordoned)
+	s := oneTask()
+	s.Requires = "gold"
+	f.submit(idA, "quick", s)
+	f.advance(4 * tickEvery)
+	require.Len(t, f.starts(), 1)
+}
+
+// TestDrainThatCannotEndIsEndedAfterAWhile guards against drains that keep starts off a worker for as
+// long as a lasting task cannot leave it.
+func TestDrainThatCannotEndIsEndedAfterAWhile(t *testing.T) {
+	f := newFixture(t)
+	f.withoutSparePool()
+	f.join("w1")
+	s := oneTask()
+	s.Count, s.Lasting, s.MaxUnavailable, s.Requires = 2, true, 1, "r1-1"
+	f.submit(idA, "quick", s)
+	l := f.starts()
+	require.Len(t, l, 2)
+	for _, r := range l {
+		f.acceptStart(r)
+	}
+	other := testWorker("w2")
+	other.Labels = nil
+	f.step(WorkerListed{Worker: other})
+	f.answer("w2", platform.PollReply{})
+	f.listMachines(machineOf("w1", "blue"), machineOf("w2", "blue"))
+	f.requestWave(1, "w1")
+	w := f.core.workers["w1"]
+	cordoned := 0
+	for range 180 {
+		f.advance(100 * time.Millisecond)
+		if _, ok := f.polls["w1"]; ok {
+			f.answer("w1", platform.PollReply{Running: []platform.RunningRow{runningRow(l[0], 100), runningRow(l[1], 100)}})
+		}
+		if w.cordoned {
+			cordoned++
+		}
+	}
+	require.Empty(t, f.stops())
+	require.Less(t, cordoned, 140, "of 180 tenths of a second")
+}
+
+// TestDrainEndsWithItsWave guards against machines that get no starts any more after they have left
+// the wave that they were drained for.
+func TestDrainEndsWithItsWave(t *testing.T) {
+	f := newFixture(t)
+	f.withoutSparePool()
+	f.join("w1", "w2")
+	busy := oneTask()
+	busy.Count = 8
+	f.submit(idA, "quick", busy)
+	for _, r := range f.starts() {
+		f.acceptStart(r)
+	}
+	f.listMachines(machineOf("w1", "blue"), machineOf("w2", "blue"))
+	f.requestWave(1, "w1")
+	f.advance(time.Second)
+	require.True(t, f.core.workers["w1"].cordoned)
+	f.core.waves[4].drop("host-of-w1")
+	f.advance(2 * tickEvery)
+	require.False(t, f.core.workers["w1"].cordoned)
+}
--- a/job/machines.go
+++ b/job/machines.go
@@ -54,6 +54,7 @@
 	waves     map[int64]*wave
 	// openWaves are the waves that are not reported as done, the one whose turn it is first.
 	openWaves []*wave
+	drains    drains
 	balance   poolBalancer
 }
 
@@ -69,6 +70,8 @@
 	orderedAt time.Time
 	// drainingSince is since when it is being drained and gets no new runs.
 	drainingSince time.Time
+	// nextDrainAt holds back another drain after one that was ended.
+	nextDrainAt time.Time
 	// transferTo is the pool that the machine is to move to once it is empty.
 	transferTo string
 	// keepUntil is the time until which it stays in its pool while that is short of hosts.
--- a/job/place.go
+++ b/job/place.go
@@ -178,9 +178,11 @@
 
 // allowed reports whether the worker may run a task of the step now.
 func (c *Core) allowed(w *worker, s *step) bool {
-	if !w.fits(s.Step) || c.now.Before(w.isolatedUntil) {
-		return false
-	}
+	return w.fits(s.Step) && !c.now.Before(w.isolatedUntil) && s.acceptsWorker(w)
+}
+
+// acceptsWorker reports whether the constraints of the step allow another of its tasks on the worker.
+func (s *step) acceptsWorker(w *worker) bool {
 	if s.Requires != "" && !slices.Contains(w.Labels, s.Requires) {
 		return false
 	}
--- a/job/waves.go
+++ b/job/waves.go
@@ -16,9 +16,6 @@
 // maintenance ends them.
 const waveDrainTimeout = 2500 * time.Millisecond
 
-// waveDrainAhead is how many machines are drained beyond the number that may be down.
-const waveDrainAhead = 2
-
 // waveLogInterval is the time between two log lines about the blocked machines of a wave.
 const waveLogInterval = 2 * time.Second
 
@@ -126,10 +123,12 @@
 		w.maintenanceDue = false
 	}
 	c.openWaves = slices.DeleteFunc(c.openWaves, func(v *wave) bool { return v.reported })
+	c.drains.begin()
 	for _, v := range c.openWaves {
 		c.markMaintenanceDue(v)
 		c.reconcileWave(v)
 	}
+	c.endDrains()
 	if len(c.openWaves) > 1 {
 		// They share the budget of orders, and take turns to be first.
 		c.openWaves = append(c.openWaves[1:], c.openWaves[0])
@@ -158,17 +157,35 @@
 	if c.now.Before(c.ordersFrom) {
 		return
 	}
-	free := max(1, v.MaxDown) - c.machinesDown(v)
+	free, ahead := max(1, v.MaxDown)-c.machinesDown(v), waveDrainAhead
 	v.blocked = 0
-	for i, m := range c.waveCandidates(v) {
-		if i >= free+waveDrainAhead {
-			break
+	for _, m := range c.waveCandidates(v) {
+		if free <= 0 && ahead <= 0 {
+			return
+		}
+		if c.drains.kept[m] {
+			continue
 		}
-		ready := c.drainMachine(m, waveDrainTimeout)
-		if !ready && c.now.Sub(m.drainingSince) > waveDrainTimeout {
+		claims, ok := c.lastingClaims(m)
+		if !ok {
 			c.noteBlocked(v, m)
 		}
-		if ready && c.machinesDown(v) < max(1, v.MaxDown) && c.mayOrder() {
+		switch {
+		case ok && free > 0:
+			if !c.mayDrain(m) {
+				continue
+			}
+			free--
+			for _, t := range claims {
+				c.drains.claimed[t] = true
+			}
+		case ahead <= 0 || !c.mayDrainAhead(m):
+			continue
+		default:
+			ahead--
+		}
+		c.drains.keep(m)
+		if c.drainMachine(m, waveDrainTimeout) && c.machinesDown(v) < max(1, v.MaxDown) && c.mayOrder() {
 			v.down[m.Name] = true
 			c.recordOrder(m, &machineOrder{wave: v})
 		}
@@ -233,22 +250,25 @@
 	cost := map[*machine]int{}
 	for n := range v.pending {
 		m := c.machinesByName[n]
-		if m == nil || !c.orderable(m) {
-			continue
-		}
-		w := c.workerOf(m)
-		if !c.runsKnown(m) || (w != nil && w.Draining) {
+		if m == nil || !c.maintainable(m) {
 			continue
 		}
 		l = append(l, m)
-		cost[m] = maintenanceCost(m, w)
+		cost[m] = maintenanceCost(m, c.workerOf(m))
 	}
 	slices.SortFunc(l, func(a, b *machine) int {
-		return cmp.Or(cmp.Compare(cost[a], cost[b]), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(cost[a], cost[b]), a.drainingSince.Compare(b.drainingSince), cmp.Compare(a.Name, b.Name))
 	})
 	return l
 }
 
+// maintainable reports whether the machine may be ordered to be maintained now, apart from what
+// runs on it.
+func (c *Core) maintainable(m *machine) bool {
+	w := c.workerOf(m)
+	return c.orderable(m) && c.runsKnown(m) && (w == nil || !w.Draining)
+}
+
 // maintenanceCost returns the cost of the runs that a machine's maintenance ends; lasting ones
 // cost more. Machines without a worker, and those that are being drained, sort before all others.
 func maintenanceCost(m *machine, w *worker) int {
