job: a wave stops lasting tasks that have no room elsewhere if their disruption budget bears it

Operators had a wave that never ended, without a word: no machine of it was maintained.

Cause: a drain stopped a lasting task only once another worker had room for it. That is a courtesy to its callers, but the wave waited for it without end: with one task of a step on each worker (anti_affinity) and an empty spare pool there is never room, although the step bears that one of its tasks is away.

In the model a wave with cap 1 over three workers stood for 60 s with "wave blocked ... room_elsewhere false ... away 0 may_miss 1"; TestWaveMaintainsHostsWhoseLastingTasks- HaveNoRoomElsewhere failed before.

The wait ends with the timeout of the drain, or at once if nothing else runs there and no host is to come to the pool. From then on the budget alone decides. The stop comes only when the maintenance may follow at once (a slot of the wave and an order are free, and all lasting tasks of the machine may be stopped together), and only if the task may start there again. A machine whose tasks wait for it goes first. A run that is still warming up is left alone until it is ready: with one wave after the other over the same machines, tasks were stopped before they were ready, and one was away for 58 s in the model.

--- a/job/drain.go
+++ b/job/drain.go
@@ -32,11 +32,13 @@
 	// needs are, by service, what waiting tasks need of the drained workers, as far as the pass has
 	// looked.
 	needs map[string]*startNeeds
+	// inbound counts the hosts on their way to each pool, once the pass has counted them.
+	inbound map[string]int
 }
 
 // begin begins a pass over the waves.
 func (d *drains) begin() {
-	d.kept, d.claimed, d.needs = map[*machine]bool{}, map[*task]bool{}, map[string]*startNeeds{}
+	d.kept, d.claimed, d.needs, d.inbound = map[*machine]bool{}, map[*task]bool{}, map[string]*startNeeds{}, nil
 }
 
 // keep notes that the pass drains the machine.
@@ -48,9 +50,16 @@
 	}
 }
 
+// claim notes that the pass makes the lasting tasks unavailable.
+func (d *drains) claim(l []*task) {
+	for _, t := range l {
+		d.claimed[t] = true
+	}
+}
+
 // lastingClaims returns the lasting tasks on the machine that may be stopped now beside those that
-// other drains of this pass stop. It returns false if another one can neither be stopped nor start
-// elsewhere, so that the drain would wait for it.
+// other drains of this pass stop, and will start again. It returns false if another one can neither be
+// stopped nor start elsewhere, so that the drain would wait for it.
 func (c *Core) lastingClaims(m *machine) ([]*task, bool) {
 	w := c.workerOf(m)
 	if w == nil {
@@ -60,7 +69,7 @@
 	for _, r := range w.runs {
 		switch {
 		case !r.task.step.Lasting, r.phase == stopping:
-		case c.mayStopBeside(r, l):
+		case c.mayStopBeside(r, l) && (r.mayReturn() && r.warmedUp(c.now) || c.roomElsewhere(w, r.task)):
 			l = append(l, r.task)
 		case !c.roomElsewhere(w, r.task):
 			return nil, false
@@ -113,6 +122,54 @@
 	return !c.neededForStarts(w)
 }
 
+// mayReturn reports whether the run's task may start on its machine again after maintenance.
+func (r *run) mayReturn() bool {
+	s := r.task.step
+	return !r.worker.evacuated && s.instance.job.queue.Service == r.worker.Service && (s.Requires == "" || slices.Contains(r.worker.Labels, s.Requires))
+}
+
+// warmedUp reports whether the lasting run is ready, or has had the time for that. One that is stopped
+// before, for wave after wave, would not be ready for as long as they last.
+func (r *run) warmedUp(now time.Time) bool {
+	return r.task.ready || now.Sub(r.sentAt) > warmUp
+}
+
+// roomOverdue reports whether the lasting tasks on a machine that is drained, all of which may be
+// stopped together, wait no longer for room elsewhere: the drain has had its timeout, or nothing else
+// runs there and no host is to come to the pool.
+func (c *Core) roomOverdue(m *machine, claims []*task) bool {
+	w := c.workerOf(m)
+	if w == nil || c.now.Before(c.evictFrom) || len(claims) < w.countLasting() {
+		return false
+	}
+	if !c.now.Before(m.drainingSince.Add(waveDrainTimeout)) {
+		return true
+	}
+	short := slices.ContainsFunc(w.runs, func(r *run) bool { return !r.task.step.Lasting })
+	return !short && !c.mayGetHost(w.Service)
+}
+
+// countLasting counts the lasting runs on the worker that are not being stopped.
+func (w *worker) countLasting() int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task.step.Lasting && r.phase != stopping {
+			n++
+		}
+	}
+	return n
+}
+
+// mayGetHost reports whether the pool may get a host soon: one is on its way, or the spare pool has
+// one.
+func (c *Core) mayGetHost(service string) bool {
+	if c.drains.inbound == nil {
+		c.drains.inbound = c.inboundHosts()
+	}
+	spare := c.sparePool()
+	return c.drains.inbound[service] > 0 || spare != "" && len(c.usable(spare)) > 0
+}
+
 // othersReturn reports whether another machine of the pool is being drained or maintained, and will
 // get starts again.
 func (c *Core) othersReturn(m *machine) bool {
@@ -139,7 +196,7 @@
 func (c *Core) endDrain(m *machine) {
 	c.emit(LogLine{What: "drain ended", Why: "its machine cannot be maintained now", Fields: []any{"machine", m.Name, "pool", m.Pool, "draining_ms", c.now.Sub(m.drainingSince).Milliseconds()}})
 	c.drains.machines.Remove(m)
-	m.drainingSince = time.Time{}
+	m.drainingSince, m.lastingStopped = time.Time{}, false
 	m.nextDrainAt = c.now.Add(drainPause)
 	c.uncordon(m)
 }
--- a/job/lasting.go
+++ b/job/lasting.go
@@ -70,3 +70,13 @@
 	}
 	return false
 }
+
+// stopLasting stops the lasting runs on a worker although no other worker has room for their tasks,
+// as far as the disruption budgets of their steps allow it now. The tasks wait for a worker.
+func (c *Core) stopLasting(w *worker, why string) {
+	for _, r := range w.runs {
+		if r.task.step.Lasting && r.phase == running && c.mayStop(r) {
+			c.stop(r, why)
+		}
+	}
+}
--- a/job/machine_orders.go
+++ b/job/machine_orders.go
@@ -78,7 +78,7 @@
 func (c *Core) clearOrder(m *machine) {
 	m.order = nil
 	m.transferTo = ""
-	m.drainingSince = time.Time{}
+	m.drainingSince, m.lastingStopped = time.Time{}, false
 	c.uncordon(m)
 }
 
--- a/job/machines.go
+++ b/job/machines.go
@@ -70,6 +70,8 @@
 	orderedAt time.Time
 	// drainingSince is since when it is being drained and gets no new runs.
 	drainingSince time.Time
+	// lastingStopped says that lasting tasks were stopped there for which no other worker has room.
+	lastingStopped bool
 	// nextDrainAt holds back another drain after one that was ended.
 	nextDrainAt time.Time
 	// transferTo is the pool that the machine is to move to once it is empty.
--- a/job/waves.go
+++ b/job/waves.go
@@ -170,24 +170,26 @@
 		if !ok {
 			c.noteBlocked(v, m)
 		}
+		next := ok && free > 0
 		switch {
-		case ok && free > 0:
-			if !c.mayDrain(m) {
-				continue
-			}
+		case next && c.mayDrain(m):
 			free--
-			for _, t := range claims {
-				c.drains.claimed[t] = true
-			}
-		case ahead <= 0 || !c.mayDrainAhead(m):
-			continue
-		default:
+			c.drains.claim(claims)
+		case !next && ahead > 0 && c.mayDrainAhead(m):
 			ahead--
+		default:
+			continue
 		}
 		c.drains.keep(m)
-		if c.drainMachine(m, waveDrainTimeout) && c.machinesDown(v) < max(1, v.MaxDown) && c.mayOrder() {
-			v.down[m.Name] = true
-			c.recordOrder(m, &machineOrder{wave: v})
+		switch {
+		case c.drainMachine(m, waveDrainTimeout):
+			if c.machinesDown(v) < max(1, v.MaxDown) && c.mayOrder() {
+				v.down[m.Name] = true
+				c.recordOrder(m, &machineOrder{wave: v})
+			}
+		case next && c.mayOrder() && c.roomOverdue(m, claims):
+			c.stopLasting(c.workerOf(m), "its machine is due for maintenance, and no other worker has room for it")
+			m.lastingStopped = true
 		}
 	}
 }
@@ -270,8 +272,12 @@
 }
 
 // maintenanceCost returns the cost of the runs that a machine's maintenance ends; lasting ones
-// cost more. Machines without a worker, and those that are being drained, sort before all others.
+// cost more. Machines whose lasting tasks wait for them, those without a worker, and those that are
+// being drained, sort before all others.
 func maintenanceCost(m *machine, w *worker) int {
+	if m.lastingStopped {
+		return -3
+	}
 	if w == nil {
 		return -2
 	}
--- a/job/world_machines_test.go
+++ b/job/world_machines_test.go
@@ -20,7 +20,7 @@
 		if !v.alive {
 			continue
 		}
-		if w.lossy && !before[v.Host] && rapid.IntRange(0, 3).Draw(w.t, "skipped") == 0 {
+		if w.lossy && !w.listsAll && !before[v.Host] && rapid.IntRange(0, 3).Draw(w.t, "skipped") == 0 {
 			w.skipped[v.Host] = true
 			continue
 		}
--- a/job/world_spread_test.go
+++ b/job/world_spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,6 +15,13 @@
 // documents give the time.
 const startWithin = 3 * time.Second
 
+// lastingAwayWithin is how long a lasting task may be away while there is room for it: six seconds and
+// startWithin.
+const lastingAwayWithin = 6*time.Second + startWithin
+
+// maintenanceWithin is how long one host after the other may take to be drained and maintained.
+const maintenanceWithin = 10 * time.Second
+
 // spreadWorld is a pool of workers that each run one task of a lasting step which may have no
 // second one on the same worker, so that a task that leaves its worker finds no room elsewhere.
 type spreadWorld struct {
@@ -91,6 +99,16 @@
 	return false
 }
 
+// waveDone reports whether each machine of the wave that is left was maintained.
+func (w *world) waveDone(v platform.Wave) bool {
+	for _, h := range v.Machines {
+		if !w.maintainedBy[v.Number][h] {
+			return false
+		}
+	}
+	return true
+}
+
 // TestTasksStartBesideAWaveOverTheirPool guards against drains that keep starts off all workers of a
 // pool.
 func TestTasksStartBesideAWaveOverTheirPool(t *testing.T) {
@@ -105,3 +123,85 @@
 		}
 	})
 }
+
+// TestWaveMaintainsHostsWhoseLastingTasksHaveNoRoomElsewhere guards against waves that wait without
+// end for other workers to take the lasting tasks.
+func TestWaveMaintainsHostsWhoseLastingTasksHaveNoRoomElsewhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSpreadWorld(t)
+		hosts := w.hostsUp()
+		v := w.requestWaveOf(hosts, rapid.IntRange(1, len(hosts)).Draw(t, "cap"))
+		for range hosts {
+			w.advance(maintenanceWithin)
+			w.checkAway()
+		}
+		if !w.waveDone(v) {
+			t.Fatalf("of %v only %v were maintained\n%s", v.Machines, w.maintainedBy[v.Number], w.logLines(anyLogLine))
+		}
+		if l := w.stillUnavailable(); len(l) > 0 {
+			t.Fatalf("tasks that never become ready: %v\n%s", l, w.logLines(anyLogLine))
+		}
+	})
+}
+
+// TestWavesOverASpreadPoolEndAfterFaults subjects waves over all hosts of a pool to crashes, lost and
+// late messages and changes of owner. Once the faults stop, each host has to be maintained, each
+// lasting task ready, and each short job done.
+func TestWavesOverASpreadPoolEndAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSpreadWorld(t)
+		// Two lists without a host have it taken for removed, also from its waves.
+		w.listsAll = true
+		t.Repeat(map[string]func(*rapid.T){
+			"wave": func(t *rapid.T) {
+				if hosts := w.hostsUp(); len(hosts) > 0 {
+					w.requestWaveOf(hosts, rapid.IntRange(1, len(hosts)).Draw(t, "cap"))
+				}
+			},
+			"pass": func(t *rapid.T) {
+				w.advance(time.Duration(rapid.IntRange(1, 60).Draw(t, "tenths")) * 100 * time.Millisecond)
+			},
+			"pass on": func(t *rapid.T) {
+				w.advance(time.Duration(rapid.IntRange(1, 60).Draw(t, "tenths")) * 100 * time.Millisecond)
+			},
+			"short":   func(*rapid.T) { w.submitShort() },
+			"crash":   func(*rapid.T) { w.crash() },
+			"stall":   func(*rapid.T) { w.stall() },
+			"fail":    func(*rapid.T) { w.failLasting() },
+			"unlist":  func(*rapid.T) { w.unlist() },
+			"cut":     func(*rapid.T) { v := w.pickWorker(); v.partitioned = !v.partitioned },
+			"lossy":   func(t *rapid.T) { w.lossy = rapid.Bool().Draw(t, "lossy") },
+			"answers": func(t *rapid.T) { w.losesMachineAnswers = rapid.Bool().Draw(t, "lost") },
+			"late":    func(*rapid.T) { w.ordersLateUntil = w.now.Add(2 * time.Second) },
+			"kill":    func(*rapid.T) { w.replaceOwner(func(o *worldOwner) { o.dead = true }) },
+			"freeze":  func(*rapid.T) { w.replaceOwner(w.freeze) },
+		})
+		w.losesMachineAnswers = false
+		w.heal()
+		w.advance(lastingAwayWithin)
+		for end := w.now.Add(time.Duration(len(w.waves)*len(w.hostsUp())) * maintenanceWithin); !w.wavesDone(); {
+			if w.now.After(end) {
+				t.Fatalf("waves that never end: %v\n%s", w.maintainedBy, w.logLines(anyLogLine))
+			}
+			w.advance(time.Second)
+			w.checkAway()
+		}
+		if l := w.stillUnavailable(); len(l) > 0 {
+			t.Fatalf("tasks that never become ready: %v\n%s", l, w.logLines(anyLogLine))
+		}
+	})
+}
+
+// checkAway fails if a lasting task has been unavailable for too long.
+func (w *spreadWorld) checkAway() {
+	for n, a := range sorted(w.unavailable) {
+		if d := w.now.Sub(a.since); d > lastingAwayWithin {
+			w.t.Fatalf("%s has been unavailable for %s\n%s", n, d, w.logLines(anyLogLine))
+		}
+	}
+}
+
+// wavesDone reports whether all waves are done.
+func (w *world) wavesDone() bool {
+	return !slices.ContainsFunc(w.waves, func(v platform.Wave) bool { return !w.waveDone(v) })
+}
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -36,6 +36,8 @@
 	// machines left out.
 	hosts   int
 	skipped map[string]bool
+	// listsAll says that no list of machines leaves out a host.
+	listsAll bool
 	worldCancels
 	worldLinks
 	worldCrashes
