job: a transfer ends if the configuration drops its pool or the spare pool

Callers of a pool would lose hosts for good: a host that drains for a transfer while the operator takes the other pool, or the spare pool, out of the configuration got no starts any more, and no wave could maintain it either.

Cause: only the plan of the pool that the host is meant for ends a transfer, and a pool that is not in the configuration has no plan; without a spare pool there are no plans at all. Found by looking for places that keep starts off a worker and are not sure to end; no deployment is known to have shown it.

A new configuration now ends such transfers.

--- a/job/core.go
+++ b/job/core.go
@@ -154,6 +154,7 @@
 		j.queue = c.queueOf(j.Record)
 	}
 	c.rebuildWaitlists()
+	c.cancelStaleTransfers()
 	c.updateDormant()
 	c.addConfigured()
 }
--- a/job/transfers.go
+++ b/job/transfers.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"amberway/platform"
 )
 
 // Parameters of transfers between pools.
@@ -221,6 +223,18 @@
 	}
 }
 
+// cancelStaleTransfers cancels transfers to pools that the configuration no longer has, and all of them
+// if it has no spare pool: pools are not balanced without one.
+func (c *Core) cancelStaleTransfers() {
+	spare := c.sparePool()
+	for m := range c.machinesByAge.All() {
+		known := slices.ContainsFunc(c.config.Services, func(s platform.Service) bool { return s.Name == m.transferTo })
+		if m.transferTo != "" && m.order == nil && (spare == "" || !known) {
+			m.cancelTransfer(c.listedByHost[m.Name])
+		}
+	}
+}
+
 // transferUnneeded reports whether the pool can do without a host that drains for it.
 func (d *demand) transferUnneeded() bool {
 	if d.divided {
