job: room for the next start of a task is looked for in the service of its queue

Callers would have a lasting task of theirs stopped, and a short one moved off a slow worker, although nothing could start it again: its queue is sent to another service by now, whose workers are full.

Cause: the look for room went by the pool of the worker that runs the task, not by the service of its queue. Found by reading the callers of roomElsewhere for the wave that waits; no deployment is known to have shown it.

Evidence: TestLastingTaskStaysUntilTheServiceOfItsQueueHasRoom failed before.

--- a/job/lasting.go
+++ b/job/lasting.go
@@ -61,9 +61,10 @@
 	return empty
 }
 
-// roomElsewhere reports whether the task could start on another worker at once.
+// roomElsewhere reports whether the task could start on another worker at once. Its queue may be sent
+// to another service than that of the worker.
 func (c *Core) roomElsewhere(w *worker, t *task) bool {
-	for _, o := range c.pools[w.Service] {
+	for _, o := range c.pools[t.step.instance.job.queue.Service] {
 		if o != w && o.acceptsStarts(c.now) && c.allowed(o, t.step) {
 			return true
 		}
--- a/job/machines_test.go
+++ b/job/machines_test.go
@@ -492,3 +492,26 @@
 		require.Equal(t, 1, lists(f))
 	}
 }
+
+// TestLastingTaskStaysUntilTheServiceOfItsQueueHasRoom guards against lasting tasks that are stopped as
+// workers have room on which their queue, which is sent to another service by now, starts nothing.
+func TestLastingTaskStaysUntilTheServiceOfItsQueueHasRoom(t *testing.T) {
+	f := newFixture(t)
+	r := lastingOn(f)
+	f.passWhileReady(r, evictionDelay+time.Second)
+	d := testConfig()
+	d.Version = 2
+	d.Queues[0].Service = "green"
+	f.step(ConfigChanged{Config: d})
+	w := testWorker("w1")
+	w.Draining = true
+	f.step(WorkerListed{Worker: w})
+	f.passWhileReady(r, time.Second)
+	require.Empty(t, f.stops())
+	other := testWorker("w3")
+	other.Service = "green"
+	f.step(WorkerListed{Worker: other})
+	f.answer("w3", platform.PollReply{})
+	f.passWhileReady(r, 200*time.Millisecond)
+	require.Len(t, f.stops(), 1)
+}
