--- a/internal/soak/cmd/main.go
+++ b/internal/soak/cmd/main.go
@@ -28,6 +28,7 @@
 	Evacuations        bool          `arg:"--evacuations" help:"evacuate data centres"`
 	NextProcesses      bool          `arg:"--next" help:"start processes under the names of entry hosts whose earlier process is alive"`
 	NoSparePool        bool          `arg:"--no-spare" help:"no spare pool; cut workers off one after the other"`
+	SpreadTasks        bool          `arg:"--spread" help:"no spare pool; a lasting task on each machine of a pool, and waves over all of them"`
 	Reroutes           bool          `arg:"--reroute" help:"send the queues to other pools, with a third pool"`
 	RecurringJobs      bool          `arg:"--recurring" help:"hand in recurring jobs of which all times are due"`
 	ForeignRecords     bool          `arg:"--foreign" help:"put records of workers that do not exist"`
@@ -88,7 +89,7 @@
 	if o.Quiet {
 		out = io.Discard
 	}
-	r, err := soak.Do(soak.Options{Seed: seed, Duration: o.Duration, Entries: o.Entries, Workers: o.Workers, CrashingJobs: o.CrashingJobs, DisruptionBudgets: o.DisruptionBudgets, DelayMachineOrders: o.DelayMachineOrders, Evacuations: o.Evacuations, NextProcesses: o.NextProcesses, NoSparePool: o.NoSparePool, Reroutes: o.Reroutes, RecurringJobs: o.RecurringJobs, ForeignRecords: o.ForeignRecords, LateWrites: o.LateWrites, BinDir: bin, LogDir: dir, Out: out})
+	r, err := soak.Do(soak.Options{Seed: seed, Duration: o.Duration, Entries: o.Entries, Workers: o.Workers, CrashingJobs: o.CrashingJobs, DisruptionBudgets: o.DisruptionBudgets, DelayMachineOrders: o.DelayMachineOrders, Evacuations: o.Evacuations, NextProcesses: o.NextProcesses, NoSparePool: o.NoSparePool, SpreadTasks: o.SpreadTasks, Reroutes: o.Reroutes, RecurringJobs: o.RecurringJobs, ForeignRecords: o.ForeignRecords, LateWrites: o.LateWrites, BinDir: bin, LogDir: dir, Out: out})
 	if err != nil {
 		return false, err
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -252,5 +252,9 @@
 	n := r.waveCount
 	r.mu.Unlock()
 	l := r.deployment.Fleet.Names("")
-	r.recordError(r.deployment.Fleet.RequestWave(n, l[:len(l)/2], 20*time.Second, waveMaxDown))
+	l = l[:len(l)/2]
+	if r.SpreadTasks {
+		l = r.deployment.Fleet.Names(spreadPool)
+	}
+	r.recordError(r.deployment.Fleet.RequestWave(n, l, 20*time.Second, waveMaxDown))
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,6 +32,9 @@
 	NextProcesses bool
 	// NoSparePool leaves the spare pool out, and has workers cut off one after the other.
 	NoSparePool bool
+	// SpreadTasks adds a lasting task on each machine of a pool, at most one on each, of which one
+	// may be unavailable, and waves over all machines of that pool. There is no spare pool.
+	SpreadTasks bool
 	// Reroutes has the queues sent to other pools.
 	Reroutes bool
 	// RecurringJobs adds recurring jobs of which all times are due.
@@ -93,7 +96,7 @@
 	}
 	var err error
 	r.deployment, err = local.StartJobsDeployment(o.BinDir, o.LogDir, local.JobsOptions{
-		Entries: o.Entries, Workers: workers, SpareMachines: 2, NoSparePool: o.NoSparePool, ProxyAddress: r.proxyAddress, KeysWithin: keysWithin, EvacuationWithin: evacuationWithin,
+		Entries: o.Entries, Workers: workers, SpareMachines: 2, NoSparePool: o.NoSparePool || o.SpreadTasks, ProxyAddress: r.proxyAddress, KeysWithin: keysWithin, EvacuationWithin: evacuationWithin,
 	})
 	if err != nil {
 		return Report{}, err
@@ -106,6 +109,9 @@
 	if r.DisruptionBudgets {
 		l = append(l, r.submitBudgetedJobs()...)
 	}
+	if r.SpreadTasks {
+		r.submitSpreadJob()
+	}
 	r.settledAt = time.Now().Add(o.Duration + settleTime)
 	r.watchUntil = time.Now().Add(o.Duration + lastingWatchTime)
 	if r.DelayMachineOrders {
@@ -217,6 +223,9 @@
 	if r.NoSparePool {
 		l = sortByTime(append(l, workerCuts(rand.New(rand.NewPCG(r.Seed, 8)), r.Duration)...))
 	}
+	if r.SpreadTasks {
+		l = sortByTime(append(l, spreadWaves(rand.New(rand.NewPCG(r.Seed, 11)), r.Duration)...))
+	}
 	if !r.DisruptionBudgets {
 		return l
 	}
@@ -239,6 +248,9 @@
 			r.violationf("wave %d had %d machines down at once, more than its limit of %d", n+1, m, waveMaxDown)
 		}
 	}
+	if r.SpreadTasks {
+		r.checkWavesDone()
+	}
 	r.counts["ended at work"] = c.Disruptions()
 	r.counts["late host orders"] = r.deployment.Fleet.DelayedMachineOrders()
 	return Report{Counts: r.counts, Starts: c.StartCount(), Violations: append(r.violations, c.Violations()...)}
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -57,6 +57,15 @@
 	require.Positive(t, r.Counts["succeeded"])
 }
 
+// A lasting task runs on each machine of a pool, and waves take all of them: the task on a machine that is
+// to be maintained has nowhere to go, and the jobs of the pool need the others.
+func TestSoakWithSpreadTasksFindsNoViolation(t *testing.T) {
+	r, err := soak.Do(soak.Options{Seed: 81000, Duration: 10 * time.Second, Entries: 4, Workers: 4, SpreadTasks: true, BinDir: binaries, LogDir: t.TempDir(), Out: io.Discard})
+	require.NoError(t, err)
+	require.Empty(t, r.Violations)
+	require.Positive(t, r.Counts["succeeded"])
+}
+
 // Queues are sent to other pools while their jobs run, workers are cut off and the owner is killed.
 func TestSoakWithReroutesFindsNoViolation(t *testing.T) {
 	r, err := soak.Do(soak.Options{Seed: 72000, Duration: 10 * time.Second, Entries: 4, Workers: 4, Reroutes: true, BinDir: binaries, LogDir: t.TempDir(), Out: io.Discard})
