job: the drain goes on once lasting tasks were stopped for it

Callers would have a lasting task stopped for the maintenance of its machine, started there again, and stopped once more a little later.

Cause: a task that was stopped waits for its machine, so that this machine counted as the one that a waiting task needs, and the drain ended while another machine of the pool was maintained.

Evidence: TestStoppedLastingTasksDoNotStartAgainBeforeTheMaintenance fails without the condition.

The maintenance has the timeout of a drain to begin after such a stop; until then the drain goes on. The pass over a wave's machines is split, and what concerns drains alone moves to its file.

--- a/job/drain.go
+++ b/job/drain.go
@@ -95,11 +95,12 @@
 }
 
 // mayDrain reports whether the machine may be drained to be maintained next. One that runs something
-// and is needed for starts waits until others that are being drained or maintained are back.
+// and is needed for starts waits until others that are being drained or maintained are back, unless
+// lasting tasks have been stopped for its maintenance.
 func (c *Core) mayDrain(m *machine) bool {
 	w := c.workerOf(m)
 	switch {
-	case w == nil, !c.neededForStarts(w):
+	case w == nil, c.now.Before(m.maintainBy), !c.neededForStarts(w):
 		return true
 	case len(w.runs) > 0 && c.othersReturn(m):
 		return false
@@ -178,6 +179,27 @@
 	})
 }
 
+// noteBlocked counts a machine that cannot be drained for the wave, and logs the first one every
+// waveLogInterval, with the lasting task that it cannot be rid of.
+func (c *Core) noteBlocked(v *wave, m *machine) {
+	v.blocked++
+	w := c.workerOf(m)
+	if w == nil || c.now.Before(v.blockedLogAt) {
+		return
+	}
+	i := slices.IndexFunc(w.runs, func(r *run) bool { return r.task.step.Lasting })
+	if i < 0 {
+		return
+	}
+	v.blockedLogAt = c.now.Add(waveLogInterval)
+	r := w.runs[i]
+	f := []any{"wave", v.Number, "left", len(v.pending), "down", len(v.down), "machine", m.Name, "room_elsewhere", c.roomElsewhere(w, r.task)}
+	if !m.drainingSince.IsZero() {
+		f = append(f, "draining_ms", c.now.Sub(m.drainingSince).Milliseconds())
+	}
+	c.logRun(r, "wave blocked", "a lasting task cannot leave the machine", append(f, c.stopInputs(r)...))
+}
+
 // endDrains lets machines get starts again that no wave drains any more. One that may get no order
 // at the moment, for instance as its worker is silent, goes on being drained.
 func (c *Core) endDrains() {
@@ -196,7 +218,7 @@
 func (c *Core) endDrain(m *machine) {
 	c.emit(LogLine{What: "drain ended", Why: "its machine cannot be maintained now", Fields: []any{"machine", m.Name, "pool", m.Pool, "draining_ms", c.now.Sub(m.drainingSince).Milliseconds()}})
 	c.drains.machines.Remove(m)
-	m.drainingSince, m.lastingStopped = time.Time{}, false
+	m.drainingSince, m.maintainBy = time.Time{}, time.Time{}
 	m.nextDrainAt = c.now.Add(drainPause)
 	c.uncordon(m)
 }
--- a/job/drain_test.go
+++ b/job/drain_test.go
@@ -95,3 +95,52 @@
 	f.advance(2 * tickEvery)
 	require.False(t, f.core.workers["w1"].cordoned)
 }
+
+// TestStoppedLastingTasksDoNotStartAgainBeforeTheMaintenance guards against drains that end after lasting
+// tasks were stopped for them, as those tasks wait for the worker.
+func TestStoppedLastingTasksDoNotStartAgainBeforeTheMaintenance(t *testing.T) {
+	f := newFixture(t)
+	f.withoutSparePool()
+	f.join("w1", "w2")
+	lasting := oneTask()
+	lasting.Count, lasting.MaxPerWorker, lasting.Lasting, lasting.MaxUnavailable = 2, 1, true, 2
+	f.submit(idA, "quick", lasting)
+	runs := map[platform.WorkerID]StartRun{}
+	for _, r := range f.starts() {
+		f.acceptStart(r)
+		runs[r.Worker.ID] = r
+	}
+	require.Len(t, runs, 2)
+	short := oneTask()
+	short.Count = 6
+	f.submit(idB, "quick", short)
+	rows := map[platform.WorkerID][]platform.RunningRow{}
+	for _, r := range f.starts() {
+		f.acceptStart(r)
+		rows[r.Worker.ID] = append(rows[r.Worker.ID], runningRow(r, 1))
+	}
+	f.listMachines(machineOf("w1", "blue"), machineOf("w2", "blue"))
+	f.advance(evictionDelay)
+	f.requestWave(2, "w1", "w2")
+	for range 80 {
+		f.advance(tickEvery)
+		for id, r := range runs {
+			if _, ok := f.polls[id]; ok {
+				f.answer(string(id), f.rowsOf(r, rows[id], id == "w2"))
+			}
+		}
+	}
+	require.Len(t, f.maintenanceOrders(), 2)
+	require.Empty(t, f.starts())
+}
+
+// rowsOf returns the answer to a poll of a worker with a lasting run and others. It lists the end of the
+// lasting run once that was ordered to stop; if late, only after another machine was ordered.
+func (f *fixture) rowsOf(lasting StartRun, others []platform.RunningRow, late bool) platform.PollReply {
+	for _, a := range f.stops() {
+		if a.Task == lasting.Order.Task && (!late || len(f.maintenanceOrders()) > 0) {
+			return platform.PollReply{Running: others, Ended: []platform.EndedRow{ended(1, lasting, platform.EndStopped)}}
+		}
+	}
+	return platform.PollReply{Running: append([]platform.RunningRow{runningRow(lasting, 100)}, others...)}
+}
--- a/job/machine_orders.go
+++ b/job/machine_orders.go
@@ -78,7 +78,7 @@
 func (c *Core) clearOrder(m *machine) {
 	m.order = nil
 	m.transferTo = ""
-	m.drainingSince, m.lastingStopped = time.Time{}, false
+	m.drainingSince, m.maintainBy = time.Time{}, time.Time{}
 	c.uncordon(m)
 }
 
--- a/job/machines.go
+++ b/job/machines.go
@@ -70,8 +70,9 @@
 	orderedAt time.Time
 	// drainingSince is since when it is being drained and gets no new runs.
 	drainingSince time.Time
-	// lastingStopped says that lasting tasks were stopped there for which no other worker has room.
-	lastingStopped bool
+	// maintainBy is when its maintenance has to begin, as lasting tasks were stopped for it that no
+	// other worker has room for; zero if none were.
+	maintainBy time.Time
 	// nextDrainAt holds back another drain after one that was ended.
 	nextDrainAt time.Time
 	// transferTo is the pool that the machine is to move to once it is empty.
--- a/job/waves.go
+++ b/job/waves.go
@@ -157,62 +157,52 @@
 	if c.now.Before(c.ordersFrom) {
 		return
 	}
-	free, ahead := max(1, v.MaxDown)-c.machinesDown(v), waveDrainAhead
 	v.blocked = 0
+	l := waveSlots{next: max(1, v.MaxDown) - c.machinesDown(v), ahead: waveDrainAhead}
 	for _, m := range c.waveCandidates(v) {
-		if free <= 0 && ahead <= 0 {
+		if l.next <= 0 && l.ahead <= 0 {
 			return
 		}
-		if c.drains.kept[m] {
-			continue
-		}
-		claims, ok := c.lastingClaims(m)
-		if !ok {
-			c.noteBlocked(v, m)
-		}
-		next := ok && free > 0
-		switch {
-		case next && c.mayDrain(m):
-			free--
-			c.drains.claim(claims)
-		case !next && ahead > 0 && c.mayDrainAhead(m):
-			ahead--
-		default:
-			continue
-		}
-		c.drains.keep(m)
-		switch {
-		case c.drainMachine(m, waveDrainTimeout):
-			if c.machinesDown(v) < max(1, v.MaxDown) && c.mayOrder() {
-				v.down[m.Name] = true
-				c.recordOrder(m, &machineOrder{wave: v})
-			}
-		case next && c.mayOrder() && c.roomOverdue(m, claims):
-			c.stopLasting(c.workerOf(m), "its machine is due for maintenance, and no other worker has room for it")
-			m.lastingStopped = true
+		if !c.drains.kept[m] {
+			c.drainForWave(v, m, &l)
 		}
 	}
 }
 
-// noteBlocked counts a machine that cannot be drained for the wave, and logs the first one every
-// waveLogInterval, with the lasting task that it cannot be rid of.
-func (c *Core) noteBlocked(v *wave, m *machine) {
-	v.blocked++
-	w := c.workerOf(m)
-	if w == nil || c.now.Before(v.blockedLogAt) {
-		return
+// waveSlots are how many more machines a pass may drain for a wave: to be maintained next, and ahead
+// of that.
+type waveSlots struct {
+	next, ahead int
+}
+
+// drainForWave drains the machine if there is a slot for it, and orders its maintenance once it is
+// empty.
+func (c *Core) drainForWave(v *wave, m *machine, l *waveSlots) {
+	claims, ok := c.lastingClaims(m)
+	if !ok {
+		c.noteBlocked(v, m)
 	}
-	i := slices.IndexFunc(w.runs, func(r *run) bool { return r.task.step.Lasting })
-	if i < 0 {
+	next := ok && l.next > 0
+	switch {
+	case next && c.mayDrain(m):
+		l.next--
+		c.drains.claim(claims)
+	case !next && l.ahead > 0 && c.mayDrainAhead(m):
+		l.ahead--
+	default:
 		return
 	}
-	v.blockedLogAt = c.now.Add(waveLogInterval)
-	r := w.runs[i]
-	f := []any{"wave", v.Number, "left", len(v.pending), "down", len(v.down), "machine", m.Name, "room_elsewhere", c.roomElsewhere(w, r.task)}
-	if !m.drainingSince.IsZero() {
-		f = append(f, "draining_ms", c.now.Sub(m.drainingSince).Milliseconds())
+	c.drains.keep(m)
+	switch {
+	case c.drainMachine(m, waveDrainTimeout):
+		if c.machinesDown(v) < max(1, v.MaxDown) && c.mayOrder() {
+			v.down[m.Name] = true
+			c.recordOrder(m, &machineOrder{wave: v})
+		}
+	case next && c.mayOrder() && c.roomOverdue(m, claims):
+		c.stopLasting(c.workerOf(m), "its machine is due for maintenance, and no other worker has room for it")
+		m.maintainBy = c.now.Add(waveDrainTimeout)
 	}
-	c.logRun(r, "wave blocked", "a lasting task cannot leave the machine", append(f, c.stopInputs(r)...))
 }
 
 // dropRemovedMachines drops removed machines from the wave, as they need no maintenance and
@@ -275,7 +265,7 @@
 // cost more. Machines whose lasting tasks wait for them, those without a worker, and those that are
 // being drained, sort before all others.
 func maintenanceCost(m *machine, w *worker) int {
-	if m.lastingStopped {
+	if !m.maintainBy.IsZero() {
 		return -3
 	}
 	if w == nil {
