--- a/job/drain.go
+++ b/job/drain.go
@@ -9,8 +9,8 @@
 
 // A machine that is drained for a wave gets no starts although its capacity is there. Only a drain
 // that is sure to end is worth that for as long as it takes: one that waits for a slot of its wave
-// or for the disruption budget of a lasting task is bounded in number and time, and never takes the
-// last worker of a pool.
+// or for the disruption budget of a lasting task is bounded in number and time, and ends for a
+// waiting task that needs the worker.
 
 const (
 	// waveDrainAhead is how many machines of a wave are drained although their maintenance cannot
