--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -231,6 +231,9 @@
 	}
 	n := 0
 	l = slices.DeleteFunc(l, func(Event) bool { n++; return n%budgetedEventStride != 0 })
+	if r.SpreadTasks {
+		return l
+	}
 	return sortByTime(append(l, waves(rand.New(rand.NewPCG(r.Seed, 4)), r.Duration)...))
 }
 
--- a/internal/soak/spread.go
+++ b/internal/soak/spread.go
@@ -13,6 +13,9 @@
 const (
 	spreadPool, spreadQueue = "blue", 0
 	spreadIDBase            = 0x5000000
+	// maintenanceTime is how long one machine after the other may take, with the stop of its task and
+	// the warm-up after it.
+	maintenanceTime = 5 * time.Second
 )
 
 // submitSpreadJob submits a lasting job with a task on each machine of a pool. A task that leaves its
@@ -34,11 +37,12 @@
 	return l
 }
 
-// checkWavesDone checks that all waves are done in the time that jobs have to be done in.
+// checkWavesDone checks that all waves are done in time after the faults have ended.
 func (r *Run) checkWavesDone() {
+	end := r.settledAt.Add(time.Duration(r.waveCount) * time.Duration(r.Workers) * maintenanceTime)
 	for n := range r.waveCount {
 		s := r.deployment.Fleet.WaveState(n + 1)
-		for !strings.Contains(s, "succeeded") && time.Now().Before(r.settledAt) {
+		for !strings.Contains(s, "succeeded") && time.Now().Before(end) {
 			time.Sleep(checkInterval)
 			s = r.deployment.Fleet.WaveState(n + 1)
 		}
