job: a job brings tickets although its queue has left the configuration

Callers had an accepted job that never went on: after its route, which carries advice, was removed, its starts lacked the ticket and were rejected for ever.

Cause: without the queue in the configuration the owner goes by the copy of its settings in the job's record, which left the advice out.

The record holds the advice as well, so that the queue that is made from it has it.

--- a/job/core.go
+++ b/job/core.go
@@ -172,6 +172,7 @@
 		Attempts: r.Attempts,
 		Stretch:  r.Stretch,
 		Goal:     r.Goal,
+		Advice:   r.Advice,
 	}
 }
 
--- a/job/record.go
+++ b/job/record.go
@@ -53,6 +53,8 @@
 	// Goal is added to Stretch times the critical path of an instance: the instance is to be
 	// done within that time.
 	Goal time.Duration `json:"g,omitempty"`
+	// Advice is set if the queue carried advice: the starts of the job's tasks need tickets.
+	Advice *platform.AdviceTimes `json:"v,omitempty"`
 	// Team is the team whose caller submitted the job, "" for none.
 	Team string `json:"m,omitempty"`
 	// DataCentre is where the job was submitted.
@@ -75,6 +77,7 @@
 		Attempts:   q.Attempts,
 		Stretch:    q.Stretch,
 		Goal:       q.Goal,
+		Advice:     q.Advice,
 		ReceivedAt: now,
 		Spec:       s.Spec,
 		Steps:      s.Steps,
--- a/job/world_services_test.go
+++ b/job/world_services_test.go
@@ -21,6 +21,10 @@
 	queueService, accepting string
 	// dropped says that the configuration does not have the queue.
 	dropped bool
+	// advised says that the queue carries advice. Tickets of the advice service are valid until the
+	// given times.
+	advised bool
+	tickets map[worldTicket]time.Time
 }
 
 // redService is a service that only the model's configurations of changing queues have.
@@ -40,6 +44,7 @@
 	if w.queueService != "" {
 		l[0].Service = w.queueService
 	}
+	l[0].Advice = w.adviceTimes()
 	if w.dropped {
 		return l[1:]
 	}
@@ -52,6 +57,7 @@
 	if w.accepting != "" {
 		q.Service = w.accepting
 	}
+	q.Advice = w.adviceTimes()
 	return q
 }
 
@@ -96,6 +102,7 @@
 func (w *world) playServices() {
 	t := w.t
 	w.hostServices = map[string]string{}
+	w.advised = rapid.Bool().Draw(t, "advised")
 	for _, s := range []string{"green", redService} {
 		w.hosts++
 		host := fmt.Sprint("host-", w.hosts)
@@ -129,7 +136,7 @@
 			w.deposeOwner()
 		},
 	})
-	w.reroute("blue", false)
+	w.reroute("blue", rapid.Bool().Draw(t, "left_dropped"))
 	w.heal()
 	require.Empty(t, w.store.records, "jobs that never end")
 }
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -333,6 +333,8 @@
 	case StopRun:
 		w.send(o, a.Worker.ID, a, orderTimeout, func(v *worldWorker, late bool, answer func(Event)) { answer(w.stop(v, a, late)) },
 			func(err error) Event { return StopResult{Worker: a.Worker.ID, Run: a.Run, Task: a.Task, Err: err} })
+	case RequestAdvice:
+		w.advise(o, a)
 	case ListMachines:
 		w.after(5*time.Millisecond, func() { w.tell(o, w.listMachines()) })
 	case MoveMachine:
@@ -494,6 +496,8 @@
 		out.Rejection = platform.RejectedStaleRun
 	case o.LeaseUntil <= v.clock(w.now):
 		out.Rejection = platform.RejectedExpired
+	case w.lacksTicket(v, o):
+		out.Rejection = platform.RejectedTicket
 	default:
 		v.fence = o.Fence
 		v.extendLease(o.LeaseUntil, w.now)
