--- a/job/ends.go
+++ b/job/ends.go
@@ -58,7 +58,7 @@
 		return c.jobs[k.id] != nil
 	}
 	if e.Snapshot != "" && t.step.Checkpoints {
-		t.snapshot = e.Snapshot
+		t.snapshot, t.snapshotAt = e.Snapshot, c.now
 	}
 	c.emit(LogLine{What: "end", Job: k.id, Task: e.Task, Run: e.Run, Worker: w.ID, Why: string(e.End), Fields: []any{"number", e.Number}})
 	c.recordOutcome(w, t, e.End)
--- a/job/gang.go
+++ b/job/gang.go
@@ -23,6 +23,7 @@
 	if plan == nil {
 		return
 	}
+	s.shareSnapshot()
 	n := c.nextRun()
 	for i, t := range s.tasks {
 		ticket, _ := c.ticket(s, plan[i])
@@ -30,6 +31,20 @@
 	}
 }
 
+// shareSnapshot gives all members of a gang the snapshot that was received last: those that bring different
+// ones do not work together, and the snapshot of any member is good for all.
+func (s *step) shareSnapshot() {
+	last := s.tasks[0]
+	for _, t := range s.tasks {
+		if t.snapshotAt.After(last.snapshotAt) {
+			last = t
+		}
+	}
+	for _, t := range s.tasks {
+		t.snapshot, t.snapshotAt = last.snapshot, last.snapshotAt
+	}
+}
+
 func (c *Core) planInOneRack(free []*worker, s *step) []*worker {
 	tried := map[string]bool{}
 	for _, w := range free {
--- a/job/poll.go
+++ b/job/poll.go
@@ -239,7 +239,7 @@
 	c.withdrawStop(r)
 	t := r.task
 	if v.Snapshot != "" && t.step.Checkpoints {
-		t.snapshot = v.Snapshot
+		t.snapshot, t.snapshotAt = v.Snapshot, c.now
 	}
 	if t.step.Lasting {
 		t.ready = v.Percent >= 100 && r.phase == running
--- a/job/state.go
+++ b/job/state.go
@@ -80,7 +80,9 @@
 	failedRuns []int64
 	crashes    crashes
 	runs       []*run
+	// snapshot is the last one that its worker reported, at snapshotAt.
 	snapshot   string
+	snapshotAt time.Time
 	// avoid is the worker on which the last run failed, was refused, stalled or was slow.
 	avoid platform.WorkerID
 	// notBefore delays the next start after a run ended early, crashed its worker or was
--- a/job/world_cancel_test.go
+++ b/job/world_cancel_test.go
@@ -86,6 +86,7 @@
 	if _, known := w.cancelKnownAt[k.id]; known && o == w.owner() {
 		w.t.Fatalf("%s is started after its job was cancelled", a.Order.Task)
 	}
+	w.checkGangStart(k, a)
 }
 
 // deleteKeys deletes keys from the store.
--- a/job/world_faults_test.go
+++ b/job/world_faults_test.go
@@ -44,7 +44,7 @@
 		w.failures[o.Task]--
 		how = platform.EndFailed
 	}
-	v.runs[o.Task] = &worldRun{task: o.Task, number: o.Run, began: w.now, endsAt: w.now.Add(s.Estimate), how: how, step: s}
+	v.runs[o.Task] = &worldRun{task: o.Task, number: o.Run, began: w.now, endsAt: w.now.Add(s.Estimate), how: how, step: s, snapshot: o.Snapshot}
 	w.warmUp(v, v.runs[o.Task])
 	w.noteStart(v, k)
 }
@@ -104,6 +104,9 @@
 // checkInstanceDone checks that all tasks of an instance have succeeded.
 func (w *world) checkInstanceDone(id ID, rec Record, n int) {
 	for i, d := range rec.Steps {
+		if d.Gang && w.gangDone(id, n, i, d.Count) {
+			continue
+		}
 		for x := range d.Count {
 			k := taskKey{id: id, instance: n, step: i, index: x}
 			if len(w.doneRuns[k.String()]) == 0 {
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -56,6 +56,7 @@
 	worldServices
 	worldRecurring
 	worldForeign
+	worldGangs
 }
 
 // delivery is a function that is due at a time.
@@ -93,6 +94,8 @@
 	// readyAt is when a lasting run is ready, warmUpFor how long that takes from its start.
 	readyAt   time.Time
 	warmUpFor time.Duration
+	// snapshot is the one that it went on from.
+	snapshot string
 }
 
 type worldWorker struct {
@@ -453,7 +456,7 @@
 
 func (w *world) end(v *worldWorker, r *worldRun, how platform.End) {
 	v.lastEnd++
-	e := &worldEnd{row: platform.EndedRow{Number: v.lastEnd, Task: r.task, Run: r.number, End: how}, at: v}
+	e := &worldEnd{row: platform.EndedRow{Number: v.lastEnd, Task: r.task, Run: r.number, End: how, Snapshot: r.saved(w.now)}, at: v}
 	v.ended = append(v.ended, e)
 	if how == platform.EndDone {
 		w.doneRuns[r.task] = append(w.doneRuns[r.task], e)
@@ -479,7 +482,7 @@
 		return true
 	})
 	for _, r := range sorted(v.runs) {
-		out.Poll.Running = append(out.Poll.Running, platform.RunningRow{Task: r.task, Run: r.number, Percent: r.percent(w.now)})
+		out.Poll.Running = append(out.Poll.Running, platform.RunningRow{Task: r.task, Run: r.number, Percent: r.percent(w.now), Snapshot: r.saved(w.now)})
 	}
 	w.listEnds(v, &out.Poll)
 	return out
