job: the end of a transfer reaches a worker whose record is away

Callers of a pool would lose a host for good: its worker got no starts any more once its record had come back.

Cause: the end of a transfer took the mark from the worker that is listed for the host. If its record was away for the moment, there was none, and the mark stayed on the worker that came back. The same held for the evacuation of its data centre. Found by reading the places that set and clear the mark.

Evidence: TestTransferThatEndsWhileARecordIsAwayLeavesNoMark failed before.

Transfers now end as orders and drains do, by way of uncordon, which also looks for workers without a record.

--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -62,7 +62,7 @@
 			c.actions = nil
 			for m := range c.machinesByAge.All() {
 				if m.order == nil && m.transferTo != "" {
-					m.cancelTransfer(c.listedByHost[m.Name])
+					c.cancelTransfer(m)
 				}
 			}
 			b.StartTimer()
--- a/job/transfers.go
+++ b/job/transfers.go
@@ -206,7 +206,7 @@
 		w := c.listedByHost[m.Name]
 		switch {
 		case c.isEvacuated(m.DataCentre):
-			m.cancelTransfer(w)
+			c.cancelTransfer(m)
 		case w == nil || len(w.runs) == 0:
 			if c.mayOrder() {
 				m.transferTo = ""
@@ -214,10 +214,10 @@
 			}
 		case c.now.Sub(m.drainingSince) > transferTimeout:
 			m.keepUntil = c.now.Add(keepMoved)
-			m.cancelTransfer(w)
+			c.cancelTransfer(m)
 			d.have--
 		case d.transferUnneeded():
-			m.cancelTransfer(w)
+			c.cancelTransfer(m)
 			d.have--
 		}
 	}
@@ -230,7 +230,7 @@
 	for m := range c.machinesByAge.All() {
 		known := slices.ContainsFunc(c.config.Services, func(s platform.Service) bool { return s.Name == m.transferTo })
 		if m.transferTo != "" && m.order == nil && (spare == "" || !known) {
-			m.cancelTransfer(c.listedByHost[m.Name])
+			c.cancelTransfer(m)
 		}
 	}
 }
@@ -243,11 +243,9 @@
 	return !d.hasUnplaced
 }
 
-// cancelTransfer lets the worker, which may be nil, get starts again.
-func (m *machine) cancelTransfer(w *worker) {
+// cancelTransfer lets the machine's worker get starts again, also if its record is away.
+func (c *Core) cancelTransfer(m *machine) {
 	m.transferTo = ""
 	m.drainingSince = time.Time{}
-	if w != nil {
-		w.cordoned = false
-	}
+	c.uncordon(m)
 }
--- a/job/transfers_test.go
+++ b/job/transfers_test.go
@@ -41,3 +41,24 @@
 		})
 	}
 }
+
+// TestTransferThatEndsWhileARecordIsAwayLeavesNoMark guards against workers that get no starts any more after
+// their record has come back, as the transfer of their host ended meanwhile.
+func TestTransferThatEndsWhileARecordIsAwayLeavesNoMark(t *testing.T) {
+	f := newFixture(t)
+	f.join("w1")
+	f.submit(idB, "quick", oneTask())
+	f.acceptStart(f.starts()[0])
+	f.listMachines(machineOf("w1", "blue"))
+	m := f.core.machinesByName["host-of-w1"]
+	m.transferTo, m.drainingSince = "green", f.now
+	w := f.core.workers["w1"]
+	w.cordoned = true
+	f.step(WorkerUnlisted{Name: "w1"})
+	d := testConfig()
+	d.Version, d.Services = 2, d.Services[:2]
+	f.step(ConfigChanged{Config: d})
+	f.step(WorkerListed{Worker: testWorker("w1")})
+	require.Same(t, w, f.core.workers["w1"])
+	require.False(t, w.cordoned)
+}
