job: a drain that waits for a disruption budget ends after a while also if there is room elsewhere

Callers of a service would have up to as many of its workers without starts as a wave may take down at once, for as long as other tasks of a lasting step are away.

Cause: a drain whose lasting tasks have room elsewhere counted as sure to end, although a stop asks the budget as well.

A drain that no lasting task has left for six seconds ends, and begins again three seconds later at the earliest. A machine that several tasks leave one after the other goes on being drained.

--- a/job/drain.go
+++ b/job/drain.go
@@ -58,8 +58,8 @@
 }
 
 // lastingClaims returns the lasting tasks on the machine that may be stopped now beside those that
-// other drains of this pass stop, and will start again. It returns false if another one can neither be
-// stopped nor start elsewhere, so that the drain would wait for it.
+// other drains of this pass stop, and will start again. It returns false if the drain would wait for
+// another one, as that may not be stopped and has no room elsewhere, or has not left for too long.
 func (c *Core) lastingClaims(m *machine) ([]*task, bool) {
 	w := c.workerOf(m)
 	if w == nil {
@@ -71,19 +71,31 @@
 		case !r.task.step.Lasting, r.phase == stopping:
 		case c.mayStopBeside(r, l) && (r.mayReturn() && r.warmedUp(c.now) || c.roomElsewhere(w, r.task)):
 			l = append(l, r.task)
-		case !c.roomElsewhere(w, r.task):
+		case c.drainOverdue(m, w), !c.roomElsewhere(w, r.task):
 			return nil, false
 		}
 	}
 	return l, true
 }
 
+// drainOverdue reports whether the machine has been drained for maxDrainHold and no lasting task has left
+// it in that time, or whether such a drain has just been ended.
+func (c *Core) drainOverdue(m *machine, w *worker) bool {
+	if m.drainingSince.IsZero() {
+		return c.now.Before(m.nextDrainAt)
+	}
+	return c.now.Sub(latest(m.drainingSince, w.evictedAt)) > maxDrainHold
+}
+
 // mayStopBeside reports whether the run may be stopped now beside the given tasks and those that
 // other drains of this pass stop.
 func (c *Core) mayStopBeside(r *run, l []*task) bool {
 	s := r.task.step
-	if !c.mayStop(r) || !s.hasDisruptionBudget() || s.instance.job.state.Final() {
-		return c.mayStop(r)
+	if !c.mayStop(r) {
+		return false
+	}
+	if !s.hasDisruptionBudget() || s.instance.job.state.Final() {
+		return true
 	}
 	away := len(s.othersUnavailable(r.task, c.now))
 	for _, t := range s.tasks {
--- a/job/drain_test.go
+++ b/job/drain_test.go
@@ -144,3 +144,42 @@
 	}
 	return platform.PollReply{Running: append([]platform.RunningRow{runningRow(lasting, 100)}, others...)}
 }
+
+// TestDrainThatWaitsForABudgetIsEndedAfterAWhile guards against drains that keep starts off workers for as
+// long as a disruption budget is used up, although the lasting tasks have room elsewhere.
+func TestDrainThatWaitsForABudgetIsEndedAfterAWhile(t *testing.T) {
+	f := newFixture(t)
+	f.withoutSparePool()
+	f.join("w1", "w2")
+	s := oneTask()
+	s.Count, s.MaxPerWorker, s.Lasting, s.MaxUnavailable = 2, 1, true, 1
+	f.submit(idA, "quick", s)
+	runs := map[platform.WorkerID]StartRun{}
+	for _, r := range f.starts() {
+		f.acceptStart(r)
+		runs[r.Worker.ID] = r
+	}
+	require.Len(t, runs, 2)
+	f.join("w3")
+	f.listMachines(machineOf("w1", "blue"), machineOf("w2", "blue"), machineOf("w3", "blue"))
+	f.advance(evictionDelay)
+	f.requestWave(1, "w1")
+	cordoned := 0
+	for x := range 180 {
+		f.advance(100 * time.Millisecond)
+		for id, r := range runs {
+			percent := 100
+			if id == "w2" {
+				percent = 10 + x/10
+			}
+			if _, ok := f.polls[id]; ok {
+				f.answer(string(id), platform.PollReply{Running: []platform.RunningRow{runningRow(r, percent)}})
+			}
+		}
+		if f.core.workers["w1"].cordoned {
+			cordoned++
+		}
+	}
+	require.Empty(t, f.stops())
+	require.Less(t, cordoned, 140, "of 180 tenths of a second")
+}
--- a/job/lasting.go
+++ b/job/lasting.go
@@ -57,6 +57,7 @@
 			continue
 		}
 		c.stop(r, "its worker is being drained")
+		w.evictedAt = c.now
 	}
 	return empty
 }
--- a/job/worker.go
+++ b/job/worker.go
@@ -138,6 +138,8 @@
 	evacuated bool
 	// maintenanceDue reports whether a wave has yet to maintain its machine.
 	maintenanceDue bool
+	// evictedAt is when a lasting run on it was last stopped to drain it.
+	evictedAt time.Time
 	// idleSince is when the last run on it ended.
 	idleSince time.Time
 	// nextPaceAt is when paces on it may be changed again.
